--- a/standin/history_check.c
+++ b/standin/history_check.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "standin_history.h"
+#include "standin_check.h"
 
 struct options
 {
--- a/standin/standin_history.h
+++ b/standin/standin_check.h
@@ -4,8 +4,8 @@
    time, and decides the promises of docs/design.md, section 1.2.  Memory
    grows with the number of flows and requests, not with that of lines.  */
 
-#ifndef STANDIN_HISTORY_H
-#define STANDIN_HISTORY_H
+#ifndef STANDIN_CHECK_H
+#define STANDIN_CHECK_H
 
 #include <jansson.h>
 #include <stdbool.h>
--- a/standin/standin_history_parts.h
+++ b/standin/standin_check_parts.h
@@ -1,9 +1,9 @@
 /* Parts that the sources of the history checker share.  */
 
-#ifndef STANDIN_HISTORY_PARTS_H
-#define STANDIN_HISTORY_PARTS_H
+#ifndef STANDIN_CHECK_PARTS_H
+#define STANDIN_CHECK_PARTS_H
 
-#include "standin_history.h"
+#include "standin_check.h"
 
 /* Counts a violation of PROMISE and names the first few, with the lines at A
    and B unless they are nowhere.  */
--- a/standin/standin_history_read.c
+++ b/standin/standin_check_read.c
@@ -1,4 +1,4 @@
-#include "standin_history.h"
+#include "standin_check.h"
 
 #include <errno.h>
 #include <stdio.h>
