--- /dev/null
+++ b/scripts/lib/experiment.py
@@ -0,0 +1,401 @@
+"""Frame of the experiments: options, bounds, operators and polling.
+
+An experiment is a module scripts/experiments/NAME.py with
+
+    DESCRIPTION   one line
+    POLICIES      the names that --policy takes; the first is the default
+    run(x)        does the work with x, an Experiment, and returns x.result()
+"""
+
+import bisect
+import concurrent.futures
+import contextlib
+import json
+import operator
+import os
+import pathlib
+import shutil
+import statistics
+import sys
+import tempfile
+import threading
+import time
+
+import wire
+from cluster import ROOT, Cluster, now_us, wait_until
+
+OPERATORS = {"<=": operator.le, ">=": operator.ge, "==": operator.eq}
+
+# Blocks 127.95.0.0/16 to 127.99.0.0/16 are used in turn, so that sockets of
+# a run that has just ended do not meet those of the next.
+BLOCKS = (95, 96, 97, 98, 99)
+
+# Longest time until a fresh cluster has its first configuration in force.
+READY_SECONDS = 30
+
+# Pause between two looks at the revisions in force.  It adds to the spread
+# time that is measured.
+POLL_SECONDS = 0.25
+
+
+class Experiment:
+    """One run: its options, folder, clusters, figures and bounds."""
+
+    def __init__(self, name, options, policy):
+        self.name = name
+        self.seed = options.seed
+        self.policy = policy
+        self.small = options.small
+        self.size = options.size
+        self.options = options
+        self.figures = {}
+        self.bounds = []
+        self.violations = []
+        self.runs = 0
+        base = ROOT / "run" / "experiments"
+        base.mkdir(parents=True, exist_ok=True)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"{name}-",
+                                                    dir=base))
+
+    # ---- options ---------------------------------------------------------
+
+    def seconds(self, full, small):
+        """Length of the run: --seconds, or SMALL with --small, else FULL."""
+        if self.options.seconds is not None:
+            return self.options.seconds
+        return small if self.small else full
+
+    def pick(self, full, small):
+        """FULL, or SMALL with --small."""
+        return small if self.small else full
+
+    def say(self, text):
+        print(f"{self.name}: {text}", file=sys.stderr, flush=True)
+
+    # ---- clusters --------------------------------------------------------
+
+    @contextlib.contextmanager
+    def cluster(self, **arguments):
+        """A ProofCluster in a folder of its own."""
+        self.runs += 1
+        block = BLOCKS[(os.getpid() + self.runs) % len(BLOCKS)]
+        arguments.setdefault("block", block)
+        arguments.setdefault("seed", self.seed)
+        arguments.setdefault("log_level", "warning")
+        with ProofCluster(self.folder / f"run-{self.runs}",
+                          **arguments) as c:
+            yield c
+
+    def check(self, c, prefix="", promises=True):
+        """Runs history-check on the histories of C.  Adds broken promises to
+        the violations and returns the figures."""
+        report = read_check(c.history_check())
+        if promises:
+            for p in report["promises"]:
+                self.violations += [f"{prefix}{p['name']}: {v}"
+                                    for v in p["named"]]
+            self.figures[prefix + "violations"] = sum(
+                p["violations"] for p in report["promises"])
+            self.bounds.append((prefix + "violations", "==", 0))
+        return report["figures"]
+
+    def keep(self, figures, *names, prefix=""):
+        """Copies the named figures into the result."""
+        for name in names:
+            self.figures[prefix + name] = figures[name]
+
+    def bound(self, figure, op, limit):
+        """Names a bound that the figure has to meet."""
+        self.bounds.append((figure, op, limit))
+
+    # ---- result ----------------------------------------------------------
+
+    def result(self):
+        bounds, passed = [], bool(self.bounds)
+        for figure, op, limit in self.bounds:
+            value = self.figures.get(figure)
+            holds = value is not None and OPERATORS[op](value, limit)
+            passed = passed and holds
+            bounds.append({"figure": figure, "bound": f"{op} {limit}",
+                           "value": value, "holds": holds})
+        return {"name": self.name, "seed": self.seed, "policy": self.policy,
+                "pass": passed, "bound": bounds, "figures": self.figures,
+                "violations": self.violations[:10]}
+
+    def clean(self, passed):
+        """Removes the folder of a run that passed."""
+        if passed and not self.options.keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            self.say(f"files kept in {self.folder.relative_to(ROOT)}")
+
+
+def read_check(done):
+    """The report of history-check."""
+    if done.returncode not in (0, 1):
+        raise RuntimeError(f"history-check: status {done.returncode}: "
+                           f"{done.stderr.strip()}")
+    return json.loads(done.stdout.strip().splitlines()[-1])
+
+
+class ProofCluster(Cluster):
+    """A Cluster with operators that write down what they did and see."""
+
+    def __init__(self, folder, cut=False, **arguments):
+        """cut: forwarders and agents are started so that cut() works."""
+        super().__init__(folder, **arguments)
+        self.key = wire.read_key(self.key_file)
+        self.poller = None
+        self.cut_file = self.folder / "cut" if cut else None
+
+    def upstream_address(self, service, index, real=False):
+        """As in Cluster for the first 50 services; the others differ by
+        their port."""
+        number = self.services[service]["number"]
+        if number < 50:
+            return super().upstream_address(service, index, real)
+        return (f"127.{self.block}.{100 + number % 50}.{index + 1}:"
+                f"{9000 + number // 50}")
+
+    def stop(self):
+        if self.poller:
+            self.poller.stop()
+            self.poller = None
+        return super().stop()
+
+    # ---- partition -------------------------------------------------------
+
+    def cut(self, pairs):
+        """Separates the address prefixes of each pair; [] heals."""
+        new = self.cut_file.with_suffix(".new")
+        new.write_text("".join(f"{a} {b}\n" for a, b in pairs))
+        new.rename(self.cut_file)
+
+    def spawn_on(self, vm, start):
+        """Calls start(vm) with the partition preloaded."""
+        if not self.cut_file:
+            return start(vm)
+        added = {"LD_PRELOAD": str(self.build / "test" / "libam_cut.so"),
+                 "AM_CUT_FILE": str(self.cut_file),
+                 "AM_CUT_SELF": vm.address + ".",
+                 "ASAN_OPTIONS": "verify_asan_link_order=0"}
+        before = {k: os.environ.get(k) for k in added}
+        os.environ.update(added)
+        try:
+            return start(vm)
+        finally:
+            for k, v in before.items():
+                if v is None:
+                    del os.environ[k]
+                else:
+                    os.environ[k] = v
+
+    def start_forwarder(self, vm):
+        return self.spawn_on(vm, super().start_forwarder)
+
+    def start_agent(self, vm):
+        return self.spawn_on(vm, super().start_agent)
+
+    # ---- start -----------------------------------------------------------
+
+    def start(self, platform=None, configure=True):
+        """Starts everything and waits until the records are in force."""
+        self.start_platform(**(platform or {}))
+        self.start_entry_vms()
+        if configure:
+            self.configure()
+            self.wait_in_force()
+
+    def status(self, vm):
+        """Status of the agent of VM."""
+        agent = wire.Agent(self.key, vm.agent_address)
+        try:
+            return agent.status()
+        finally:
+            agent.close()
+
+    def in_force_on(self, vm, wanted):
+        """True if VM has at least the WANTED revisions in force."""
+        try:
+            have = self.status(vm)["in_force"]
+        except OSError:
+            return False
+        return all(have.get(n, -1) >= r for n, r in wanted.items())
+
+    def wait_in_force(self, vms=None, seconds=READY_SECONDS):
+        """Waits until every VM has what the store holds in force."""
+        wanted = self.revisions()
+        for vm in vms or self.vms:
+            wait_until(lambda vm=vm: self.in_force_on(vm, wanted), seconds,
+                       f"records in force on {vm.name}", 0.1)
+
+    def revisions(self):
+        """{record: revision} of the store."""
+        return {n: r["revision"] for n, r in self.store_records().items()}
+
+    def poll(self, seconds=POLL_SECONDS, names=None):
+        """Starts to write down what is in force on each VM."""
+        self.poller = Poller(self, seconds, names)
+        return self.poller
+
+    # ---- operators -------------------------------------------------------
+
+    def apply(self, service, vm=None, check=True, **changes):
+        """Changes fields of the service's record, applies it, and writes the
+        accepted revision down.  Returns the CompletedProcess."""
+        self.services[service].update(changes)
+        self.write_record(service, len({v.data_centre for v in self.vms}))
+        done = self.ctl("apply", self.records / f"{service}.yaml", vm=vm,
+                        check=check)
+        if done.returncode == 0:
+            self.accepted(service)
+        return done
+
+    def accepted(self, record):
+        """Writes down the revision of RECORD that the store now holds."""
+        revision = self.revisions()[record]
+        self.note("config", record=record, revision=revision)
+        return revision
+
+    def set_state(self, service, upstream, state):
+        """Marks an upstream active or leaving by a new record."""
+        states = dict(self.services[service].get("states", {}))
+        states[upstream] = state
+        done = self.apply(service, states=states)
+        event = "leaving" if state == "leaving" else "joining"
+        self.note(event, service=service, upstream=upstream)
+        return done
+
+    # ---- entry VMs -------------------------------------------------------
+
+    def start_vm(self, vm):
+        super().start_vm(vm)
+        self.note("started", vm=vm.name)
+
+    def live(self):
+        """Entry VMs whose forwarder runs."""
+        return [vm for vm in self.vms if vm.forwarder.running()]
+
+
+class Poller:
+    """Writes the revisions in force on each VM into the history."""
+
+    def __init__(self, c, seconds, names):
+        self.cluster = c
+        self.seconds = seconds
+        self.names = names
+        self.last = {}
+        self.agents = {}
+        self.ended = threading.Event()
+        self.pool = concurrent.futures.ThreadPoolExecutor(16)
+        self.thread = threading.Thread(target=self._loop, daemon=True)
+        self.thread.start()
+
+    def stop(self):
+        self.ended.set()
+        self.thread.join()
+        self.pool.shutdown()
+        for agent in self.agents.values():
+            agent.close()
+
+    def _loop(self):
+        while not self.ended.wait(self.seconds):
+            list(self.pool.map(self._look, self.cluster.vms))
+
+    def _look(self, vm):
+        try:
+            if vm.name not in self.agents:
+                self.agents[vm.name] = wire.Agent(self.cluster.key,
+                                                  vm.agent_address)
+            have = self.agents[vm.name].status()["in_force"]
+        except OSError:
+            agent = self.agents.pop(vm.name, None)
+            if agent:
+                agent.close()
+            return
+        for record, revision in have.items():
+            if self.names and record not in self.names:
+                continue
+            self._see(vm, record, revision)
+
+    def _see(self, vm, record, revision):
+        """A line for each change, and one in 5 s so that a VM which stays
+        behind is seen to be there."""
+        before, at = self.last.get((vm.name, record), (None, 0))
+        now = now_us()
+        if before == revision and now - at < 5_000_000:
+            return
+        self.last[vm.name, record] = (revision, now)
+        self.cluster.note("in_force", record=record, revision=revision,
+                          vm=vm.name)
+
+
+# ---- figures from histories ----------------------------------------------
+
+
+def percentile(values, share):
+    """Value below which SHARE (0 to 1) of the values lie."""
+    if not values:
+        return 0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def median(values):
+    return statistics.median(values) if values else 0
+
+
+def max_over_mean(counts):
+    """Imbalance: the largest count over the mean."""
+    mean = sum(counts) / len(counts) if counts else 0
+    return round(max(counts) / mean, 4) if mean else 0
+
+
+def open_flows(events, upstreams, at_us):
+    """Open flows of each of the upstreams at a time."""
+    holders = {name: set() for name in upstreams}
+    for e in events:
+        if e["t"] > at_us:
+            break
+        if e["ev"] == "flow_open" and e["upstream"] in holders:
+            holders[e["upstream"]].add(e["flow"])
+        elif e["ev"] == "flow_close" and e["upstream"] in holders:
+            holders[e["upstream"]].discard(e["flow"])
+    return {name: len(flows) for name, flows in holders.items()}
+
+
+def busy_time(events, upstreams, from_us, to_us):
+    """Time that each upstream's slots were busy in a window, in seconds."""
+    busy = dict.fromkeys(upstreams, 0.0)
+    begun = {}
+    for e in events:
+        if e["ev"] == "run":
+            begun[e["upstream"], e["req"]] = e["t"]
+        elif e["ev"] == "done" and e["upstream"] in busy:
+            start = begun.pop((e["upstream"], e["req"]), e["t"])
+            part = min(e["t"], to_us) - max(start, from_us)
+            busy[e["upstream"]] += max(0, part) / 1e6
+    return busy
+
+
+def latencies(events):
+    """[(sent, answered)] of requests that were answered, microseconds."""
+    sent, found = {}, []
+    for e in events:
+        if e["ev"] == "request":
+            sent[e["req"]] = e["t"]
+        elif e["ev"] == "answer" and e["req"] in sent:
+            found.append((sent[e["req"]], e["t"]))
+    return found
+
+
+def per_second(times, from_us, to_us):
+    """Counts of the events at sorted times in each second of a window."""
+    return [bisect.bisect_left(times, t + 1_000_000)
+            - bisect.bisect_left(times, t)
+            for t in range(from_us, to_us, 1_000_000)]
+
+
+def sleep_until(start, seconds):
+    """Sleeps until SECONDS after START (time.monotonic)."""
+    time.sleep(max(0.0, start + seconds - time.monotonic()))
