--- a/standin/store.c
+++ b/standin/store.c
@@ -21,13 +21,13 @@
 #define US_PER_SECOND 1000000u
 
 /* Consul's default for a blocking query without a wait time.  */
-#define WAIT_DEFAULT_US (300u * US_PER_SECOND)
+#define WAIT_DEFAULT_US 300000000u
 #define CONNECTIONS_MAX 4000
 #define BODY_MAX (STANDIN_VALUE_MAX + 1)
 #define RUNS_MAX 64
 
 /* How often waiting watches are looked through for callers that left.  */
-#define LEFT_CHECK_US (200u * US_PER_MS)
+#define LEFT_CHECK_US 200000u
 
 /* X (field) */
 #define KIND_LIST(X) \
