Let controllers send peer messages and find upstreams by address

Cause: credit and the flow bindings send peer datagrams but only dispatch held the peer key; replies of upstreams are matched by source address.

--- a/src/core/board.c
+++ b/src/core/board.c
@@ -27,6 +27,7 @@
 static void
 free_service (struct am_board *b, struct am_service *s)
 {
+  HASH_CLEAR (by_address, s->upstreams_by_address);
   am_list_each_safe (u, next, &s->upstreams, struct am_upstream, node)
   {
     HASH_DELETE (by_id, s->upstreams_by_id, u);
@@ -81,6 +82,16 @@
   return u;
 }
 
+struct am_upstream *
+am_service_upstream_at (struct am_service *s, struct am_address address)
+{
+  uint64_t key = am_address_key (address);
+  struct am_upstream *u;
+
+  HASH_FIND (by_address, s->upstreams_by_address, &key, sizeof key, u);
+  return u;
+}
+
 struct am_member *
 am_board_member (struct am_board *b, uint32_t id)
 {
@@ -193,3 +204,23 @@
 
   send_datagram (b, &a, &h, p);
 }
+
+void
+am_board_send_peer (struct am_board *b, const struct am_member *m,
+                    enum am_peer_type type, uint32_t service_id,
+                    const uint8_t *body, size_t len)
+{
+  uint8_t buf[AM_PEER_HEADER_SIZE + AM_PEER_BODY_MAX];
+  struct am_peer_header h = { .type = (uint8_t)type,
+                              .sender_id = b->self.id,
+                              .sender_boot_id = b->self.boot_id,
+                              .service_id = service_id };
+  struct am_action a = { .type = AM_ACTION_PEER,
+                         .to = m->peer,
+                         .service_id = service_id,
+                         .data = buf };
+
+  if (am_peer_encode (&h, b->peer_key, body, len, buf, sizeof buf, &a.len))
+    return;
+  am_board_emit (b, &a);
+}
--- a/src/core/board.h
+++ b/src/core/board.h
@@ -19,6 +19,7 @@
 #include "base/rng.h"
 #include "wire/amaranth.pb-c.h"
 #include "wire/packet.h"
+#include "wire/peer.h"
 #include "wire/ticket.h"
 
 #define AM_NAME_SIZE 64
@@ -100,11 +101,20 @@
   uint64_t at_us; /* 0: none yet */
 };
 
+/* Active probing.  Owner: probe.  */
+struct am_upstream_probe
+{
+  uint64_t next_us; /* when the next probe is due; 0: not yet planned */
+  uint64_t sent_us; /* time of the unanswered probe; 0: none */
+};
+
 struct am_upstream
 {
   /* Owner: snapshot.  */
-  struct am_list node;  /* in am_service.upstreams, by id */
-  UT_hash_handle by_id; /* in am_service.upstreams_by_id */
+  struct am_list node;       /* in am_service.upstreams, by id */
+  UT_hash_handle by_id;      /* in am_service.upstreams_by_id */
+  UT_hash_handle by_address; /* in am_service.upstreams_by_address */
+  uint64_t address_key;      /* am_address_key of ADDRESS */
   struct am_service *service;
   uint32_t id;
   char name[AM_NAME_SIZE];
@@ -122,6 +132,7 @@
   struct am_upstream_use use;
   struct am_upstream_credit credit;
   struct am_upstream_report report;
+  struct am_upstream_probe probe;
   uint64_t choice_mark; /* owner: choice; order of last use */
 };
 
@@ -160,6 +171,7 @@
   uint32_t open_rate; /* OPEN a second and caller address */
   struct am_list upstreams;
   struct am_upstream *upstreams_by_id;
+  struct am_upstream *upstreams_by_address;
   struct am_class classes[AM_CLASSES_MAX];
   size_t class_count;
   const struct am_binding_ops *binding;
@@ -189,6 +201,7 @@
   Amaranth__MemberState state;
   uint64_t boot_id; /* of its forwarder; 0: unknown */
   bool present;
+  uint64_t missing_since_us; /* absent from the snapshots since; 0: present */
 };
 
 struct am_key
@@ -255,6 +268,8 @@
   uint64_t now_us; /* time of the present event, monotonic */
   struct am_rng rng;
   struct am_sink sink;
+  const uint8_t *peer_key; /* AM_PEER_KEY_SIZE bytes, not owned */
+  bool via_peer; /* the present datagram came through the peer port */
   bool log_decisions;
   struct am_counters counters;
 
@@ -310,6 +325,16 @@
                            struct am_address caller,
                            const struct am_packet *p);
 
+/* Sends BODY to the peer port of member M, sealed under the peer key.  A body
+   above AM_PEER_BODY_MAX is dropped.  */
+void am_board_send_peer (struct am_board *b, const struct am_member *m,
+                         enum am_peer_type type, uint32_t service_id,
+                         const uint8_t *body, size_t len);
+
+/* Returns the upstream of S at ADDRESS or NULL.  */
+struct am_upstream *am_service_upstream_at (struct am_service *s,
+                                            struct am_address address);
+
 /* Sends packet P of CALLER to upstream U as a datagram.  */
 void am_board_send_upstream (struct am_board *b, const struct am_upstream *u,
                              struct am_address caller,
