Add flow side of the decision core

A packet that a stale entry VM cannot place (unknown key, unknown or newer upstream) is passed to the ticket's issuer once before it is reset.

--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -49,6 +49,8 @@
 {
   struct am_board board;
   uint8_t peer_key[32];
+  bool exit_emitted; /* owner: lifecycle */
+  uint64_t next_slow_tick_us;
 };
 
 /* Sets up D.  Returns AM_OK or AM_E_MEMORY.  */
@@ -62,6 +64,14 @@
    was refused; a refused input changes no state but a counter.  */
 int am_dispatch_event (struct am_dispatch *d, const struct am_event *e);
 
+/* Returns AM_EVENT_UPSTREAM if the datagram of LEN bytes at DATA is a reply:
+   its PROXY header names a service as the source and FROM is an upstream of
+   that service.  Otherwise AM_EVENT_CALLER.  For a driver that receives both
+   on one port.  */
+enum am_event_type am_dispatch_classify (struct am_dispatch *d,
+                                         struct am_address from,
+                                         const uint8_t *data, size_t len);
+
 /* Fills R (initialised, empty) with loads, life state and counters.  The
    arrays belong to the caller, who frees them with am_dispatch_report_free.
    Returns AM_OK or AM_E_MEMORY.  */
--- /dev/null
+++ b/src/core/opening.c
@@ -0,0 +1,510 @@
+#include "core/opening.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "core/choice.h"
+#include "core/flow_count.h"
+#include "core/key_ring.h"
+
+/* Burst of the token bucket, as a multiple of its rate.  */
+#define BURST_SECONDS 2.0
+
+#define MICROSECONDS 1e6
+
+/* Identifies one OPEN: connection id, then service id and caller address.  */
+struct key
+{
+  uint64_t words[2];
+};
+
+struct opening
+{
+  struct am_list node; /* in pending or opened, oldest first */
+  UT_hash_handle hh;
+  struct key key;
+  uint64_t connection_id;
+  struct am_address caller;
+  struct am_service *service;
+  struct am_upstream *upstream; /* NULL: gone since */
+  uint64_t started_us;
+  uint64_t since_us; /* of the present state */
+  uint32_t attempts;
+  bool opened;
+  uint8_t ticket[AM_TICKET_SIZE];
+};
+
+/* OPEN rate of one caller address.  */
+struct bucket
+{
+  struct am_list node; /* in callers, least recently used first */
+  UT_hash_handle hh;
+  uint32_t ip;
+  double tokens;
+  uint64_t at_us;
+};
+
+struct am_opens
+{
+  struct opening *table;
+  struct am_list pending;
+  struct am_list opened;
+  size_t pending_count;
+  struct bucket *buckets;
+  struct am_list callers;
+  uint64_t serial;
+};
+
+int
+am_opens_init (struct am_board *b)
+{
+  struct am_opens *o = calloc (1, sizeof *o);
+
+  if (!o)
+    return AM_E_MEMORY;
+  am_list_init (&o->pending);
+  am_list_init (&o->opened);
+  am_list_init (&o->callers);
+  b->opens = o;
+  return AM_OK;
+}
+
+/* Ends the use of the upstream that O waits for.  */
+static void
+release_upstream (struct opening *o)
+{
+  if (o->upstream && !o->opened && o->upstream->use.opening)
+    o->upstream->use.opening--;
+  o->upstream = NULL;
+}
+
+static void
+forget (struct am_opens *t, struct opening *o)
+{
+  if (!o->opened)
+    t->pending_count--;
+  release_upstream (o);
+  am_list_remove (&o->node);
+  HASH_DEL (t->table, o);
+  free (o);
+}
+
+static void
+free_buckets (struct am_opens *t)
+{
+  am_list_each_safe (c, next, &t->callers, struct bucket, node)
+  {
+    HASH_DEL (t->buckets, c);
+    free (c);
+  }
+}
+
+void
+am_opens_finish (struct am_board *b)
+{
+  struct am_opens *t = b->opens;
+
+  if (!t)
+    return;
+  am_list_each_safe (o, next, &t->pending, struct opening, node)
+  {
+    forget (t, o);
+  }
+  am_list_each_safe (o, next, &t->opened, struct opening, node)
+  {
+    forget (t, o);
+  }
+  free_buckets (t);
+  free (t);
+  b->opens = NULL;
+}
+
+/* ---- token buckets ------------------------------------------------ */
+
+static struct bucket *
+find_bucket (struct am_opens *t, uint32_t ip, double burst, uint64_t now_us)
+{
+  struct bucket *c;
+
+  HASH_FIND (hh, t->buckets, &ip, sizeof ip, c);
+  if (c)
+    return c;
+  if (HASH_COUNT (t->buckets) >= AM_OPEN_CALLERS_MAX)
+    {
+      c = am_container_of (am_list_pop_front (&t->callers), struct bucket,
+                           node);
+      HASH_DEL (t->buckets, c);
+    }
+  else
+    c = calloc (1, sizeof *c);
+  if (!c)
+    return NULL;
+  memset (c, 0, sizeof *c);
+  am_list_init (&c->node);
+  c->ip = ip;
+  c->tokens = burst;
+  c->at_us = now_us;
+  HASH_ADD (hh, t->buckets, ip, sizeof c->ip, c);
+  return c;
+}
+
+int
+am_opens_admit (struct am_board *b, const struct am_service *s,
+                struct am_address caller)
+{
+  struct am_opens *t = b->opens;
+  double burst = s->open_rate * BURST_SECONDS;
+  struct bucket *c = find_bucket (t, caller.ip, burst, b->now_us);
+
+  if (!c)
+    return AM_E_RATE;
+  am_list_remove (&c->node);
+  am_list_push_back (&t->callers, &c->node);
+  c->tokens += (double)(b->now_us - c->at_us) * s->open_rate / MICROSECONDS;
+  if (c->tokens > burst)
+    c->tokens = burst;
+  c->at_us = b->now_us;
+  if (c->tokens < 1.0)
+    return AM_E_RATE;
+  c->tokens -= 1.0;
+  return AM_OK;
+}
+
+/* ---- answers to the caller ---------------------------------------- */
+
+static void
+refuse (struct am_board *b, struct am_service *s, struct am_address caller,
+        uint64_t connection_id, int error)
+{
+  uint8_t body[AM_REASON_BODY_SIZE];
+  struct am_reason_body reason = { .error = error };
+  struct am_packet p = { .type = AM_PACKET_RESET,
+                         .connection_id = connection_id,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  am_reason_body_encode (&reason, body);
+  b->counters.opens_refused++;
+  b->counters.resets++;
+  if (error == AM_E_RATE)
+    b->counters.opens_limited++;
+  am_board_decision (
+      b, connection_id,
+      "event=open_refused flow=%llu service=%s reason=%s revision=%llu",
+      (unsigned long long)connection_id, s->name, am_error_name (error),
+      (unsigned long long)s->revision);
+  am_board_send_caller (b, s->address, caller, &p);
+}
+
+static void
+send_ticket (struct am_board *b, const struct opening *o)
+{
+  struct am_packet p = { .type = AM_PACKET_OPENED,
+                         .connection_id = o->connection_id,
+                         .ticket = o->ticket };
+
+  am_board_send_caller (b, o->service->address, o->caller, &p);
+}
+
+/* ---- asking upstreams --------------------------------------------- */
+
+static uint64_t
+flow_key (const struct opening *o)
+{
+  return am_hash_bytes (&o->key, sizeof o->key, 0);
+}
+
+static void
+send_open (struct am_board *b, const struct opening *o)
+{
+  uint8_t body[AM_OPEN_BODY_SIZE];
+  struct am_open_body open = { .kind = AM_OPEN_FLOW };
+  struct am_packet p = { .type = AM_PACKET_OPEN,
+                         .connection_id = o->connection_id,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  am_open_body_encode (&open, body);
+  am_board_send_upstream (b, o->upstream, o->caller, &p);
+}
+
+/* Asks the next upstream.  Returns AM_OK, or the error if there is none.  */
+static int
+ask (struct am_board *b, struct opening *o, const struct am_upstream *exclude)
+{
+  struct am_upstream *u = NULL;
+  int err = am_choice_pick (b, o->service, AM_WORK_FLOW, exclude, flow_key (o),
+                            &u);
+
+  if (err)
+    return err;
+  o->upstream = u;
+  u->use.opening++;
+  o->attempts++;
+  o->since_us = b->now_us;
+  am_list_remove (&o->node);
+  am_list_push_back (&b->opens->pending, &o->node);
+  am_board_decision (
+      b, o->connection_id,
+      "event=open flow=%llu service=%s upstream=%s policy=%s attempt=%u "
+      "revision=%llu",
+      (unsigned long long)o->connection_id, o->service->name, u->name,
+      o->service->choice->name, o->attempts,
+      (unsigned long long)o->service->revision);
+  send_open (b, o);
+  return AM_OK;
+}
+
+/* The upstream of O did not take the flow for the reason ERROR: asks another
+   one or gives up.  */
+static void
+ask_another (struct am_board *b, struct opening *o, int error)
+{
+  const struct am_upstream *exclude = o->upstream;
+  int err = o->attempts < AM_OPEN_ATTEMPTS_MAX ? AM_OK : error;
+
+  release_upstream (o);
+  if (!err)
+    err = ask (b, o, exclude);
+  if (!err)
+    return;
+  refuse (b, o->service, o->caller, o->connection_id, err);
+  forget (b->opens, o);
+}
+
+/* ---- events ------------------------------------------------------- */
+
+static struct key
+make_key (const struct am_service *s, struct am_address caller,
+          uint64_t connection_id)
+{
+  struct key key = { { connection_id, (uint64_t)s->id << 32 | caller.ip } };
+
+  return key;
+}
+
+static struct opening *
+find (const struct am_opens *t, const struct am_service *s,
+      struct am_address caller, uint64_t connection_id)
+{
+  struct key key = make_key (s, caller, connection_id);
+  struct opening *o;
+
+  HASH_FIND (hh, t->table, &key, sizeof key, o);
+  return o;
+}
+
+static struct opening *
+add (struct am_board *b, struct am_service *s, struct am_address caller,
+     uint64_t connection_id)
+{
+  struct am_opens *t = b->opens;
+  struct opening *o;
+
+  if (HASH_COUNT (t->table) >= AM_OPENS_MAX)
+    return NULL;
+  o = calloc (1, sizeof *o);
+  if (!o)
+    return NULL;
+  o->key = make_key (s, caller, connection_id);
+  o->connection_id = connection_id;
+  o->caller = caller;
+  o->service = s;
+  o->started_us = b->now_us;
+  am_list_push_back (&t->pending, &o->node);
+  t->pending_count++;
+  HASH_ADD (hh, t->table, key, sizeof o->key, o);
+  return o;
+}
+
+int
+am_opens_arrive (struct am_board *b, struct am_service *s,
+                 struct am_address caller, uint64_t connection_id)
+{
+  struct opening *o = find (b->opens, s, caller, connection_id);
+  int err = AM_OK;
+
+  if (o)
+    {
+      if (o->opened)
+        send_ticket (b, o);
+      return AM_OK;
+    }
+  if (!b->via_peer)
+    err = am_opens_admit (b, s, caller);
+  if (!err)
+    {
+      o = add (b, s, caller, connection_id);
+      err = o ? ask (b, o, NULL) : AM_E_LIMIT;
+    }
+  if (!err)
+    return AM_OK;
+  refuse (b, s, caller, connection_id, err);
+  if (o)
+    forget (b->opens, o);
+  return err;
+}
+
+static int
+mint (struct am_board *b, struct opening *o)
+{
+  struct am_ticket t = { .kind = AM_OPEN_FLOW,
+                         .service_id = o->service->id,
+                         .upstream_id = o->upstream->id,
+                         .upstream_incarnation = o->upstream->incarnation,
+                         .issuer_id = b->self.id,
+                         .issuer_boot_id = b->self.boot_id,
+                         .serial = ++b->opens->serial,
+                         .issued_ms = b->now_us / 1000 };
+  struct am_ticket_scope scope = { .caller_ip = o->caller.ip,
+                                   .service = o->service->address,
+                                   .connection_id = o->connection_id };
+  int err = am_key_ring_mint (b, &t, &scope, o->ticket);
+
+  if (!err)
+    am_flow_count_add (b, o->service, o->upstream, t.serial);
+  return err;
+}
+
+static void
+close_at (struct am_board *b, const struct am_upstream *u,
+          struct am_address caller, uint64_t connection_id)
+{
+  struct am_packet p
+      = { .type = AM_PACKET_CLOSE, .connection_id = connection_id };
+
+  am_board_send_upstream (b, u, caller, &p);
+}
+
+static void
+complete (struct am_board *b, struct opening *o)
+{
+  struct am_opens *t = b->opens;
+  struct am_upstream *u = o->upstream;
+  int err = mint (b, o);
+
+  if (err)
+    {
+      close_at (b, u, o->caller, o->connection_id);
+      refuse (b, o->service, o->caller, o->connection_id, err);
+      forget (t, o);
+      return;
+    }
+  am_health_ok (b, u, b->now_us - o->since_us);
+  if (u->use.opening)
+    u->use.opening--;
+  o->opened = true;
+  o->since_us = b->now_us;
+  t->pending_count--;
+  am_list_remove (&o->node);
+  am_list_push_back (&t->opened, &o->node);
+  b->counters.opens++;
+  am_board_decision (
+      b, o->connection_id,
+      "event=opened flow=%llu service=%s upstream=%s after_us=%llu "
+      "revision=%llu",
+      (unsigned long long)o->connection_id, o->service->name, u->name,
+      (unsigned long long)(b->now_us - o->started_us),
+      (unsigned long long)o->service->revision);
+  send_ticket (b, o);
+}
+
+bool
+am_opens_accepted (struct am_board *b, struct am_upstream *u,
+                   struct am_address caller, uint64_t connection_id)
+{
+  struct opening *o = find (b->opens, u->service, caller, connection_id);
+
+  if (!o)
+    return false;
+  if (o->upstream != u)
+    {
+      close_at (b, u, caller, connection_id);
+      return true;
+    }
+  if (!o->opened)
+    complete (b, o);
+  return true;
+}
+
+bool
+am_opens_refused (struct am_board *b, struct am_upstream *u,
+                  struct am_address caller, uint64_t connection_id, int error)
+{
+  struct opening *o = find (b->opens, u->service, caller, connection_id);
+
+  if (!o || o->opened)
+    return false;
+  if (o->upstream != u)
+    return true;
+  b->counters.shed++;
+  am_health_refused (b, u);
+  ask_another (b, o, error);
+  return true;
+}
+
+void
+am_opens_upstream_gone (struct am_board *b, struct am_upstream *u)
+{
+  struct am_opens *t = b->opens;
+
+  am_list_each (o, &t->opened, struct opening, node)
+  {
+    if (o->upstream == u)
+      o->upstream = NULL;
+  }
+  am_list_each_safe (o, next, &t->pending, struct opening, node)
+  {
+    if (o->upstream == u)
+      {
+        refuse (b, o->service, o->caller, o->connection_id,
+                AM_E_UPSTREAM_UNKNOWN);
+        forget (t, o);
+      }
+  }
+}
+
+void
+am_opens_service_gone (struct am_board *b, struct am_service *s)
+{
+  struct am_opens *t = b->opens;
+
+  am_list_each_safe (o, next, &t->opened, struct opening, node)
+  {
+    if (o->service == s)
+      forget (t, o);
+  }
+  am_list_each_safe (o, next, &t->pending, struct opening, node)
+  {
+    if (o->service == s)
+      forget (t, o);
+  }
+}
+
+void
+am_opens_tick (struct am_board *b)
+{
+  struct am_opens *t = b->opens;
+
+  am_list_each_safe (o, next, &t->pending, struct opening, node)
+  {
+    if (b->now_us - o->since_us < AM_OPEN_ATTEMPT_US)
+      break;
+    am_health_failed (b, o->upstream);
+    ask_another (b, o, AM_E_TIMEOUT);
+  }
+  am_list_each_safe (o, next, &t->opened, struct opening, node)
+  {
+    if (b->now_us - o->since_us < AM_OPEN_RETENTION_US)
+      break;
+    forget (t, o);
+  }
+}
+
+size_t
+am_opens_pending (const struct am_board *b)
+{
+  return b->opens->pending_count;
+}
--- /dev/null
+++ b/src/core/snapshot.h
@@ -0,0 +1,36 @@
+/* Snapshot: the configuration that the agent hands to the forwarder.
+
+   A snapshot is applied to the board incrementally: counters, health and
+   bindings of what stays are kept.  A malformed snapshot is refused whole.
+   What an agent with an older or empty configuration does not mention is
+   kept:
+
+   - a service with a lower revision than the one in force is not applied,
+     and a service that is missing is dropped only if it is retired or if
+     another service now has its address;
+   - a member that is missing is dropped after AM_MEMBER_KEEP_US, at once if
+     it was dead or had left;
+   - an empty key list keeps the keys.  */
+
+#ifndef AM_CORE_SNAPSHOT_H
+#define AM_CORE_SNAPSHOT_H
+
+#include "core/board.h"
+
+/* An agent that restarts needs a few probe rounds to see every member again;
+   until then its snapshots must not move credits and buckets.  */
+#define AM_MEMBER_KEEP_US 30000000u
+
+/* Applies the LEN bytes at DATA, a packed Amaranth__Snapshot.  Returns AM_OK,
+   AM_E_FORMAT, AM_E_FIELD_VALUE, AM_E_FIELD_RANGE, AM_E_EXISTS (an id or
+   address twice) or AM_E_MEMORY.  On an error other than AM_E_MEMORY nothing
+   has changed.  */
+int am_snapshot_apply (struct am_board *b, const uint8_t *data, size_t len);
+
+/* Drops members that have been missing for too long.  Called at each tick. */
+void am_snapshot_tick (struct am_board *b);
+
+/* Frees all services with their binding state.  */
+void am_snapshot_finish (struct am_board *b);
+
+#endif
--- /dev/null
+++ b/src/core/ticket_binding.c
@@ -0,0 +1,501 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "core/binding.h"
+#include "core/choice.h"
+#include "core/flow_count.h"
+#include "core/forward.h"
+#include "core/key_ring.h"
+#include "core/opening.h"
+#include "core/request.h"
+
+/* One packet of a caller on its way through this binding.  */
+struct arrival
+{
+  struct am_service *service;
+  struct am_address caller;
+  struct am_packet packet;
+  const uint8_t *data; /* the packet as it came */
+  size_t len;
+};
+
+static int
+ticket_init (struct am_board *b, struct am_service *s)
+{
+  (void)b;
+  return am_flow_count_init (s);
+}
+
+static void
+ticket_finish (struct am_board *b, struct am_service *s)
+{
+  if (b->opens)
+    am_opens_service_gone (b, s);
+  am_flow_count_finish (s);
+}
+
+static struct am_ticket_scope
+scope_of (const struct arrival *a)
+{
+  struct am_ticket_scope scope = { .caller_ip = a->caller.ip,
+                                   .service = a->service->address,
+                                   .connection_id = a->packet.connection_id };
+
+  return scope;
+}
+
+static int
+reset (struct am_board *b, const struct arrival *a, int error)
+{
+  am_reset (b, a->service, a->caller, a->packet.connection_id, error);
+  return error;
+}
+
+static bool
+pass_on (struct am_board *b, const struct arrival *a,
+         const struct am_member *m, const char *reason)
+{
+  if (b->via_peer || !m)
+    return false;
+  am_board_decision (
+      b, a->packet.connection_id,
+      "event=forward flow=%llu service=%s to=%s reason=%s revision=%llu",
+      (unsigned long long)a->packet.connection_id, a->service->name, m->name,
+      reason, (unsigned long long)a->service->revision);
+  am_forward (b, a->service, m, a->caller, a->data, a->len);
+  return true;
+}
+
+/* ---- open --------------------------------------------------------- */
+
+static int
+issue_request_ticket (struct am_board *b, const struct arrival *a,
+                      uint8_t request_class)
+{
+  struct am_ticket_scope scope = scope_of (a);
+  struct am_ticket t = { 0 };
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct am_packet p = { .type = AM_PACKET_OPENED,
+                         .connection_id = a->packet.connection_id,
+                         .ticket = ticket };
+  int err = AM_OK;
+
+  if (!b->via_peer)
+    err = am_opens_admit (b, a->service, a->caller);
+  if (err)
+    b->counters.opens_limited++;
+  else
+    err = am_requests_issue (b, a->service, request_class, &t);
+  if (!err)
+    err = am_key_ring_mint (b, &t, &scope, ticket);
+  if (err)
+    return reset (b, a, err);
+  b->counters.tickets_minted++;
+  am_board_decision (b, a->packet.connection_id,
+                     "event=issued request=%llu serial=%llu service=%s "
+                     "class=%u revision=%llu",
+                     (unsigned long long)a->packet.connection_id,
+                     (unsigned long long)t.serial, a->service->name,
+                     request_class, (unsigned long long)a->service->revision);
+  am_board_send_caller (b, a->service->address, a->caller, &p);
+  return AM_OK;
+}
+
+static int
+take_open (struct am_board *b, const struct arrival *a)
+{
+  struct am_open_body open;
+  int err = am_open_body_decode (&open, a->packet.body, a->packet.body_len);
+
+  if (err)
+    return err;
+  if (a->service->retired)
+    return reset (b, a, AM_E_SERVICE_UNKNOWN);
+  if (b->stopping
+      && pass_on (b, a, am_forward_home (b, a->service), "stopping"))
+    return AM_OK;
+  if (!a->service->home
+      && pass_on (b, a, am_forward_home (b, a->service), "not_home"))
+    return AM_OK;
+  if (open.kind == AM_OPEN_REQUEST)
+    return issue_request_ticket (b, a, open.request_class);
+  return am_opens_arrive (b, a->service, a->caller, a->packet.connection_id);
+}
+
+/* ---- flow --------------------------------------------------------- */
+
+static void
+renew (struct am_board *b, const struct arrival *a, struct am_ticket *t)
+{
+  struct am_ticket_scope scope = scope_of (a);
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct am_packet p = { .type = AM_PACKET_RENEWED,
+                         .connection_id = a->packet.connection_id,
+                         .ticket = ticket };
+
+  if (am_key_ring_mint (b, t, &scope, ticket))
+    return;
+  b->counters.tickets_renewed++;
+  am_board_decision (b, a->packet.connection_id,
+                     "event=renewed flow=%llu service=%s key=%u revision=%llu",
+                     (unsigned long long)a->packet.connection_id,
+                     a->service->name, t->key_id,
+                     (unsigned long long)a->service->revision);
+  am_board_send_caller (b, a->service->address, a->caller, &p);
+}
+
+/* Lets the issuer of T count the end of the flow.  */
+static void
+tell_issuer (struct am_board *b, const struct arrival *a,
+             const struct am_ticket *t)
+{
+  struct am_member *issuer;
+
+  if (t->issuer_id == b->self.id)
+    {
+      if (t->issuer_boot_id == b->self.boot_id)
+        am_flow_count_remove (a->service, t->serial);
+      return;
+    }
+  issuer = am_forward_issuer (b, t);
+  if (issuer && issuer->boot_id == t->issuer_boot_id && !b->via_peer)
+    am_forward (b, a->service, issuer, a->caller, a->data, a->len);
+}
+
+static void
+close_flow (struct am_board *b, const struct arrival *a,
+            const struct am_upstream *u, const struct am_ticket *t)
+{
+  struct arrival closing = *a;
+  uint8_t data[AM_PACKET_HEADER_SIZE + AM_TICKET_SIZE];
+
+  closing.packet.type = AM_PACKET_CLOSE;
+  closing.packet.body_len = 0;
+  closing.data = data;
+  if (am_packet_encode (&closing.packet, data, sizeof data, &closing.len))
+    return;
+  if (!b->via_peer || t->issuer_id != b->self.id)
+    am_board_send_upstream (b, u, a->caller, &closing.packet);
+  tell_issuer (b, &closing, t);
+}
+
+static bool
+is_silent (const struct arrival *a)
+{
+  return a->packet.type == AM_PACKET_PING && a->packet.body_len > 0
+         && a->packet.body[0] >= a->service->ping_misses;
+}
+
+static int
+deliver (struct am_board *b, const struct arrival *a, struct am_upstream *u,
+         struct am_ticket *t, bool needs_renewal)
+{
+  if (a->packet.type == AM_PACKET_CLOSE)
+    {
+      close_flow (b, a, u, t);
+      return AM_OK;
+    }
+  if (t->issuer_id == b->self.id && t->issuer_boot_id == b->self.boot_id)
+    am_flow_count_add (b, a->service, u, t->serial);
+  if (is_silent (a))
+    {
+      b->counters.silent++;
+      close_flow (b, a, u, t);
+      return reset (b, a, AM_E_SILENT);
+    }
+  am_board_send_upstream (b, u, a->caller, &a->packet);
+  if (needs_renewal && a->packet.type == AM_PACKET_PING)
+    renew (b, a, t);
+  return AM_OK;
+}
+
+/* Returns why the ticket's upstream may not get the packet, or AM_OK.  *STALE
+   is set if this entry VM's configuration may be the older one.  */
+static int
+check_upstream (const struct am_upstream *u, const struct am_ticket *t,
+                bool *stale)
+{
+  *stale = false;
+  if (!u)
+    {
+      *stale = true;
+      return AM_E_UPSTREAM_UNKNOWN;
+    }
+  if (u->incarnation != t->upstream_incarnation)
+    {
+      *stale = t->upstream_incarnation > u->incarnation;
+      return AM_E_INCARNATION;
+    }
+  if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED)
+    return AM_E_UPSTREAM_UNKNOWN;
+  return AM_OK;
+}
+
+static int
+take_flow (struct am_board *b, const struct arrival *a)
+{
+  struct am_ticket_scope scope = scope_of (a);
+  struct am_upstream *u;
+  struct am_ticket t;
+  bool stale = false;
+  bool needs_renewal;
+  int err;
+
+  if (!a->packet.ticket)
+    err = AM_E_TICKET;
+  else
+    err = am_key_ring_verify (b, &t, &scope, a->service->id, a->packet.ticket,
+                              &needs_renewal);
+  if (!err && t.kind != AM_OPEN_FLOW)
+    err = AM_E_TICKET;
+  if (!err)
+    {
+      u = am_service_upstream (a->service, t.upstream_id);
+      err = check_upstream (u, &t, &stale);
+    }
+  else if (err == AM_E_KEY_UNKNOWN)
+    stale = true;
+  if (!err)
+    return deliver (b, a, u, &t, needs_renewal);
+  if (stale && pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err)))
+    return AM_OK;
+  b->counters.tickets_refused++;
+  return reset (b, a, err);
+}
+
+/* ---- requests ----------------------------------------------------- */
+
+static int
+tell_unknown (struct am_board *b, const struct arrival *a, int error)
+{
+  uint8_t body[AM_OUTCOME_BODY_SIZE];
+  struct am_outcome_body outcome
+      = { .outcome = AM_OUTCOME_UNKNOWN, .error = error };
+  struct am_packet p = { .type = AM_PACKET_OUTCOME,
+                         .connection_id = a->packet.connection_id,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  am_outcome_body_encode (&outcome, body);
+  b->counters.unknown++;
+  am_board_decision (b, a->packet.connection_id,
+                     "event=outcome request=%llu service=%s outcome=UNKNOWN "
+                     "reason=%s revision=%llu",
+                     (unsigned long long)a->packet.connection_id,
+                     a->service->name, am_error_name (error),
+                     (unsigned long long)a->service->revision);
+  am_board_send_caller (b, a->service->address, a->caller, &p);
+  return error;
+}
+
+static int
+run_request (struct am_board *b, const struct arrival *a,
+             const struct am_ticket *t)
+{
+  struct am_request_arrival r = { .service = a->service,
+                                  .caller = a->caller,
+                                  .connection_id = a->packet.connection_id,
+                                  .ticket = *t };
+  int err;
+
+  if (a->packet.type == AM_PACKET_CANCEL)
+    {
+      am_requests_cancel (b, a->service, a->caller, a->packet.connection_id,
+                          t);
+      return AM_OK;
+    }
+  err = am_request_body_decode (&r.body, a->packet.body, a->packet.body_len);
+  if (err)
+    return err;
+  r.payload = a->packet.body + AM_REQUEST_BODY_SIZE;
+  r.payload_len = a->packet.body_len - AM_REQUEST_BODY_SIZE;
+  return am_requests_arrive (b, &r);
+}
+
+/* Passes a request to the process that issued its ticket.  A member whose
+   boot id differs from the ticket's is asked as well: only it knows whether
+   its entry here or the ticket is the older one.  */
+static int
+pass_to_issuer (struct am_board *b, const struct arrival *a,
+                const struct am_ticket *t)
+{
+  if (pass_on (b, a, am_forward_issuer (b, t), "issuer"))
+    return AM_OK;
+  if (b->via_peer)
+    return AM_E_TICKET;
+  return tell_unknown (b, a, AM_E_ISSUER_GONE);
+}
+
+static int
+take_request (struct am_board *b, const struct arrival *a)
+{
+  struct am_ticket_scope scope = scope_of (a);
+  struct am_ticket t;
+  bool unused;
+  int err;
+
+  if (!a->packet.ticket)
+    return reset (b, a, AM_E_TICKET);
+  err = am_key_ring_verify (b, &t, &scope, a->service->id, a->packet.ticket,
+                            &unused);
+  if (!err && t.kind != AM_OPEN_REQUEST)
+    err = AM_E_TICKET;
+  if (err == AM_E_KEY_UNKNOWN
+      && pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err)))
+    return AM_OK;
+  if (err)
+    {
+      b->counters.tickets_refused++;
+      return reset (b, a, err);
+    }
+  if (t.issuer_id != b->self.id)
+    return pass_to_issuer (b, a, &t);
+  if (t.issuer_boot_id != b->self.boot_id)
+    return tell_unknown (b, a, AM_E_ISSUER_GONE);
+  return run_request (b, a, &t);
+}
+
+static int
+ticket_from_caller (struct am_board *b, struct am_service *s,
+                    struct am_address caller, const uint8_t *data, size_t len)
+{
+  struct arrival a
+      = { .service = s, .caller = caller, .data = data, .len = len };
+  int err = am_packet_decode (&a.packet, data, len);
+
+  if (err)
+    {
+      b->counters.malformed++;
+      return err;
+    }
+  switch (a.packet.type)
+    {
+    case AM_PACKET_OPEN:
+      return take_open (b, &a);
+    case AM_PACKET_DATA:
+    case AM_PACKET_PING:
+    case AM_PACKET_CLOSE:
+      return take_flow (b, &a);
+    case AM_PACKET_REQUEST:
+    case AM_PACKET_CANCEL:
+      return take_request (b, &a);
+    default:
+      b->counters.malformed++;
+      return AM_E_FORMAT;
+    }
+}
+
+/* ---- from upstreams ----------------------------------------------- */
+
+/* Reads the reason of an upstream's RESET, which follows its load.  */
+static int
+reset_reason (const struct am_packet *p)
+{
+  struct am_reason_body reason;
+
+  if (p->body_len < AM_LOAD_SIZE
+      || am_reason_body_decode (&reason, p->body + AM_LOAD_SIZE,
+                                p->body_len - AM_LOAD_SIZE))
+    return AM_E_SHED;
+  return reason.error;
+}
+
+static int
+take_upstream_reset (struct am_board *b, struct am_upstream *u,
+                     struct am_address caller, const struct am_packet *p)
+{
+  int reason = reset_reason (p);
+
+  am_report_load (b, u, p->body, p->body_len);
+  if (!am_opens_refused (b, u, caller, p->connection_id, reason))
+    am_reset (b, u->service, caller, p->connection_id, reason);
+  return AM_OK;
+}
+
+static int
+ticket_from_upstream (struct am_board *b, struct am_service *s,
+                      struct am_upstream *u, struct am_address caller,
+                      const uint8_t *data, size_t len)
+{
+  struct am_packet p;
+  int err = am_packet_decode (&p, data, len);
+
+  if (err)
+    {
+      b->counters.malformed++;
+      return err;
+    }
+  switch (p.type)
+    {
+    case AM_PACKET_OPENED:
+      am_report_load (b, u, p.body, p.body_len);
+      am_opens_accepted (b, u, caller, p.connection_id);
+      return AM_OK;
+    case AM_PACKET_RESET:
+      return take_upstream_reset (b, u, caller, &p);
+    case AM_PACKET_PONG:
+      am_report_load (b, u, p.body, p.body_len);
+      am_board_send_caller (b, s->address, caller, &p);
+      return AM_OK;
+    case AM_PACKET_DATA:
+    case AM_PACKET_CLOSE:
+      am_board_send_caller (b, s->address, caller, &p);
+      return AM_OK;
+    default:
+      b->counters.malformed++;
+      return AM_E_FORMAT;
+    }
+}
+
+static int
+ticket_from_peer (struct am_board *b, struct am_service *s, uint32_t sender_id,
+                  const uint8_t *body, size_t len)
+{
+  (void)s;
+  (void)sender_id;
+  (void)body;
+  (void)len;
+  b->counters.malformed++;
+  return AM_E_FORMAT;
+}
+
+static void
+ticket_changed (struct am_board *b, struct am_service *s)
+{
+  (void)b;
+  (void)s;
+}
+
+static void
+ticket_upstream_gone (struct am_board *b, struct am_service *s,
+                      struct am_upstream *u)
+{
+  am_opens_upstream_gone (b, u);
+  am_flow_count_upstream_gone (s, u);
+}
+
+static void
+ticket_tick (struct am_board *b, struct am_service *s)
+{
+  am_flow_count_tick (b, s);
+}
+
+static bool
+ticket_may_exit (const struct am_board *b, const struct am_service *s)
+{
+  (void)s;
+  return am_opens_pending (b) == 0;
+}
+
+const struct am_binding_ops am_binding_ticket = {
+  .name = "ticket",
+  .init = ticket_init,
+  .finish = ticket_finish,
+  .from_caller = ticket_from_caller,
+  .from_upstream = ticket_from_upstream,
+  .from_peer = ticket_from_peer,
+  .changed = ticket_changed,
+  .upstream_gone = ticket_upstream_gone,
+  .tick = ticket_tick,
+  .may_exit = ticket_may_exit,
+};
--- /dev/null
+++ b/src/core/tracked_binding.c
@@ -0,0 +1,510 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "core/binding.h"
+#include "core/forward.h"
+#include "core/tracked.h"
+#include "wire/bytes.h"
+
+/* Introduction: kind, flags, caller (6), hint and its incarnation (8), guess
+   (4), packet.  The hint is the upstream that the sender last used for the
+   flow, 0 if none; the guess is what it will use if it hears nothing.  */
+#define INTRODUCE_HEADER_SIZE 20
+#define BIND_SIZE 15
+#define CLEAR_SIZE 7
+
+/* The sender's bucket changed: it waits for AM_TRACKED_CLEAR.  */
+#define FLAG_CHANGED 1u
+/* A new owner asks the former one.  */
+#define FLAG_ASKED 2u
+/* The former owner does not know the flow either.  */
+#define FLAG_RETURNED 4u
+
+struct introduction
+{
+  uint8_t flags;
+  struct am_address caller;
+  uint32_t hint_id;
+  uint32_t hint_incarnation;
+  uint32_t guess_id;
+  const uint8_t *data;
+  size_t len;
+};
+
+static int
+tracked_init (struct am_board *b, struct am_service *s)
+{
+  struct am_tracked *t = calloc (1, sizeof *t);
+
+  (void)b;
+  if (!t)
+    return AM_E_MEMORY;
+  am_list_init (&t->by_age);
+  am_list_init (&t->copy_queue);
+  s->binding_state = t;
+  return AM_OK;
+}
+
+static void
+tracked_finish (struct am_board *b, struct am_service *s)
+{
+  struct am_tracked *t = s->binding_state;
+
+  (void)b;
+  if (!t)
+    return;
+  am_list_each_safe (f, next, &t->by_age, struct am_tracked_flow, node)
+  {
+    am_tracked_forget (t, f);
+  }
+  free (t);
+  s->binding_state = NULL;
+}
+
+/* ---- messages ----------------------------------------------------- */
+
+static void
+put_address (uint8_t *p, struct am_address a)
+{
+  am_put_u32 (p, a.ip);
+  am_put_u16 (p + 4, a.port);
+}
+
+static struct am_address
+get_address (const uint8_t *p)
+{
+  struct am_address a = { am_get_u32 (p), am_get_u16 (p + 4) };
+
+  return a;
+}
+
+static int
+send_introduction (struct am_board *b, const struct am_service *s,
+                   const struct am_member *to, const struct introduction *in)
+{
+  uint8_t body[AM_PEER_BODY_MAX];
+
+  if (in->len > sizeof body - INTRODUCE_HEADER_SIZE)
+    return AM_E_TOO_LARGE;
+  body[0] = AM_TRACKED_INTRODUCE;
+  body[1] = in->flags;
+  put_address (body + 2, in->caller);
+  am_put_u32 (body + 8, in->hint_id);
+  am_put_u32 (body + 12, in->hint_incarnation);
+  am_put_u32 (body + 16, in->guess_id);
+  if (in->len)
+    memcpy (body + INTRODUCE_HEADER_SIZE, in->data, in->len);
+  b->counters.tracked_introduced++;
+  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body,
+                      INTRODUCE_HEADER_SIZE + in->len);
+  return AM_OK;
+}
+
+static int
+read_introduction (struct introduction *in, const uint8_t *body, size_t len)
+{
+  if (len < INTRODUCE_HEADER_SIZE)
+    return AM_E_SHORT;
+  in->flags = body[1];
+  in->caller = get_address (body + 2);
+  in->hint_id = am_get_u32 (body + 8);
+  in->hint_incarnation = am_get_u32 (body + 12);
+  in->guess_id = am_get_u32 (body + 16);
+  in->data = body + INTRODUCE_HEADER_SIZE;
+  in->len = len - INTRODUCE_HEADER_SIZE;
+  return AM_OK;
+}
+
+static void
+send_bind (struct am_board *b, const struct am_service *s,
+           const struct am_member *to, struct am_address caller,
+           const struct am_upstream *u)
+{
+  uint8_t body[BIND_SIZE] = { AM_TRACKED_BIND };
+
+  put_address (body + 1, caller);
+  am_put_u32 (body + 7, u->id);
+  am_put_u32 (body + 11, u->incarnation);
+  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body, sizeof body);
+}
+
+static void
+send_clear (struct am_board *b, const struct am_service *s,
+            const struct am_member *to, uint32_t bucket, uint32_t default_id)
+{
+  uint8_t body[CLEAR_SIZE] = { AM_TRACKED_CLEAR };
+
+  am_put_u16 (body + 1, (uint16_t)bucket);
+  am_put_u32 (body + 3, default_id);
+  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body, sizeof body);
+}
+
+/* ---- at the owner ------------------------------------------------- */
+
+static void
+deliver (struct am_board *b, struct am_tracked *t, struct am_tracked_flow *f,
+         const struct am_upstream *u, const uint8_t *data, size_t len)
+{
+  struct am_address caller = { (uint32_t)(f->key >> 16), (uint16_t)f->key };
+
+  am_tracked_touch (b, t, f);
+  if (f->unanswered++ == 0)
+    f->unanswered_since_us = b->now_us;
+  am_send_opaque_upstream (b, u, caller, data, len);
+}
+
+/* Returns the former owner if it should be asked about the unknown flow of
+   IN.  */
+static const struct am_member *
+former_owner (struct am_board *b, const struct am_tracked_bucket *k,
+              const struct introduction *in)
+{
+  if (in->flags & (FLAG_ASKED | FLAG_RETURNED) || k->former_id == 0
+      || k->former_id == b->self.id
+      || b->now_us - k->owner_since_us > AM_TRACKED_WARMUP_US)
+    return NULL;
+  return am_board_member (b, k->former_id);
+}
+
+/* Binds a flow that the owner does not know: by the sender's hint, else to the
+   default.  */
+static struct am_tracked_flow *
+bind_new (struct am_board *b, struct am_service *s,
+          const struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  uint32_t bucket = am_tracked_bucket_of (s, in->caller);
+  const struct am_upstream *u
+      = am_tracked_upstream (s, in->hint_id, in->hint_incarnation);
+  const char *reason = u ? "hint" : "default";
+  struct am_tracked_flow *f;
+
+  if (!u)
+    u = am_service_upstream (s, t->buckets[bucket].default_id);
+  if (!u)
+    return NULL;
+  f = am_tracked_add (b, s, in->caller);
+  if (!f)
+    return NULL;
+  f->owned = true;
+  am_tracked_assign (b, t, f, u);
+  if (t->handing_over || !am_tracked_is_owner (b, &t->buckets[bucket]))
+    am_tracked_copy_plan (t, f);
+  am_board_decision (
+      b, f->key,
+      "event=bound flow=%llu service=%s upstream=%s policy=tracked bucket=%u "
+      "reason=%s revision=%llu",
+      (unsigned long long)f->key, s->name, u->name, bucket, reason,
+      (unsigned long long)s->revision);
+  return f;
+}
+
+/* Tells the sender of IN what its assumption about flow or bucket lacks.  */
+static void
+correct_sender (struct am_board *b, struct am_service *s,
+                const struct am_member *sender, const struct introduction *in,
+                const struct am_tracked_flow *f, const struct am_upstream *u)
+{
+  const struct am_tracked *t = s->binding_state;
+  const struct am_tracked_bucket *k = &t->buckets[f->bucket];
+  uint32_t assumed = in->hint_id ? in->hint_id : in->guess_id;
+
+  if (!sender || in->flags & FLAG_ASKED)
+    return;
+  if (assumed != u->id)
+    send_bind (b, s, sender, in->caller, u);
+  if (in->flags & FLAG_CHANGED && k->exceptions == 0)
+    send_clear (b, s, sender, f->bucket, k->default_id);
+}
+
+static int
+serve_as_owner (struct am_board *b, struct am_service *s,
+                const struct am_member *sender, const struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_bucket *k
+      = &t->buckets[am_tracked_bucket_of (s, in->caller)];
+  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
+  const struct am_upstream *u
+      = f ? am_tracked_upstream (s, f->upstream_id, f->incarnation) : NULL;
+  const struct am_member *former;
+
+  if (f && !u)
+    {
+      am_tracked_forget (t, f);
+      f = NULL;
+    }
+  if (!f && !in->hint_id)
+    {
+      struct introduction ask = *in;
+
+      former = former_owner (b, k, in);
+      ask.flags = FLAG_ASKED;
+      if (former)
+        return send_introduction (b, s, former, &ask);
+    }
+  if (!f)
+    f = bind_new (b, s, in);
+  if (!f)
+    return AM_E_NO_UPSTREAM;
+  if (!u)
+    u = am_service_upstream (s, f->upstream_id);
+  f->owned = true;
+  am_tracked_assign (b, t, f, u);
+  deliver (b, t, f, u, in->data, in->len);
+  correct_sender (b, s, sender, in, f, u);
+  return AM_OK;
+}
+
+/* A new owner asks about a flow it does not know.  */
+static int
+serve_as_former (struct am_board *b, struct am_service *s,
+                 const struct am_member *sender, const struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
+  const struct am_upstream *u
+      = f ? am_tracked_upstream (s, f->upstream_id, f->incarnation) : NULL;
+  struct introduction back = *in;
+
+  if (!sender)
+    return AM_E_NOT_FOUND;
+  back.flags = FLAG_RETURNED;
+  back.hint_id = u ? u->id : 0;
+  back.hint_incarnation = u ? u->incarnation : 0;
+  back.guess_id = back.hint_id;
+  return send_introduction (b, s, sender, &back);
+}
+
+/* ---- at the other entry VMs --------------------------------------- */
+
+/* Returns true if the packet may go straight to the flow's upstream.  */
+static bool
+may_go_straight (const struct am_board *b, const struct am_tracked_bucket *k,
+                 const struct am_tracked_flow *f)
+{
+  return !k->changed && f->epoch == k->epoch
+         && f->introductions >= AM_TRACKED_INTRODUCTIONS
+         && b->now_us - f->introduced_us < AM_TRACKED_REFRESH_US;
+}
+
+static void
+note_introduced (struct am_board *b, struct am_tracked *t,
+                 const struct am_tracked_bucket *k, struct am_tracked_flow *f)
+{
+  if (f->epoch != k->epoch)
+    f->introductions = 0;
+  f->epoch = k->epoch;
+  f->introductions++;
+  f->introduced_us = b->now_us;
+  am_tracked_touch (b, t, f);
+}
+
+static int
+introduce (struct am_board *b, struct am_service *s,
+           const struct am_member *owner, struct am_tracked_flow *f,
+           struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_bucket *k
+      = &t->buckets[am_tracked_bucket_of (s, in->caller)];
+  const struct am_upstream *u = am_service_upstream (s, k->default_id);
+
+  in->flags = k->changed ? FLAG_CHANGED : 0;
+  in->guess_id = k->default_id;
+  if (f)
+    {
+      in->hint_id = f->upstream_id;
+      in->hint_incarnation = f->incarnation;
+    }
+  else if (u)
+    {
+      f = am_tracked_add (b, s, in->caller);
+      if (f)
+        am_tracked_assign (b, t, f, u);
+      am_board_decision (
+          b, am_address_key (in->caller),
+          "event=introduced flow=%llu service=%s owner=%s bucket=%u "
+          "reason=%s revision=%llu",
+          (unsigned long long)am_address_key (in->caller), s->name,
+          owner->name, am_tracked_bucket_of (s, in->caller),
+          k->changed ? "changed" : "first", (unsigned long long)s->revision);
+    }
+  if (f)
+    note_introduced (b, t, k, f);
+  return send_introduction (b, s, owner, in);
+}
+
+static int
+tracked_from_caller (struct am_board *b, struct am_service *s,
+                     struct am_address caller, const uint8_t *data, size_t len)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_bucket *k = &t->buckets[am_tracked_bucket_of (s, caller)];
+  struct introduction in = { .caller = caller, .data = data, .len = len };
+  const struct am_member *owner;
+  const struct am_upstream *u = NULL;
+  struct am_tracked_flow *f;
+
+  if (s->retired)
+    return AM_E_SERVICE_UNKNOWN;
+  if (am_tracked_is_owner (b, k))
+    return serve_as_owner (b, s, NULL, &in);
+  f = am_tracked_find (t, caller);
+  if (f)
+    u = am_tracked_upstream (s, f->upstream_id, f->incarnation);
+  if (f && !u)
+    {
+      am_tracked_forget (t, f);
+      f = NULL;
+    }
+  if (f && may_go_straight (b, k, f))
+    {
+      deliver (b, t, f, u, data, len);
+      return AM_OK;
+    }
+  owner = am_board_member (b, k->owner_id);
+  if (!owner)
+    return serve_as_owner (b, s, NULL, &in);
+  return introduce (b, s, owner, f, &in);
+}
+
+static int
+tracked_from_upstream (struct am_board *b, struct am_service *s,
+                       struct am_upstream *u, struct am_address caller,
+                       const uint8_t *data, size_t len)
+{
+  struct am_tracked_flow *f = am_tracked_find (s->binding_state, caller);
+
+  (void)u;
+  if (f)
+    {
+      f->unanswered = 0;
+      f->silent = false;
+    }
+  am_send_opaque_caller (b, s->address, caller, data, len);
+  return AM_OK;
+}
+
+/* ---- peers -------------------------------------------------------- */
+
+static int
+take_introduction (struct am_board *b, struct am_service *s,
+                   uint32_t sender_id, const uint8_t *body, size_t len)
+{
+  const struct am_member *sender = am_board_member (b, sender_id);
+  struct introduction in;
+  int err = read_introduction (&in, body, len);
+
+  if (err)
+    return err;
+  if (in.flags & FLAG_ASKED)
+    return serve_as_former (b, s, sender, &in);
+  return serve_as_owner (b, s, sender, &in);
+}
+
+static int
+take_bind (struct am_board *b, struct am_service *s, const uint8_t *body,
+           size_t len)
+{
+  struct am_tracked *t = s->binding_state;
+  const struct am_upstream *u;
+  struct am_tracked_flow *f;
+
+  if (len != BIND_SIZE)
+    return AM_E_FORMAT;
+  u = am_tracked_upstream (s, am_get_u32 (body + 7), am_get_u32 (body + 11));
+  f = am_tracked_find (t, get_address (body + 1));
+  if (!f || !u)
+    return AM_E_NOT_FOUND;
+  am_tracked_assign (b, t, f, u);
+  return AM_OK;
+}
+
+static int
+take_clear (struct am_service *s, uint32_t sender_id, const uint8_t *body,
+            size_t len)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_bucket *k;
+
+  if (len != CLEAR_SIZE || am_get_u16 (body + 1) >= AM_TRACKED_BUCKETS)
+    return AM_E_FORMAT;
+  k = &t->buckets[am_get_u16 (body + 1)];
+  if (k->owner_id != sender_id || k->default_id != am_get_u32 (body + 3))
+    return AM_E_STATE;
+  k->changed = false;
+  return AM_OK;
+}
+
+static int
+tracked_from_peer (struct am_board *b, struct am_service *s,
+                   uint32_t sender_id, const uint8_t *body, size_t len)
+{
+  if (len == 0)
+    return AM_E_SHORT;
+  switch (body[0])
+    {
+    case AM_TRACKED_INTRODUCE:
+      return take_introduction (b, s, sender_id, body, len);
+    case AM_TRACKED_BIND:
+      return take_bind (b, s, body, len);
+    case AM_TRACKED_CLEAR:
+      return take_clear (s, sender_id, body, len);
+    case AM_TRACKED_COPY:
+      return am_tracked_copy_receive (b, s, sender_id, body, len);
+    case AM_TRACKED_COPY_ACK:
+      return am_tracked_copy_ack (s->binding_state, body, len);
+    default:
+      b->counters.malformed++;
+      return AM_E_FORMAT;
+    }
+}
+
+/* ---- changes and time --------------------------------------------- */
+
+static void
+tracked_changed (struct am_board *b, struct am_service *s)
+{
+  am_tracked_recompute (b, s);
+}
+
+static void
+tracked_upstream_gone (struct am_board *b, struct am_service *s,
+                       struct am_upstream *u)
+{
+  (void)b;
+  (void)s;
+  (void)u;
+}
+
+static void
+tracked_tick (struct am_board *b, struct am_service *s)
+{
+  am_tracked_copy_tick (b, s);
+  am_tracked_expire (b, s);
+}
+
+static bool
+tracked_may_exit (const struct am_board *b, const struct am_service *s)
+{
+  const struct am_tracked *t = s->binding_state;
+
+  if (b->now_us - b->stopping_since_us >= AM_TRACKED_HANDOVER_MAX_US)
+    return true;
+  return t->handing_over && am_tracked_copy_done (t);
+}
+
+const struct am_binding_ops am_binding_tracked = {
+  .name = "tracked",
+  .init = tracked_init,
+  .finish = tracked_finish,
+  .from_caller = tracked_from_caller,
+  .from_upstream = tracked_from_upstream,
+  .from_peer = tracked_from_peer,
+  .changed = tracked_changed,
+  .upstream_gone = tracked_upstream_gone,
+  .tick = tracked_tick,
+  .may_exit = tracked_may_exit,
+};
