Add members to the digest exchange and a serial to evidence

A joining agent needs the whole membership, which does not fit the 1,200 bytes of a gossip datagram, so DigestRequest and RecordList carry it over TCP. Evidence without a serial could circulate for ever, because a late copy could not be told from a repetition by the observer. All fields are additive.

--- a/src/wire/amaranth.pb-c.c
+++ b/src/wire/amaranth.pb-c.c
@@ -1971,7 +1971,7 @@
   (ProtobufCMessageInit) amaranth__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__upstream_evidence__field_descriptors[4] =
+static const ProtobufCFieldDescriptor amaranth__upstream_evidence__field_descriptors[5] =
 {
   {
     "service_id",
@@ -2021,17 +2021,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "serial",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__UpstreamEvidence, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__upstream_evidence__field_indices_by_name[] = {
   3,   /* field[3] = failing */
   2,   /* field[2] = observer_id */
+  4,   /* field[4] = serial */
   0,   /* field[0] = service_id */
   1,   /* field[1] = upstream_id */
 };
 static const ProtobufCIntRange amaranth__upstream_evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor amaranth__upstream_evidence__descriptor =
 {
@@ -2041,7 +2054,7 @@
   "Amaranth__UpstreamEvidence",
   "amaranth",
   sizeof(Amaranth__UpstreamEvidence),
-  4,
+  5,
   amaranth__upstream_evidence__field_descriptors,
   amaranth__upstream_evidence__field_indices_by_name,
   1,  amaranth__upstream_evidence__number_ranges,
@@ -2317,7 +2330,7 @@
   (ProtobufCMessageInit) amaranth__announce__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__digest_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor amaranth__digest_request__field_descriptors[3] =
 {
   {
     "have",
@@ -2331,14 +2344,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__DigestRequest, n_members),
+    offsetof(Amaranth__DigestRequest, members),
+    &amaranth__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "join",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__DigestRequest, join),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__digest_request__field_indices_by_name[] = {
   0,   /* field[0] = have */
+  2,   /* field[2] = join */
+  1,   /* field[1] = members */
 };
 static const ProtobufCIntRange amaranth__digest_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor amaranth__digest_request__descriptor =
 {
@@ -2348,14 +2387,14 @@
   "Amaranth__DigestRequest",
   "amaranth",
   sizeof(Amaranth__DigestRequest),
-  1,
+  3,
   amaranth__digest_request__field_descriptors,
   amaranth__digest_request__field_indices_by_name,
   1,  amaranth__digest_request__number_ranges,
   (ProtobufCMessageInit) amaranth__digest_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__record_list__field_descriptors[2] =
+static const ProtobufCFieldDescriptor amaranth__record_list__field_descriptors[4] =
 {
   {
     "records",
@@ -2381,15 +2420,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__RecordList, n_members),
+    offsetof(Amaranth__RecordList, members),
+    &amaranth__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__RecordList, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__record_list__field_indices_by_name[] = {
+  2,   /* field[2] = members */
+  3,   /* field[3] = more */
   0,   /* field[0] = records */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange amaranth__record_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor amaranth__record_list__descriptor =
 {
@@ -2399,7 +2464,7 @@
   "Amaranth__RecordList",
   "amaranth",
   sizeof(Amaranth__RecordList),
-  2,
+  4,
   amaranth__record_list__field_descriptors,
   amaranth__record_list__field_indices_by_name,
   1,  amaranth__record_list__number_ranges,
--- a/src/wire/amaranth.pb-c.h
+++ b/src/wire/amaranth.pb-c.h
@@ -275,10 +275,14 @@
    */
   uint32_t observer_id;
   protobuf_c_boolean failing;
+  /*
+   * raised by the observer at each repetition
+   */
+  uint64_t serial;
 };
 #define AMARANTH__UPSTREAM_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__upstream_evidence__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Amaranth__Gossip
@@ -350,10 +354,19 @@
   ProtobufCMessage base;
   size_t n_have;
   Amaranth__RecordVersion **have;
+  /*
+   * of a whole exchange of membership
+   */
+  size_t n_members;
+  Amaranth__Member **members;
+  /*
+   * answer with the members, too
+   */
+  protobuf_c_boolean join;
 };
 #define AMARANTH__DIGEST_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__digest_request__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL, 0 }
 
 
 struct  Amaranth__RecordList
@@ -366,10 +379,19 @@
    */
   size_t n_want;
   Amaranth__RecordVersion **want;
+  /*
+   * answer to a join
+   */
+  size_t n_members;
+  Amaranth__Member **members;
+  /*
+   * further parts of this answer follow
+   */
+  protobuf_c_boolean more;
 };
 #define AMARANTH__RECORD_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__record_list__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Amaranth__Verdict
