--- /dev/null
+++ b/src/core/control_link.c
@@ -0,0 +1,500 @@
+#include "core/control_link.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "core/control_config.h"
+#include "core/control_members.h"
+#include "core/control_verdicts.h"
+
+#define KEYS_RECORD "ticket-keys"
+
+void
+am_link_init (struct am_control *c)
+{
+  c->link.down_us = c->now_us;
+  c->link.dirty = true;
+}
+
+static void
+clear_floors (struct am_control *c)
+{
+  struct am_floor *f;
+  struct am_floor *next;
+
+  HASH_ITER (by_id, c->link.floors, f, next)
+  {
+    HASH_DELETE (by_id, c->link.floors, f);
+    free (f);
+  }
+}
+
+void
+am_link_finish (struct am_control *c)
+{
+  clear_floors (c);
+  free (c->link.report);
+}
+
+void
+am_link_up (struct am_control *c)
+{
+  c->link.up = true;
+  c->link.reported = false;
+  c->link.last_digest = 0;
+  c->link.dirty = true;
+  am_control_log (c, AM_LOG_INFO, "forwarder connected=1");
+}
+
+void
+am_link_lost (struct am_control *c)
+{
+  if (!c->link.up)
+    return;
+  c->link.up = false;
+  c->link.down_us = c->now_us;
+  am_control_log (c, AM_LOG_NOTICE, "forwarder connected=0");
+}
+
+/* ---- messages of the forwarder ------------------------------------ */
+
+static void
+set_life (struct am_control *c)
+{
+  bool serving = c->link.life == AMARANTH__LIFE_STATE__LIFE_SERVING;
+
+  am_members_set_self (c,
+                       serving ? AMARANTH__MEMBER_STATE__MEMBER_ALIVE
+                               : AMARANTH__MEMBER_STATE__MEMBER_LEAVING,
+                       c->link.boot_id);
+}
+
+static void
+acknowledge (struct am_control *c, uint64_t digest)
+{
+  c->link.digest = digest;
+  for (size_t i = 0; i < AM_SENT_MAX; i++)
+    {
+      const struct am_sent_snapshot *s = &c->link.sent[i];
+
+      if (s->number == 0 || s->digest != digest)
+        continue;
+      c->link.acked_config = s->config_digest;
+      am_config_acknowledge (c, s->number);
+    }
+}
+
+static int
+keep_report (struct am_control *c, const Amaranth__Report *r)
+{
+  size_t len = amaranth__report__get_packed_size (r);
+  uint8_t *packed = malloc (len + 1);
+
+  if (!packed)
+    return AM_E_MEMORY;
+  c->link.report_len = amaranth__report__pack (r, packed);
+  free (c->link.report);
+  c->link.report = packed;
+  return AM_OK;
+}
+
+static int
+take_report (struct am_control *c, const Amaranth__Report *r)
+{
+  if (r->boot_id == 0)
+    return AM_E_FORMAT;
+  if (c->link.boot_id && c->link.boot_id != r->boot_id)
+    {
+      am_verdicts_withdraw (c);
+      clear_floors (c);
+      c->link.last_digest = 0;
+      c->link.dirty = true;
+    }
+  if (!c->link.reported)
+    c->link.dirty = true;
+  c->link.reported = true;
+  c->link.boot_id = r->boot_id;
+  c->link.life = r->life;
+  acknowledge (c, r->digest);
+  if (!c->stopping_us)
+    set_life (c);
+  am_verdicts_report (c, r);
+  return keep_report (c, r);
+}
+
+/* The forwarder tells the snapshot it serves with: revisions that a fresh
+   agent must reach before it sends one, and members to ask.  */
+static int
+take_snapshot (struct am_control *c, const Amaranth__Snapshot *s)
+{
+  int err = AM_OK;
+
+  for (size_t i = 0; i < s->n_services && !err; i++)
+    {
+      struct am_floor *f;
+
+      HASH_FIND (by_id, c->link.floors, &s->services[i]->id,
+                 sizeof s->services[i]->id, f);
+      if (!f)
+        {
+          f = calloc (1, sizeof *f);
+          if (!f)
+            return AM_E_MEMORY;
+          f->service_id = s->services[i]->id;
+          HASH_ADD (by_id, c->link.floors, service_id, sizeof f->service_id,
+                    f);
+        }
+      f->revision = s->services[i]->revision;
+    }
+  for (size_t i = 0; i < s->n_members && !err; i++)
+    if (s->members[i]->id != c->self.id)
+      err = am_members_update (c, s->members[i], AM_UPDATE_EXCHANGE);
+  return err;
+}
+
+int
+am_link_message (struct am_control *c, const Amaranth__Envelope *e)
+{
+  switch (e->body_case)
+    {
+    case AMARANTH__ENVELOPE__BODY_REPORT:
+      return take_report (c, e->report);
+    case AMARANTH__ENVELOPE__BODY_SNAPSHOT:
+      return take_snapshot (c, e->snapshot);
+    default:
+      return AM_E_FORMAT;
+    }
+}
+
+/* ---- snapshots ---------------------------------------------------- */
+
+struct builder
+{
+  Amaranth__Snapshot snapshot;
+  Amaranth__Member *members;
+  Amaranth__Verdict *verdicts;
+  struct am_config_entry **entries;
+  size_t entry_count;
+};
+
+static int
+by_name (const void *a, const void *b)
+{
+  const struct am_config_entry *const *x = a;
+  const struct am_config_entry *const *y = b;
+
+  return strcmp ((*x)->name, (*y)->name);
+}
+
+/* Services in the order in which they are kept when two have one address:
+   the greater revision, then the lesser name.  */
+static int
+by_claim (const void *a, const void *b)
+{
+  const struct am_config_entry *const *x = a;
+  const struct am_config_entry *const *y = b;
+
+  if ((*x)->revision != (*y)->revision)
+    return (*x)->revision > (*y)->revision ? -1 : 1;
+  return by_name (a, b);
+}
+
+struct claim
+{
+  UT_hash_handle hh;
+  uint64_t address;
+};
+
+/* Returns false if another service of the list has the address of E.  */
+static bool
+claim_address (struct claim **index, struct claim *memory,
+               const struct am_config_entry *e)
+{
+  struct am_address a = { e->service->ip, (uint16_t)e->service->port };
+  struct claim *held;
+
+  memory->address = am_address_key (a);
+  HASH_FIND (hh, *index, &memory->address, sizeof memory->address, held);
+  if (held)
+    return false;
+  HASH_ADD (hh, *index, address, sizeof memory->address, memory);
+  return true;
+}
+
+/* Leaves out the services whose address another one has, so that a packet
+   never reaches the wrong one of the two.  */
+static int
+drop_conflicts (struct am_control *c, struct builder *b)
+{
+  struct claim *memory = calloc (b->entry_count + 1, sizeof *memory);
+  struct claim *index = NULL;
+  size_t kept = 0;
+
+  if (!memory)
+    return AM_E_MEMORY;
+  qsort (b->entries, b->entry_count, sizeof *b->entries, by_claim);
+  for (size_t i = 0; i < b->entry_count; i++)
+    {
+      struct am_config_entry *e = b->entries[i];
+
+      if (e->service->retired || claim_address (&index, &memory[i], e))
+        b->entries[kept++] = e;
+      else
+        am_control_log (c, AM_LOG_ERROR,
+                        "config_left_out record=%s error=address_in_use",
+                        e->name);
+    }
+  b->entry_count = kept;
+  HASH_CLEAR (hh, index);
+  free (memory);
+  qsort (b->entries, b->entry_count, sizeof *b->entries, by_name);
+  return AM_OK;
+}
+
+static int
+add_services (struct am_control *c, struct builder *b)
+{
+  struct am_config_entry *e;
+  struct am_config_entry *next;
+  int err;
+
+  b->entries = calloc (c->config.count + 1, sizeof *b->entries);
+  if (!b->entries)
+    return AM_E_MEMORY;
+  HASH_ITER (by_name, c->config.by_name, e, next)
+  {
+    if (e->service)
+      b->entries[b->entry_count++] = e;
+  }
+  err = drop_conflicts (c, b);
+  if (err)
+    return err;
+  b->snapshot.services
+      = calloc (b->entry_count + 1, sizeof *b->snapshot.services);
+  if (!b->snapshot.services)
+    return AM_E_MEMORY;
+  for (size_t i = 0; i < b->entry_count; i++)
+    b->snapshot.services[i] = b->entries[i]->service;
+  b->snapshot.n_services = b->entry_count;
+  return AM_OK;
+}
+
+static int
+by_id (const void *a, const void *b)
+{
+  const Amaranth__Member *const *x = a;
+  const Amaranth__Member *const *y = b;
+
+  return (*x)->id < (*y)->id ? -1 : (*x)->id > (*y)->id;
+}
+
+static void
+add_member (struct builder *b, const struct am_vm *v)
+{
+  Amaranth__Member *m = &b->members[b->snapshot.n_members];
+
+  am_members_describe (v, m);
+  m->config_digest = 0;
+  b->snapshot.members[b->snapshot.n_members++] = m;
+}
+
+static int
+add_members (struct am_control *c, struct builder *b)
+{
+  size_t n = c->vms.count + 1;
+
+  b->members = calloc (n, sizeof *b->members);
+  b->snapshot.members = calloc (n, sizeof *b->snapshot.members);
+  if (!b->members || !b->snapshot.members)
+    return AM_E_MEMORY;
+  add_member (b, &c->self);
+  am_list_each (v, &c->vms.all, struct am_vm, node) { add_member (b, v); }
+  qsort (b->snapshot.members, n, sizeof *b->snapshot.members, by_id);
+  return AM_OK;
+}
+
+static int
+add_verdicts (struct am_control *c, struct builder *b)
+{
+  size_t n = c->verdicts.ejected_count;
+
+  b->verdicts = calloc (n + 1, sizeof *b->verdicts);
+  b->snapshot.verdicts = calloc (n + 1, sizeof *b->snapshot.verdicts);
+  if (!b->verdicts || !b->snapshot.verdicts)
+    return AM_E_MEMORY;
+  for (size_t i = 0; i < n; i++)
+    {
+      amaranth__verdict__init (&b->verdicts[i]);
+      b->verdicts[i].service_id = c->verdicts.ejected[i].service_id;
+      b->verdicts[i].upstream_id = c->verdicts.ejected[i].upstream_id;
+      b->verdicts[i].ejected = true;
+      b->snapshot.verdicts[i] = &b->verdicts[i];
+    }
+  b->snapshot.n_verdicts = n;
+  return AM_OK;
+}
+
+static int
+build (struct am_control *c, struct builder *b)
+{
+  const struct am_config_entry *keys = am_config_find (c, KEYS_RECORD);
+  int err;
+
+  memset (b, 0, sizeof *b);
+  amaranth__snapshot__init (&b->snapshot);
+  err = add_services (c, b);
+  if (!err)
+    err = add_members (c, b);
+  if (!err)
+    err = add_verdicts (c, b);
+  if (keys)
+    {
+      b->snapshot.keys = keys->keys;
+      b->snapshot.n_keys = keys->key_count;
+    }
+  return err;
+}
+
+static void
+builder_finish (struct builder *b)
+{
+  free (b->entries);
+  free (b->members);
+  free (b->verdicts);
+  free (b->snapshot.services);
+  free (b->snapshot.members);
+  free (b->snapshot.verdicts);
+}
+
+static int
+set_digest (struct builder *b)
+{
+  size_t len = amaranth__snapshot__get_packed_size (&b->snapshot);
+  uint8_t *packed = malloc (len + 1);
+
+  if (!packed)
+    return AM_E_MEMORY;
+  amaranth__snapshot__pack (&b->snapshot, packed);
+  b->snapshot.digest = am_hash_bytes (packed, len, 0);
+  free (packed);
+  return AM_OK;
+}
+
+static bool
+below_floor (const struct am_control *c, const struct builder *b)
+{
+  struct am_floor *f;
+  struct am_floor *next;
+
+  HASH_ITER (by_id, c->link.floors, f, next)
+  {
+    bool reached = false;
+
+    for (size_t i = 0; i < b->snapshot.n_services; i++)
+      reached = reached
+                || (b->snapshot.services[i]->id == f->service_id
+                    && b->snapshot.services[i]->revision >= f->revision);
+    if (!reached)
+      return true;
+  }
+  return false;
+}
+
+/* A forwarder that serves with a snapshot from before gets none until this
+   agent has a configuration and has joined.  */
+static bool
+may_send (const struct am_control *c)
+{
+  if (c->config.count == 0)
+    return c->link.digest == 0 && c->spread.joined;
+  return c->spread.joined || c->link.digest == 0;
+}
+
+static void
+remember (struct am_control *c, uint64_t digest)
+{
+  struct am_link *l = &c->link;
+  struct am_sent_snapshot *s = &l->sent[l->numbers % AM_SENT_MAX];
+  struct am_config_entry *e;
+  struct am_config_entry *next;
+
+  l->numbers++;
+  s->digest = digest;
+  s->config_digest = c->config.digest;
+  s->number = l->numbers;
+  l->last_digest = digest;
+  l->last_sent_us = c->now_us;
+  HASH_ITER (by_name, c->config.by_name, e, next)
+  {
+    if (e->snapshot == 0)
+      e->snapshot = l->numbers;
+  }
+}
+
+static void
+send_snapshot (struct am_control *c, struct builder *b)
+{
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct am_address none = { 0 };
+
+  e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
+  e.snapshot = &b->snapshot;
+  c->counters.snapshots++;
+  remember (c, b->snapshot.digest);
+  am_control_emit (c, AM_CONTROL_SEND_FORWARDER, none, 0, &e);
+  am_control_log (c, AM_LOG_INFO,
+                  "snapshot digest=%016llx services=%zu members=%zu keys=%zu "
+                  "verdicts=%zu",
+                  (unsigned long long)b->snapshot.digest,
+                  b->snapshot.n_services, b->snapshot.n_members,
+                  b->snapshot.n_keys, b->snapshot.n_verdicts);
+}
+
+static void
+try_send (struct am_control *c)
+{
+  struct builder b;
+
+  c->link.dirty = false;
+  if (build (c, &b) == AM_OK && set_digest (&b) == AM_OK)
+    {
+      if (below_floor (c, &b))
+        {
+          c->counters.snapshots_held++;
+          c->link.last_sent_us = c->now_us;
+        }
+      else if (b.snapshot.digest != c->link.last_digest)
+        send_snapshot (c, &b);
+    }
+  else
+    c->link.dirty = true;
+  builder_finish (&b);
+}
+
+static void
+watch_forwarder (struct am_control *c)
+{
+  if (c->link.up || c->stopping_us
+      || c->now_us - c->link.down_us < AM_FORWARDER_GRACE_US)
+    return;
+  am_members_set_self (c, AMARANTH__MEMBER_STATE__MEMBER_LEAVING,
+                       c->link.boot_id);
+}
+
+void
+am_link_tick (struct am_control *c)
+{
+  watch_forwarder (c);
+  if (!c->link.up || !c->link.reported || !c->link.dirty
+      || c->now_us - c->link.last_sent_us < AM_SNAPSHOT_INTERVAL_US)
+    return;
+  if (!may_send (c))
+    {
+      c->counters.snapshots_held++;
+      return;
+    }
+  try_send (c);
+}
--- /dev/null
+++ b/src/core/control_link.h
@@ -0,0 +1,33 @@
+/* Link to the forwarder: its reports, and the snapshots for it.
+
+   A snapshot is sent at each change, at most ten a second.  An agent never
+   sends an empty or older one to a forwarder that has a newer one: it waits
+   until it has a configuration and has asked a peer for the members, and for
+   each service whose revision in the forwarder it learned it holds at least
+   that revision.  */
+
+#ifndef AM_CORE_CONTROL_LINK_H
+#define AM_CORE_CONTROL_LINK_H
+
+#include "core/control_board.h"
+
+#define AM_SNAPSHOT_INTERVAL_US (AM_SECOND_US / 10)
+
+/* A forwarder that is away this long takes nothing new: the VM is announced
+   as leaving until the forwarder is back.  */
+#define AM_FORWARDER_GRACE_US (2 * AM_SECOND_US)
+
+void am_link_init (struct am_control *c);
+void am_link_finish (struct am_control *c);
+
+void am_link_up (struct am_control *c);
+void am_link_lost (struct am_control *c);
+
+/* Handles a message of the forwarder.  Returns AM_OK, AM_E_FORMAT or
+   AM_E_MEMORY.  */
+int am_link_message (struct am_control *c, const Amaranth__Envelope *e);
+
+/* Sends a snapshot if one is due.  */
+void am_link_tick (struct am_control *c);
+
+#endif
--- /dev/null
+++ b/src/core/control_probe.c
@@ -0,0 +1,449 @@
+#include "core/control_probe.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "core/control_members.h"
+#include "core/control_spread.h"
+#include "core/control_verdicts.h"
+
+#define UPDATES_MAX 24
+#define EVIDENCE_MAX 40
+
+/* Upper bound of a packed evidence: three ids, a flag, a serial and the
+   field headers.  */
+#define EVIDENCE_SIZE 32
+
+/* Field header and length of an embedded message.  */
+#define EMBEDDED_SIZE 4
+
+/* Budget of urgent updates.  A state change costs about 250 bytes for each of
+   four members, so ten changes pass at once and more are paced.  */
+#define FLUSH_BYTES_A_SECOND 1500u
+#define FLUSH_BYTES_BURST 9000u
+
+/* One dead member or silent seed is tried this often, so that the sides of a
+   healed partition meet again within two seconds.  */
+#define OUTSIDER_US (2 * AM_SECOND_US)
+
+struct message
+{
+  Amaranth__Envelope envelope;
+  Amaranth__Gossip gossip;
+  Amaranth__Member sender;
+  Amaranth__Member members[UPDATES_MAX];
+  Amaranth__Member *member_list[UPDATES_MAX];
+  Amaranth__UpstreamEvidence evidence[EVIDENCE_MAX];
+  Amaranth__UpstreamEvidence *evidence_list[EVIDENCE_MAX];
+  size_t size;
+};
+
+static void
+message_init (struct am_control *c, struct message *m,
+              Amaranth__GossipKind kind, uint32_t sequence)
+{
+  amaranth__envelope__init (&m->envelope);
+  amaranth__gossip__init (&m->gossip);
+  am_members_describe (&c->self, &m->sender);
+  m->sender.config_digest = c->link.acked_config;
+  m->envelope.body_case = AMARANTH__ENVELOPE__BODY_GOSSIP;
+  m->envelope.gossip = &m->gossip;
+  m->gossip.kind = kind;
+  m->gossip.sequence = sequence;
+  m->gossip.sender = &m->sender;
+  m->gossip.config_digest = c->config.digest;
+  m->gossip.updates = m->member_list;
+  m->gossip.evidence = m->evidence_list;
+  m->size = 0;
+}
+
+static bool
+add_member (struct message *m, const struct am_vm *v)
+{
+  size_t n = m->gossip.n_updates;
+  size_t size;
+
+  if (n == UPDATES_MAX)
+    return false;
+  am_members_describe (v, &m->members[n]);
+  size = amaranth__member__get_packed_size (&m->members[n]) + EMBEDDED_SIZE;
+  if (m->size + size > AM_GOSSIP_MAX)
+    return false;
+  m->size += size;
+  m->member_list[n] = &m->members[n];
+  m->gossip.n_updates++;
+  return true;
+}
+
+/* Adds queued updates and counts them as sent once; the sender's own entry is
+   in every datagram anyway.  */
+static void
+add_queue (struct am_control *c, struct message *m)
+{
+  struct am_list sent;
+
+  am_list_init (&sent);
+  while (!am_list_empty (&c->vms.queue))
+    {
+      struct am_vm *v
+          = am_container_of (c->vms.queue.next, struct am_vm, queue);
+
+      if (v != &c->self && !add_member (m, v))
+        break;
+      am_list_remove (&v->queue);
+      if (--v->transmits > 0)
+        am_list_push_back (&sent, &v->queue);
+    }
+  while (!am_list_empty (&sent))
+    am_list_push_back (&c->vms.queue, am_list_pop_front (&sent));
+}
+
+static void
+add_evidence (struct am_control *c, struct message *m)
+{
+  size_t room = (AM_GOSSIP_MAX - m->size) / EVIDENCE_SIZE;
+
+  if (room > EVIDENCE_MAX)
+    room = EVIDENCE_MAX;
+  m->gossip.n_evidence = am_verdicts_take (c, m->evidence, room);
+  for (size_t i = 0; i < m->gossip.n_evidence; i++)
+    m->evidence_list[i] = &m->evidence[i];
+}
+
+static void
+message_base (struct message *m)
+{
+  m->size = amaranth__envelope__get_packed_size (&m->envelope) + EMBEDDED_SIZE;
+}
+
+static size_t
+send (struct am_control *c, struct message *m, struct am_address to)
+{
+  add_queue (c, m);
+  add_evidence (c, m);
+  am_control_emit (c, AM_CONTROL_SEND_GOSSIP, to, 0, &m->envelope);
+  return m->size + m->gossip.n_evidence * EVIDENCE_SIZE;
+}
+
+/* Sends one gossip message.  ABOUT (may be NULL) is told first.  */
+static size_t
+gossip (struct am_control *c, struct am_address to, Amaranth__GossipKind kind,
+        uint32_t sequence, uint32_t target_id, const struct am_vm *about)
+{
+  struct message m;
+
+  message_init (c, &m, kind, sequence);
+  m.gossip.target_id = target_id;
+  message_base (&m);
+  if (about)
+    add_member (&m, about);
+  return send (c, &m, to);
+}
+
+static uint32_t
+next_sequence (struct am_control *c)
+{
+  if (++c->sequence == 0)
+    c->sequence = 1;
+  return c->sequence;
+}
+
+/* Returns V if the member does not know how this VM sees it.  */
+static const struct am_vm *
+news_for (const struct am_vm *v)
+{
+  bool told = v->state == AMARANTH__MEMBER_STATE__MEMBER_ALIVE
+              || v->state == AMARANTH__MEMBER_STATE__MEMBER_LEAVING;
+
+  return told ? NULL : v;
+}
+
+static void
+handle_ping (struct am_control *c, struct am_address from,
+             const Amaranth__Gossip *g, const struct am_vm *sender)
+{
+  const struct am_vm *about = NULL;
+
+  if (sender
+      && (news_for (sender) || sender->incarnation > g->sender->incarnation))
+    about = sender;
+  gossip (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, g->sequence, 0, about);
+}
+
+static void
+handle_ping_request (struct am_control *c, struct am_address from,
+                     const Amaranth__Gossip *g)
+{
+  struct am_vm *target = am_members_find (c, g->target_id);
+  struct am_relay *r = &c->relays[c->relay_next];
+
+  if (!target)
+    return;
+  c->relay_next = (c->relay_next + 1) % AM_RELAYS_MAX;
+  r->sequence = next_sequence (c);
+  r->target_id = g->target_id;
+  r->requester = from;
+  r->requester_sequence = g->sequence;
+  gossip (c, am_vm_gossip (target), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+          r->sequence, 0, news_for (target));
+}
+
+static void
+relay_ack (struct am_control *c, const Amaranth__Gossip *g)
+{
+  for (size_t i = 0; i < AM_RELAYS_MAX; i++)
+    {
+      struct am_relay *r = &c->relays[i];
+
+      if (r->sequence == 0 || r->sequence != g->sequence
+          || r->target_id != g->sender->id)
+        continue;
+      r->sequence = 0;
+      gossip (c, r->requester, AMARANTH__GOSSIP_KIND__GOSSIP_ACK,
+              r->requester_sequence, r->target_id, NULL);
+    }
+}
+
+static void
+handle_ack (struct am_control *c, const Amaranth__Gossip *g)
+{
+  struct am_probe *p = &c->probe;
+
+  if (g->sequence == 0)
+    return;
+  if (p->target_id && g->sequence == p->sequence
+      && (g->sender->id == p->target_id || g->target_id == p->target_id))
+    p->acked = true;
+  relay_ack (c, g);
+}
+
+/* The sender is held dead in the life it is in: both were on two sides of a
+   partition.  It is told, and refutes; the whole tables are exchanged.  */
+static void
+handle_return (struct am_control *c, struct am_address from,
+               const Amaranth__Gossip *g, const struct am_vm *sender)
+{
+  if (am_vm_live (sender) || sender->incarnation < g->sender->incarnation)
+    return;
+  if (g->kind != AMARANTH__GOSSIP_KIND__GOSSIP_PING)
+    gossip (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, 0, 0, sender);
+  am_spread_exchange (c, sender);
+}
+
+int
+am_probe_gossip (struct am_control *c, struct am_address from,
+                 const Amaranth__Gossip *g)
+{
+  struct am_vm *sender;
+  int err;
+
+  if (!g->sender || g->sender->id == c->self.id)
+    return AM_E_FORMAT;
+  err = am_members_update (c, g->sender, AM_UPDATE_GOSSIP);
+  for (size_t i = 0; i < g->n_updates && !err; i++)
+    err = am_members_update (c, g->updates[i], AM_UPDATE_GOSSIP);
+  if (err)
+    return err;
+  for (size_t i = 0; i < g->n_evidence; i++)
+    am_verdicts_evidence (c, g->evidence[i]);
+  sender = am_members_find (c, g->sender->id);
+  if (sender)
+    {
+      handle_return (c, from, g, sender);
+      if (sender->incarnation == g->sender->incarnation)
+        am_members_heard (c, sender);
+    }
+  if (g->kind == AMARANTH__GOSSIP_KIND__GOSSIP_PING)
+    handle_ping (c, from, g, sender);
+  else if (g->kind == AMARANTH__GOSSIP_KIND__GOSSIP_PING_REQUEST)
+    handle_ping_request (c, from, g);
+  else
+    handle_ack (c, g);
+  if (sender && am_vm_live (sender))
+    am_spread_compare (c, sender, g);
+  return AM_OK;
+}
+
+static void
+shuffle (struct am_control *c)
+{
+  struct am_vms *t = &c->vms;
+
+  for (size_t i = t->count; i > 1; i--)
+    {
+      size_t j = am_rng_below (&c->rng, (uint32_t)i);
+      struct am_vm *v = t->order[i - 1];
+
+      t->order[i - 1] = t->order[j];
+      t->order[j] = v;
+    }
+  t->order_next = 0;
+}
+
+static struct am_vm *
+next_target (struct am_control *c)
+{
+  struct am_vms *t = &c->vms;
+
+  for (size_t tries = 0; tries <= t->count; tries++)
+    {
+      if (t->order_next >= t->count)
+        shuffle (c);
+      if (t->count && am_vm_live (t->order[t->order_next]))
+        return t->order[t->order_next++];
+      t->order_next++;
+    }
+  return NULL;
+}
+
+static void
+start_probe (struct am_control *c)
+{
+  struct am_vm *v = next_target (c);
+  struct am_probe *p = &c->probe;
+
+  memset (p, 0, sizeof *p);
+  if (!v)
+    return;
+  p->target_id = v->id;
+  p->sequence = next_sequence (c);
+  p->started_us = c->now_us;
+  c->counters.probes++;
+  gossip (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING, p->sequence,
+          0, news_for (v));
+}
+
+static void
+ask_helpers (struct am_control *c)
+{
+  struct am_probe *p = &c->probe;
+  struct am_vm *helpers[AM_PROBE_HELPERS];
+  size_t n = am_members_random (c, p->target_id, helpers, AM_PROBE_HELPERS);
+
+  p->indirect = true;
+  c->counters.probes_indirect++;
+  for (size_t i = 0; i < n; i++)
+    gossip (c, am_vm_gossip (helpers[i]),
+            AMARANTH__GOSSIP_KIND__GOSSIP_PING_REQUEST, p->sequence,
+            p->target_id, NULL);
+}
+
+static void
+end_probe (struct am_control *c)
+{
+  struct am_probe *p = &c->probe;
+  struct am_vm *v = p->target_id ? am_members_find (c, p->target_id) : NULL;
+
+  if (v && !p->acked)
+    {
+      c->counters.probes_failed++;
+      am_members_suspect (c, v);
+    }
+}
+
+static bool
+seed_is_live (const struct am_control *c, struct am_address seed)
+{
+  if (am_address_equal (am_vm_gossip (&c->self), seed))
+    return true;
+  am_list_each (v, &c->vms.all, struct am_vm, node)
+  {
+    if (am_vm_live (v) && am_address_equal (am_vm_gossip (v), seed))
+      return true;
+  }
+  return false;
+}
+
+static bool
+try_seed (struct am_control *c)
+{
+  size_t start
+      = c->seed_count ? am_rng_below (&c->rng, (uint32_t)c->seed_count) : 0;
+
+  for (size_t i = 0; i < c->seed_count; i++)
+    {
+      struct am_address seed = c->seeds[(start + i) % c->seed_count];
+
+      if (seed_is_live (c, seed))
+        continue;
+      gossip (c, seed, AMARANTH__GOSSIP_KIND__GOSSIP_PING, next_sequence (c),
+              0, NULL);
+      return true;
+    }
+  return false;
+}
+
+static void
+try_dead (struct am_control *c)
+{
+  struct am_vms *t = &c->vms;
+  size_t start = t->count ? am_rng_below (&c->rng, (uint32_t)t->count) : 0;
+
+  for (size_t i = 0; i < t->count; i++)
+    {
+      struct am_vm *v = t->order[(start + i) % t->count];
+
+      if (am_vm_live (v))
+        continue;
+      gossip (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+              next_sequence (c), 0, v);
+      return;
+    }
+}
+
+static void
+try_outsiders (struct am_control *c)
+{
+  c->next_outsider_us = c->now_us + OUTSIDER_US;
+  if (c->vms.live == 0)
+    c->next_outsider_us = c->now_us + OUTSIDER_US / 4;
+  try_seed (c);
+  if (c->vms.count > c->vms.live)
+    try_dead (c);
+}
+
+void
+am_probe_flush (struct am_control *c)
+{
+  struct am_vm *to[AM_FANOUT];
+  size_t n;
+
+  if (!c->urgent || c->flush_tokens < AM_GOSSIP_MAX)
+    return;
+  n = am_members_random (c, 0, to, AM_FANOUT);
+  c->urgent = false;
+  for (size_t i = 0; i < n && c->flush_tokens >= AM_GOSSIP_MAX; i++)
+    c->flush_tokens -= gossip (c, am_vm_gossip (to[i]),
+                               AMARANTH__GOSSIP_KIND__GOSSIP_ACK, 0, 0, NULL);
+}
+
+static void
+fill_tokens (struct am_control *c)
+{
+  uint64_t passed = c->now_us - c->flush_filled_us;
+
+  c->flush_filled_us = c->now_us;
+  c->flush_tokens += passed * FLUSH_BYTES_A_SECOND / AM_SECOND_US;
+  if (c->flush_tokens > FLUSH_BYTES_BURST)
+    c->flush_tokens = FLUSH_BYTES_BURST;
+}
+
+void
+am_probe_tick (struct am_control *c)
+{
+  struct am_probe *p = &c->probe;
+
+  fill_tokens (c);
+  if (p->target_id && !p->acked && !p->indirect
+      && c->now_us - p->started_us >= AM_PROBE_DIRECT_US)
+    ask_helpers (c);
+  if (c->now_us >= c->next_probe_us)
+    {
+      end_probe (c);
+      start_probe (c);
+      c->next_probe_us = c->now_us + AM_PROBE_PERIOD_US;
+    }
+  if (c->now_us >= c->next_outsider_us)
+    try_outsiders (c);
+  am_probe_flush (c);
+}
--- /dev/null
+++ b/src/core/control_probe.h
@@ -0,0 +1,31 @@
+/* Failure detector in the style of SWIM, and the gossip that rides on it.
+
+   Each second one member, in a random order that visits all, gets a PING.
+   Without an ACK after AM_PROBE_DIRECT_US three others are asked to ping it;
+   without any ACK at the end of the second it is suspected.  Datagrams carry
+   updates up to AM_GOSSIP_MAX bytes.  An urgent update is also sent at once
+   to AM_FANOUT members, within a budget of bytes that does not depend on the
+   size of the fleet.  */
+
+#ifndef AM_CORE_CONTROL_PROBE_H
+#define AM_CORE_CONTROL_PROBE_H
+
+#include "core/control_board.h"
+
+#define AM_PROBE_PERIOD_US AM_SECOND_US
+#define AM_PROBE_DIRECT_US (400 * UINT64_C (1000))
+#define AM_PROBE_HELPERS 3
+
+/* Handles a gossip message from FROM.  Returns AM_OK, AM_E_FORMAT or
+   AM_E_MEMORY.  */
+int am_probe_gossip (struct am_control *c, struct am_address from,
+                     const Amaranth__Gossip *g);
+
+/* Starts and ends probes and flushes urgent updates.  */
+void am_probe_tick (struct am_control *c);
+
+/* Sends the queued updates to AM_FANOUT random members now, if the budget
+   allows.  */
+void am_probe_flush (struct am_control *c);
+
+#endif
--- /dev/null
+++ b/src/core/control_spread.h
@@ -0,0 +1,48 @@
+/* Spread of record versions between agents.
+
+   A new version is announced at once to AM_FANOUT random members by datagram;
+   whoever lacks it pulls it over TCP and does the same.  Every gossip message
+   carries the digest of the whole configuration.  When two differ, the recent
+   versions are announced to that member; when the difference stays, the whole
+   list of versions is exchanged, with a wait that doubles while an exchange
+   brings nothing.  */
+
+#ifndef AM_CORE_CONTROL_SPREAD_H
+#define AM_CORE_CONTROL_SPREAD_H
+
+#include "core/control_board.h"
+
+void am_spread_init (struct am_control *c);
+void am_spread_finish (struct am_control *c);
+
+/* Versions in one announcement: fits AM_GOSSIP_MAX with the longest names.  */
+#define AM_ANNOUNCE_MAX 8
+
+/* Announces N new versions.  More than AM_ANNOUNCE_MAX at once are those of a
+   join or of a store read after an outage; they are left to the exchange of
+   digests, because announcing each of them would cost more bytes.  */
+void am_spread_announce (struct am_control *c,
+                         const struct am_config_entry *const *entries,
+                         size_t n);
+
+/* Handle messages of peers and operators.  FROM is the gossip address of the
+   sender (ANNOUNCE by datagram); STREAM its stream.  */
+void am_spread_announced (struct am_control *c, struct am_address from,
+                          const Amaranth__Announce *a);
+int am_spread_digest_request (struct am_control *c, uint64_t stream,
+                              const Amaranth__DigestRequest *r);
+int am_spread_records (struct am_control *c, uint64_t stream,
+                       const Amaranth__RecordList *l);
+
+/* Compares the digest in G, from live member V, with the own one.  */
+void am_spread_compare (struct am_control *c, const struct am_vm *v,
+                        const Amaranth__Gossip *g);
+
+/* Exchanges records and the table of members with V, at most once in two
+   seconds.  */
+void am_spread_exchange (struct am_control *c, const struct am_vm *v);
+
+/* Joins, repeats pulls that were not answered, starts exchanges.  */
+void am_spread_tick (struct am_control *c);
+
+#endif
