--- a/test/integration/cut.c
+++ b/test/integration/cut.c
@@ -93,8 +93,10 @@
   refresh_rules ();
   if (rules.count == 0)
     return false;
-  inet_ntop (AF_INET, &in->sin_addr, text, sizeof text);
-  strcat (text, ".");
+  inet_ntop (AF_INET, &in->sin_addr, text, INET_ADDRSTRLEN);
+  size_t end = strlen (text);
+  text[end] = '.';
+  text[end + 1] = '\0';
   for (int i = 0; i < rules.count; i++)
     if (begins (text, rules.others[i]))
       return true;
