Add state of credits and the peer key to the blackboard

Lending of credits sends peer datagrams from the core, which needs the peer key there. The split of credits keeps the home set it was made for, so that a vanished member's share is taken over only after a hold-down.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -29,6 +29,7 @@
 
 struct am_service;
 struct am_requests;
+struct am_lending;
 struct am_opens;
 
 /* ---- actions ------------------------------------------------------ */
@@ -122,7 +123,8 @@
   struct am_upstream_use use;
   struct am_upstream_credit credit;
   struct am_upstream_report report;
-  uint64_t choice_mark; /* owner: choice; order of last use */
+  uint64_t choice_mark;  /* owner: choice; order of last use */
+  uint64_t ramp_next_us; /* owner: choice; next request while ramping up */
 };
 
 /* Class of requests of a service.  Owner: snapshot.  */
@@ -172,6 +174,13 @@
   struct am_queue *queue; /* owner: admission */
   uint32_t choice_next;   /* owner: choice; position of round robin */
   double retry_tokens;    /* owner: retry budget */
+
+  /* Home set that the credits are split over, by id.  Owner: credit.  */
+  uint32_t credit_home[AM_HOME_MAX];
+  size_t credit_home_count;
+  uint32_t credit_next[AM_HOME_MAX]; /* set that replaces it */
+  size_t credit_next_count;
+  uint64_t credit_due_us; /* when; 0: nothing pending */
 };
 
 /* ---- entry VMs and keys ------------------------------------------- */
@@ -256,6 +265,7 @@
   struct am_rng rng;
   struct am_sink sink;
   bool log_decisions;
+  uint8_t peer_key[32]; /* of datagrams between forwarders */
   struct am_counters counters;
 
   /* Owner: snapshot.  */
@@ -273,6 +283,7 @@
   uint64_t stopping_since_us;
 
   struct am_requests *requests; /* owner: request */
+  struct am_lending *lending;   /* owner: credit */
   struct am_opens *opens;       /* owner: opening */
 };
 
