Add upstream choice, credits with lending, requests and their state table

Cause: flows and requests need an upstream each, limits must hold without coordination, and a one-time request must run at most once. Change: policies behind one table, deterministic split of slots and connections over the home set, loans between home VMs, admission queues, request table with single-use serials, and a model of seven entry VMs side by side that measures balance.

--- /dev/null
+++ b/src/core/admission.c
@@ -0,0 +1,224 @@
+#include "core/admission.h"
+
+#include <stdlib.h>
+
+#include "base/error.h"
+#include "core/credit.h"
+#include "core/retry_budget.h"
+
+/* Weight of a new sample in the smoothed time to answer is 1/8.  */
+#define ANSWER_SMOOTHING 8u
+
+/* A refusal lowers the estimate by 1/32.  */
+#define ESTIMATE_DECAY 32u
+
+int
+am_admission_prepare (struct am_service *s)
+{
+  if (s->queue)
+    return AM_OK;
+  s->queue = calloc (1, sizeof *s->queue);
+  if (!s->queue)
+    return AM_E_MEMORY;
+  am_retry_init (s);
+  return AM_OK;
+}
+
+void
+am_admission_finish (struct am_service *s)
+{
+  free (s->queue);
+  s->queue = NULL;
+}
+
+static struct am_queue_class *
+find_class (struct am_queue *q, uint32_t id)
+{
+  for (size_t i = 0; i < q->class_count; i++)
+    {
+      if (q->classes[i].id == id)
+        return &q->classes[i];
+    }
+  return NULL;
+}
+
+/* Returns the queue of class ID.  A class that the record dropped leaves its
+   entry to the next one once it is empty; with none left the last is shared.
+ */
+static struct am_queue_class *
+class_of (struct am_queue *q, uint32_t id)
+{
+  struct am_queue_class *c = find_class (q, id);
+
+  if (c)
+    return c;
+  if (q->class_count < AM_CLASSES_MAX)
+    {
+      c = &q->classes[q->class_count++];
+      am_list_init (&c->waiting);
+    }
+  else
+    {
+      c = &q->classes[AM_CLASSES_MAX - 1];
+      for (size_t i = 0; i < AM_CLASSES_MAX && c->count; i++)
+        {
+          if (q->classes[i].count == 0)
+            c = &q->classes[i];
+        }
+      if (c->count)
+        return c;
+    }
+  c->id = id;
+  c->answer_us = 0;
+  return c;
+}
+
+static uint64_t
+present_slots (const struct am_board *b, const struct am_service *s)
+{
+  uint64_t n = 0;
+
+  am_list_each (u, &s->upstreams, struct am_upstream, node)
+  {
+    if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
+        && !u->health.ejected && b->now_us >= u->health.avoid_until_us)
+      n += am_credit_slots (u);
+  }
+  return n;
+}
+
+/* Rank of a request that has waited for WAITED_US; the lowest goes first.  */
+static int64_t
+rank (const struct am_request *r, uint64_t waited_us)
+{
+  int64_t level = (int64_t)r->priority - (r->weight >= 2 ? 1 : 0);
+
+  return level * AM_AGE_STEP_US - (int64_t)waited_us;
+}
+
+static struct am_request *
+head (const struct am_queue_class *c)
+{
+  return am_container_of (c->waiting.next, struct am_request, wait);
+}
+
+static int64_t
+head_rank (const struct am_board *b, const struct am_queue_class *c)
+{
+  const struct am_request *r = head (c);
+
+  return rank (r, b->now_us - r->arrived_us);
+}
+
+static uint64_t
+work_ahead_us (const struct am_board *b, const struct am_queue *q,
+               const struct am_queue_class *own, const struct am_request *r)
+{
+  uint64_t sum = 0;
+
+  for (size_t i = 0; i < q->class_count; i++)
+    {
+      const struct am_queue_class *c = &q->classes[i];
+
+      if (c->count && (c == own || head_rank (b, c) <= rank (r, 0)))
+        sum += c->count * c->answer_us;
+    }
+  return sum;
+}
+
+static uint64_t
+time_left (const struct am_board *b, const struct am_request *r)
+{
+  return r->deadline_us > b->now_us ? r->deadline_us - b->now_us : 0;
+}
+
+int
+am_admission_check (const struct am_board *b, struct am_service *s,
+                    const struct am_request *r, uint32_t limit)
+{
+  struct am_queue_class *c = class_of (s->queue, r->class_id);
+  uint64_t slots;
+  uint64_t wait_us;
+
+  if (c->count >= (limit ? limit : AM_QUEUE_LIMIT_DEFAULT))
+    return AM_E_QUEUE_FULL;
+  if (s->queue->count == 0)
+    return AM_OK;
+  slots = present_slots (b, s);
+  if (slots == 0)
+    return AM_OK;
+  wait_us = work_ahead_us (b, s->queue, c, r) / slots;
+  if (wait_us + c->answer_us <= time_left (b, r))
+    return AM_OK;
+  c->answer_us -= c->answer_us / ESTIMATE_DECAY;
+  return AM_E_DEADLINE;
+}
+
+void
+am_admission_push (struct am_service *s, struct am_request *r, bool front)
+{
+  struct am_queue_class *c = class_of (s->queue, r->class_id);
+
+  if (front)
+    am_list_push_front (&c->waiting, &r->wait);
+  else
+    am_list_push_back (&c->waiting, &r->wait);
+  r->queued_in = c;
+  c->count++;
+  s->queue->count++;
+}
+
+void
+am_admission_remove (struct am_service *s, struct am_request *r)
+{
+  if (am_list_empty (&r->wait))
+    return;
+  am_list_remove (&r->wait);
+  r->queued_in->count--;
+  s->queue->count--;
+}
+
+struct am_request *
+am_admission_next (const struct am_board *b, const struct am_service *s)
+{
+  const struct am_queue_class *best = NULL;
+
+  if (!s->queue || s->queue->count == 0)
+    return NULL;
+  for (size_t i = 0; i < s->queue->class_count; i++)
+    {
+      const struct am_queue_class *c = &s->queue->classes[i];
+
+      if (c->count && (!best || head_rank (b, c) < head_rank (b, best)))
+        best = c;
+    }
+  return head (best);
+}
+
+bool
+am_admission_worthwhile (const struct am_board *b, struct am_service *s,
+                         const struct am_request *r)
+{
+  struct am_queue_class *c = class_of (s->queue, r->class_id);
+
+  if (c->answer_us <= time_left (b, r))
+    return true;
+  c->answer_us -= c->answer_us / ESTIMATE_DECAY;
+  return false;
+}
+
+void
+am_admission_answered (struct am_service *s, uint32_t class_id,
+                       uint64_t answer_us)
+{
+  struct am_queue_class *c;
+
+  if (!s->queue)
+    return;
+  c = class_of (s->queue, class_id);
+  if (c->answer_us == 0)
+    c->answer_us = answer_us;
+  else
+    c->answer_us = (c->answer_us * (ANSWER_SMOOTHING - 1) + answer_us)
+                   / ANSWER_SMOOTHING;
+}
--- /dev/null
+++ b/src/core/admission.h
@@ -0,0 +1,66 @@
+/* Admission: one bounded queue per class and service.
+
+   A request is refused at once if the queue of its class is full or its
+   deadline cannot be met with the work ahead of it and the smoothed time to
+   answer.  Order: priority of the class, where each AM_AGE_STEP_US of waiting
+   gains one level, so that no class starves; a weight of 2 gains one level.
+   Within a class first come, first served.  */
+
+#ifndef AM_CORE_ADMISSION_H
+#define AM_CORE_ADMISSION_H
+
+#include "core/board.h"
+#include "core/request_table.h"
+
+/* Waiting time that outweighs one level of priority.  */
+#define AM_AGE_STEP_US 500000
+
+/* Queue limit of a class whose record gives none.  */
+#define AM_QUEUE_LIMIT_DEFAULT 64u
+
+struct am_queue_class
+{
+  uint32_t id;
+  struct am_list waiting;
+  size_t count;
+  uint64_t answer_us; /* smoothed time to answer, 0: not known */
+};
+
+struct am_queue
+{
+  struct am_queue_class classes[AM_CLASSES_MAX];
+  size_t class_count;
+  size_t count; /* requests in all classes */
+};
+
+/* Sets up S->queue if there is none.  Returns AM_OK or AM_E_MEMORY.  */
+int am_admission_prepare (struct am_service *s);
+
+/* Frees S->queue, which must be empty.  */
+void am_admission_finish (struct am_service *s);
+
+/* Returns AM_OK if R may wait for a slot, else AM_E_QUEUE_FULL or
+   AM_E_DEADLINE.  LIMIT is the class's queue limit.  */
+int am_admission_check (const struct am_board *b, struct am_service *s,
+                        const struct am_request *r, uint32_t limit);
+
+/* Puts R into its queue: at the end, or at the FRONT after a refusal.  */
+void am_admission_push (struct am_service *s, struct am_request *r,
+                        bool front);
+void am_admission_remove (struct am_service *s, struct am_request *r);
+
+/* Returns the request to be sent next, or NULL.  It stays in the queue.  */
+struct am_request *am_admission_next (const struct am_board *b,
+                                      const struct am_service *s);
+
+/* Returns true if R, next in its queue, can still be answered in time.  Each
+   refusal lowers the estimate a little, so that one slow answer does not shut
+   a class out for good.  */
+bool am_admission_worthwhile (const struct am_board *b, struct am_service *s,
+                              const struct am_request *r);
+
+/* Notes that a request of class CLASS_ID was answered after ANSWER_US.  */
+void am_admission_answered (struct am_service *s, uint32_t class_id,
+                            uint64_t answer_us);
+
+#endif
--- /dev/null
+++ b/src/core/choice.c
@@ -0,0 +1,156 @@
+#include "core/choice.h"
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "core/credit.h"
+#include "core/policy.h"
+
+/* Most upstreams that one choice looks at.  With more, those with the highest
+   rendezvous score for this entry VM are kept, which bounds the number of
+   connections it holds.  */
+#define CANDIDATES_MAX 64
+
+/* A report of draining counts for this long.  */
+#define DRAINING_LIFE_US 5000000u
+
+/* Time to answer that paces a ramp before the first answer.  */
+#define ANSWER_DEFAULT_US 50000u
+
+struct candidates
+{
+  struct am_upstream *items[CANDIDATES_MAX];
+  uint64_t scores[CANDIDATES_MAX];
+  size_t count;
+};
+
+const struct am_choice_ops *
+am_choice_policy (Amaranth__Policy policy)
+{
+  switch (policy)
+    {
+    case AMARANTH__POLICY__POLICY_TWO_CHOICES:
+      return &am_policy_two_choices;
+    case AMARANTH__POLICY__POLICY_RANDOM:
+      return &am_policy_random;
+    case AMARANTH__POLICY__POLICY_ROUND_ROBIN:
+      return &am_policy_round_robin;
+    case AMARANTH__POLICY__POLICY_HASH:
+      return &am_policy_hash;
+    default:
+      return &am_policy_local;
+    }
+}
+
+static bool
+may_serve (const struct am_board *b, const struct am_upstream *u)
+{
+  return u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
+         && !u->health.ejected && b->now_us >= u->health.avoid_until_us;
+}
+
+static bool
+reports_draining (const struct am_board *b, const struct am_upstream *u)
+{
+  return u->report.at_us != 0 && (u->report.load.flags & AM_LOAD_DRAINING) != 0
+         && b->now_us - u->report.at_us < DRAINING_LIFE_US;
+}
+
+static bool
+below_credit (const struct am_board *b, const struct am_upstream *u,
+              enum am_work work)
+{
+  if (work == AM_WORK_FLOW)
+    return am_credit_connection_free (u);
+  return am_credit_slot_free (u) && b->now_us >= u->ramp_next_us;
+}
+
+static void
+keep (struct candidates *c, struct am_upstream *u, uint64_t score)
+{
+  size_t at = 0;
+
+  if (c->count < CANDIDATES_MAX)
+    at = c->count++;
+  else
+    {
+      for (size_t i = 1; i < CANDIDATES_MAX; i++)
+        {
+          if (c->scores[i] < c->scores[at])
+            at = i;
+        }
+      if (score <= c->scores[at])
+        return;
+    }
+  c->items[at] = u;
+  c->scores[at] = score;
+}
+
+/* Collects candidates other than EXCLUDE.  Returns AM_OK, AM_E_LIMIT or
+   AM_E_NO_UPSTREAM if there is none.  */
+static int
+collect (struct am_board *b, struct am_service *s, enum am_work work,
+         const struct am_upstream *exclude, bool draining,
+         struct candidates *c)
+{
+  int error = AM_E_NO_UPSTREAM;
+
+  c->count = 0;
+  am_list_each (u, &s->upstreams, struct am_upstream, node)
+  {
+    if (u == exclude || !may_serve (b, u)
+        || reports_draining (b, u) != draining)
+      continue;
+    error = AM_E_LIMIT;
+    if (below_credit (b, u, work))
+      keep (c, u, am_hash_rendezvous (b->self.id, u->id));
+  }
+  return c->count ? AM_OK : error;
+}
+
+/* Spreads the requests of an upstream that ramps up behind the others, so
+   that its slots are in use for the share of the time that the ramp allows.
+   With one or two slots a lower limit would not do that.  */
+static void
+pace (struct am_board *b, struct am_service *s, struct am_upstream *u)
+{
+  double share = am_ramp_share (b, u);
+  double highest = share;
+  uint64_t answer_us = u->health.answer_us;
+
+  am_list_each (other, &s->upstreams, struct am_upstream, node)
+  {
+    double x = am_ramp_share (b, other);
+
+    if (may_serve (b, other) && x > highest)
+      highest = x;
+  }
+  share /= highest;
+  if (share >= 1)
+    return;
+  if (answer_us == 0)
+    answer_us = ANSWER_DEFAULT_US;
+  u->ramp_next_us = b->now_us + (uint64_t)((double)answer_us / share);
+}
+
+int
+am_choice_pick (struct am_board *b, struct am_service *s, enum am_work work,
+                const struct am_upstream *exclude, uint64_t key,
+                struct am_upstream **u)
+{
+  struct candidates c;
+  int error;
+
+  if (work == AM_WORK_REQUEST)
+    am_credit_expire (b);
+  error = collect (b, s, work, exclude, false, &c);
+  if (error && exclude)
+    error = collect (b, s, work, NULL, false, &c);
+  if (error == AM_E_NO_UPSTREAM)
+    error = collect (b, s, work, exclude, true, &c);
+  if (error)
+    return error;
+  *u = s->choice->pick (b, s, work, c.items, c.count, key);
+  if (work == AM_WORK_REQUEST)
+    pace (b, s, *u);
+  return AM_OK;
+}
--- a/src/core/credit.h
+++ b/src/core/credit.h
@@ -2,17 +2,66 @@
    VM may use, and lending of idle slots between peers.
 
    Shares over the home set of the service differ by at most one, and their sum
-   never exceeds the limit while views agree.  */
+   never exceeds the limit while views agree.
+
+   Split.  Upstreams in the order of their names (shorter first) hand out their
+   slots: each home VM gets the whole part of slots / VMs; each unit that
+   remains goes to the VM with the fewest so far, ties by rendezvous hashing of
+   upstream and VM.  A vanished member changes few of the other shares, and an
+   upstream appended to the record changes none.  Connections are split the
+   same way.
+
+   Hold-down.  When a member leaves the home set, the old split stays in force
+   for AM_CREDIT_HOLD_US, so that its requests can end before others take its
+   slots.  A home set that only grew is taken at once.
+
+   Lending.  Body of AM_PEER_CREDIT, big endian:
+
+     offset size field
+     0      1    operation (enum am_credit_op)
+     1      1    count of items
+     2      2    ASK: slots wanted; LEND: validity in milliseconds
+     4      4    service id
+     8      4    number of the ASK; in a LEND that of the ASK it answers
+     12     2    idle slots that the sender keeps
+     14     2    reserved, zero
+     16     8n   items: loan id (4), upstream id (4)
+
+   ASK goes to one peer; LEND answers it with 0 or more slots.  RETURN gives
+   loans back and is repeated until RETURNED confirms them.
+
+   Both sides count from their own clock.  The borrower begins work on a loan
+   only until the sending of its ASK plus the validity; since the lender
+   handled that ASK later, its count ends later.  Work that is still running
+   then keeps the loan.  The lender takes a slot back on RETURN, when the
+   borrower's process is gone, or when validity, the longest deadline of the
+   service and the grace of a late answer have passed; by then no request sent
+   on the loan can be running.  */
 
 #ifndef AM_CORE_CREDIT_H
 #define AM_CORE_CREDIT_H
 
 #include "core/board.h"
 
+/* How long a vanished member's share is left alone.  */
+#define AM_CREDIT_HOLD_US 2000000u
+
+enum am_credit_op
+{
+  AM_CREDIT_ASK = 1,
+  AM_CREDIT_LEND = 2,
+  AM_CREDIT_RETURN = 3,
+  AM_CREDIT_RETURNED = 4,
+};
+
 /* Recomputes the shares of every service after a change of members or
    upstreams.  */
 void am_credit_recompute (struct am_board *b);
 
+/* Returns how many requests may be in flight at U: own and borrowed slots
+   without those lent.  */
+uint32_t am_credit_slots (const struct am_upstream *u);
+
 /* Returns true if U has a free slot (or connection) of ours.  */
 bool am_credit_slot_free (const struct am_upstream *u);
 bool am_credit_connection_free (const struct am_upstream *u);
@@ -25,8 +74,20 @@
 int am_credit_peer (struct am_board *b, uint32_t sender_id,
                     const uint8_t *body, size_t len);
 
-/* Returns borrowed slots whose time is up and lent ones whose borrower is
-   gone.  Called at each tick.  */
+/* Gives back loans whose validity has ended and that are not in use.  Called
+   before a slot is chosen and when one becomes free.  */
+void am_credit_expire (struct am_board *b);
+
+/* Ends hold-downs, returns idle loans and takes back lent slots whose
+   borrower is gone.  Called at each tick.  */
 void am_credit_tick (struct am_board *b);
 
+/* Upstream U is about to be freed: its loans are forgotten.  */
+void am_credit_upstream_gone (struct am_board *b, struct am_upstream *u);
+
+/* Set up and free B->lending; called by am_requests_init and
+   am_requests_finish.  am_lending_init returns AM_OK or AM_E_MEMORY.  */
+int am_lending_init (struct am_board *b);
+void am_lending_finish (struct am_board *b);
+
 #endif
