Read and validate records of schema 1 and 2

Cause: agents, the operators' command and the stand-ins all need records as typed services and keys, with faults that name line and field. Change: JSON (store) and YAML (operators) are read into one JSON tree, checked field by field against the vocabulary of the schema, and turned into Service and Key messages. A set of records is checked for duplicate names, colliding ids and addresses that are in use or in quarantine.

--- a/src/record/record.h
+++ b/src/record/record.h
@@ -19,6 +19,10 @@
 #define AM_WRITE_ID_SIZE 33
 #define AM_RECORD_TEXT_MAX (512u << 10)
 
+/* Time in which the address of a retired upstream or service belongs to no
+   other service.  */
+#define AM_RECORD_QUARANTINE_S 3600
+
 enum am_record_kind
 {
   AM_RECORD_SERVICE,
@@ -48,14 +52,20 @@
 };
 
 /* Reads a record from JSON (as the store holds it) or YAML (as operators
-   write it; unknown fields of a known schema are refused).  On failure
+   write it; unknown fields of a known schema are refused, and so is a last
+   line without its newline, as the file is then cut short).  On failure
    nothing has to be freed and F tells why.  Return AM_OK or any AM_E_FIELD_*,
-   AM_E_FORMAT, AM_E_VERSION, AM_E_NOT_UTF8, AM_E_TOO_LARGE, AM_E_MEMORY.  */
+   AM_E_FORMAT, AM_E_VERSION, AM_E_NOT_UTF8, AM_E_TOO_LARGE, AM_E_EXISTS (a
+   name, id or address appears twice), AM_E_SHORT, AM_E_MEMORY.  */
 int am_record_parse_json (struct am_record *r, const char *text, size_t len,
                           struct am_fault *f);
 int am_record_parse_yaml (struct am_record *r, const char *text, size_t len,
                           struct am_fault *f);
 
+/* Returns the line of FIELD, or of the nearest field that encloses it, in a
+   YAML record; 0 if TEXT is no YAML.  */
+unsigned am_record_yaml_line (const char *text, size_t len, const char *field);
+
 void am_record_finish (struct am_record *r);
 
 /* Returns the JSON text of R for the store, with its revision and write id,
@@ -68,6 +78,14 @@
 int am_record_validate_set (const struct am_record *const *set, size_t n,
                             struct am_fault *f);
 
+/* Same, at NOW (seconds since the epoch) instead of the present time.  */
+int am_record_validate_set_at (const struct am_record *const *set, size_t n,
+                               int64_t now, struct am_fault *f);
+
+/* Checks that TEXT is UTF-8 of at most AM_RECORD_TEXT_MAX bytes.  Returns
+   AM_OK, AM_E_TOO_LARGE or AM_E_NOT_UTF8 with the line in F.  */
+int am_text_check (const char *text, size_t len, struct am_fault *f);
+
 /* Compares two versions of one record: negative if A is older than B, 0 if
    they are the same version, positive if newer.  By revision, then by write
    id.  */
