--- a/src/record/version.c
+++ b/src/record/version.c
@@ -17,7 +17,12 @@
 am_fault_format (const struct am_fault *f, const char *file, char *buf,
                  size_t size)
 {
-  int n = snprintf (buf, size, "%s:%u: ", file, f->line);
+  int n;
+
+  if (f->line)
+    n = snprintf (buf, size, "%s:%u: ", file, f->line);
+  else
+    n = snprintf (buf, size, "%s: ", file);
 
   if (n < 0 || (size_t)n >= size)
     return;
