Name line and whole field path in faults of settings

Cause: an empty settings file crashed the program; `decisions: perhaps` was taken as true; faults of the value checks had no line, and those of the parser named only the innermost field. Booleans are strict. The peer key may end in one newline and nothing more.

--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -2,10 +2,8 @@
 
 #include <arpa/inet.h>
 #include <cyaml/cyaml.h>
-#include <errno.h>
 #include <limits.h>
 #include <sodium.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,11 +11,12 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "io/yaml_file.h"
 
 #define NAME_MAX_LENGTH 63
 #define SEEDS_MAX 64
 #define STORE_TIMEOUT_MS 2000
-#define LOG_LINE_SIZE 512
+#define PEER_KEY_DIGITS 64
 #define GROUP_AND_OTHER_ACCESS 077
 
 #define TEXT(flags, type, member)                                      \
@@ -61,11 +60,15 @@
             struct am_settings_peers, seeds, &seed_value, 0, SEEDS_MAX),
         TEXT (0, struct am_settings_peers, key_file), CYAML_FIELD_END };
 
+/* libcyaml's own booleans take any unknown word as true.  */
+static const cyaml_strval_t booleans[] = { { "false", 0 }, { "true", 1 } };
+
 static const cyaml_schema_field_t log_fields[]
     = { TEXT (CYAML_FLAG_OPTIONAL, struct am_settings_log, level),
-        CYAML_FIELD_BOOL_PTR ("decisions",
-                              CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
-                              struct am_settings_log, decisions),
+        CYAML_FIELD_ENUM_PTR ("decisions",
+                              CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL
+                                  | CYAML_FLAG_STRICT,
+                              struct am_settings_log, decisions, booleans, 2),
         CYAML_FIELD_END };
 
 static const cyaml_schema_field_t root_fields[]
@@ -86,65 +89,6 @@
 static const cyaml_schema_value_t root_value = { CYAML_VALUE_MAPPING (
     CYAML_FLAG_POINTER, struct am_settings, root_fields) };
 
-/* Keeps the first problem and the position that libcyaml reports.  */
-static void
-take_log (cyaml_log_t level, void *ctx, const char *fmt, va_list args)
-{
-  struct am_fault *f = ctx;
-  char line[LOG_LINE_SIZE];
-  const char *at;
-
-  if (level < CYAML_LOG_ERROR)
-    return;
-  vsnprintf (line, sizeof line, fmt, args);
-  line[strcspn (line, "\n")] = '\0';
-  at = strstr (line, "(line: ");
-  if (at)
-    {
-      const char *quote = strstr (line, "field '");
-
-      if (!f->line)
-        f->line = (unsigned)strtoul (at + strlen ("(line: "), NULL, 10);
-      if (quote && !f->field[0])
-        snprintf (f->field, sizeof f->field, "%.*s",
-                  (int)strcspn (quote + strlen ("field '"), "'"),
-                  quote + strlen ("field '"));
-    }
-  else if (!f->allowed[0] && !strstr (line, "Backtrace"))
-    {
-      const char *text = strncmp (line, "Load: ", 6) == 0 ? line + 6 : line;
-
-      snprintf (f->allowed, sizeof f->allowed, "%.*s",
-                (int)sizeof f->allowed - 1, text);
-    }
-}
-
-static int
-map_cyaml_error (cyaml_err_t err)
-{
-  switch (err)
-    {
-    case CYAML_OK:
-      return AM_OK;
-    case CYAML_ERR_OOM:
-      return AM_E_MEMORY;
-    case CYAML_ERR_FILE_OPEN:
-      return AM_E_IO;
-    case CYAML_ERR_INVALID_KEY:
-      return AM_E_FIELD_UNKNOWN;
-    case CYAML_ERR_MAPPING_FIELD_MISSING:
-      return AM_E_FIELD_MISSING;
-    case CYAML_ERR_INVALID_VALUE:
-      return AM_E_FIELD_TYPE;
-    case CYAML_ERR_STRING_LENGTH_MIN:
-    case CYAML_ERR_STRING_LENGTH_MAX:
-    case CYAML_ERR_SEQUENCE_ENTRIES_MAX:
-      return AM_E_FIELD_RANGE;
-    default:
-      return AM_E_FORMAT;
-    }
-}
-
 static int
 fault (struct am_fault *f, int error, const char *field, const char *allowed)
 {
@@ -164,6 +108,14 @@
   return AM_OK;
 }
 
+static int
+check_name (const char *text, const char *field, struct am_fault *f)
+{
+  if (strlen (text) > NAME_MAX_LENGTH)
+    return fault (f, AM_E_FIELD_RANGE, field, "up to 63 bytes");
+  return AM_OK;
+}
+
 /* libcyaml leaves a missing number at zero.  */
 static void
 apply_defaults (struct am_settings *s)
@@ -189,10 +141,13 @@
 
   if (s->vm.id == 0)
     return fault (f, AM_E_FIELD_RANGE, "vm.id", "1 to 4294967295");
-  if (strlen (s->vm.name) > NAME_MAX_LENGTH
-      || strlen (s->vm.region) > NAME_MAX_LENGTH
-      || strlen (s->vm.data_centre) > NAME_MAX_LENGTH)
-    return fault (f, AM_E_FIELD_RANGE, "vm", "names of up to 63 bytes");
+  err = check_name (s->vm.name, "vm.name", f);
+  if (!err)
+    err = check_name (s->vm.region, "vm.region", f);
+  if (!err)
+    err = check_name (s->vm.data_centre, "vm.data_centre", f);
+  if (err)
+    return err;
   if (inet_pton (AF_INET, s->vm.address, &in) != 1)
     return fault (f, AM_E_FIELD_VALUE, "vm.address", "A.B.C.D");
   err = check_address (s->fabric.return_address, "fabric.return_address", f);
@@ -200,7 +155,10 @@
     return err;
   for (unsigned i = 0; i < s->peers.seeds_count; i++)
     {
-      err = check_address (s->peers.seeds[i], "peers.seeds", f);
+      char field[32];
+
+      snprintf (field, sizeof field, "peers.seeds[%u]", i);
+      err = check_address (s->peers.seeds[i], field, f);
       if (err)
         return err;
     }
@@ -213,75 +171,45 @@
   return AM_OK;
 }
 
-static cyaml_config_t
-make_config (struct am_fault *f)
-{
-  cyaml_config_t c = { .log_fn = take_log,
-                       .log_ctx = f,
-                       .mem_fn = cyaml_mem,
-                       .log_level = CYAML_LOG_ERROR,
-                       .flags = CYAML_CFG_DEFAULT };
-
-  return c;
-}
-
 int
 am_settings_load (struct am_settings **s, const char *file, struct am_fault *f)
 {
-  cyaml_config_t config = make_config (f);
+  void *data;
+  char *text;
   int err;
 
   *s = NULL;
   memset (f, 0, sizeof *f);
-  err = map_cyaml_error (
-      cyaml_load_file (file, &config, &root_value, (cyaml_data_t **)s, NULL));
+  err = am_yaml_file_load (file, &root_value, &data, &text, f);
   if (err)
-    {
-      f->error = err;
-      return err;
-    }
-  apply_defaults (*s);
-  err = check_values (*s, f);
+    return err;
+  apply_defaults (data);
+  err = check_values (data, f);
   if (err)
     {
-      am_settings_free (*s);
-      *s = NULL;
+      f->line = am_record_yaml_line (text, strlen (text), f->field);
+      am_settings_free (data);
     }
+  else
+    *s = data;
+  free (text);
   return err;
 }
 
 void
 am_settings_free (struct am_settings *s)
 {
-  struct am_fault unused = { 0 };
-  cyaml_config_t config = make_config (&unused);
-
-  if (s)
-    cyaml_free (&config, &root_value, s, 0);
-}
-
-static void
-resolve_path (const char *base_file, const char *path, char *out, size_t size)
-{
-  const char *slash = strrchr (base_file, '/');
-
-  if (path[0] == '/' || !slash)
-    snprintf (out, size, "%s", path);
-  else
-    snprintf (out, size, "%.*s/%s", (int)(slash - base_file), base_file, path);
+  am_yaml_file_free (&root_value, s);
 }
 
 int
-am_settings_peer_key (const struct am_settings *s, const char *settings_file,
-                      uint8_t *key)
+am_peer_key_read (const char *path, uint8_t *key)
 {
-  char path[PATH_MAX];
-  char hex[2 * AM_PEER_KEY_SIZE + 1] = "";
+  char hex[PEER_KEY_DIGITS + 2] = "";
   struct stat st;
   size_t len;
   FILE *in;
 
-  resolve_path (settings_file, s->peers.key_file, path, sizeof path);
   if (stat (path, &st) != 0)
     return AM_E_IO;
   if (st.st_mode & GROUP_AND_OTHER_ACCESS)
@@ -289,15 +217,27 @@
   in = fopen (path, "r");
   if (!in)
     return AM_E_IO;
-  len = fread (hex, 1, sizeof hex - 1, in);
+  len = fread (hex, 1, sizeof hex, in);
   fclose (in);
-  if (len != sizeof hex - 1
+  if (len == PEER_KEY_DIGITS + 1 && hex[PEER_KEY_DIGITS] == '\n')
+    len = PEER_KEY_DIGITS;
+  if (len != PEER_KEY_DIGITS
       || sodium_hex2bin (key, AM_PEER_KEY_SIZE, hex, len, NULL, &len, NULL)
       || len != AM_PEER_KEY_SIZE)
     return AM_E_FORMAT;
   return AM_OK;
 }
 
+int
+am_settings_peer_key (const struct am_settings *s, const char *settings_file,
+                      uint8_t *key)
+{
+  char path[PATH_MAX];
+
+  am_file_relative (settings_file, s->peers.key_file, path, sizeof path);
+  return am_peer_key_read (path, key);
+}
+
 struct am_address
 am_settings_address (const struct am_settings *s, uint16_t port)
 {
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -67,8 +67,8 @@
 
 /* Reads and checks FILE as a whole.  On success the caller frees *S with
    am_settings_free.  On failure *S is NULL and F tells line, field and
-   reason.  Returns AM_OK, AM_E_IO, AM_E_FORMAT, AM_E_FIELD_* or
-   AM_E_MEMORY.  */
+   reason.  Returns AM_OK, AM_E_IO, AM_E_FORMAT, AM_E_FIELD_*, AM_E_NOT_UTF8,
+   AM_E_TOO_LARGE, AM_E_SHORT or AM_E_MEMORY.  */
 int am_settings_load (struct am_settings **s, const char *file,
                       struct am_fault *f);
 void am_settings_free (struct am_settings *s);
@@ -79,6 +79,9 @@
 int am_settings_peer_key (const struct am_settings *s,
                           const char *settings_file, uint8_t *key);
 
+/* Same, from the file PATH.  */
+int am_peer_key_read (const char *path, uint8_t *key);
+
 /* Returns the log level, or info if the settings name none.  */
 int am_settings_log_level (const struct am_settings *s);
 
--- a/src/record/record.c
+++ b/src/record/record.c
@@ -121,6 +121,32 @@
   return lines;
 }
 
+/* As am_yaml_read, and refuses a text whose last line is cut short.  */
+static int
+read_whole (const char *text, size_t len, json_t **root, json_t **lines,
+            struct am_fault *f)
+{
+  if (len == 0 || text[len - 1] == '\n')
+    return am_yaml_read (text, len, root, lines, f);
+  am_fault_set (f, AM_E_SHORT, "", "the last line has no end");
+  f->line = count_lines (text, len);
+  return AM_E_SHORT;
+}
+
+int
+am_yaml_check (const char *text, size_t len, struct am_fault *f)
+{
+  json_t *root;
+  json_t *lines;
+  int err = read_whole (text, len, &root, &lines, f);
+
+  if (err)
+    return err;
+  json_decref (root);
+  json_decref (lines);
+  return AM_OK;
+}
+
 int
 am_record_parse_yaml (struct am_record *r, const char *text, size_t len,
                       struct am_fault *f)
@@ -133,19 +159,15 @@
   err = am_text_check (text, len, f);
   if (err)
     return err;
-  err = am_yaml_read (text, len, &r->root, &lines, f);
+  err = read_whole (text, len, &r->root, &lines, f);
   if (err)
     return err;
-  if (text[len - 1] != '\n')
-    err = am_fault_set (f, AM_E_SHORT, "", "the last line has no end");
-  else
-    err = am_fields_read (r, true, f);
-  if (err == AM_E_SHORT)
-    f->line = count_lines (text, len);
-  else if (err)
-    find_line (f, lines);
+  err = am_fields_read (r, true, f);
   if (err)
-    am_record_finish (r);
+    {
+      find_line (f, lines);
+      am_record_finish (r);
+    }
   json_decref (lines);
   return err;
 }
--- a/src/record/record.h
+++ b/src/record/record.h
@@ -86,6 +86,11 @@
    AM_OK, AM_E_TOO_LARGE or AM_E_NOT_UTF8 with the line in F.  */
 int am_text_check (const char *text, size_t len, struct am_fault *f);
 
+/* Checks that TEXT is one YAML document that ends with a newline, without
+   repeated fields, aliases or deep nesting.  Returns AM_OK, AM_E_FORMAT,
+   AM_E_SHORT or AM_E_MEMORY.  */
+int am_yaml_check (const char *text, size_t len, struct am_fault *f);
+
 /* Compares two versions of one record: negative if A is older than B, 0 if
    they are the same version, positive if newer.  By revision, then by write
    id.  */
