--- a/scripts/experiments/config.py
+++ b/scripts/experiments/config.py
@@ -24,10 +24,7 @@
 
 def store_lost_midway(c):
     """The store goes at the moment of acceptance."""
-    c.services["dispatch"]["weights"] = {"dispatch-2": 70}
-    c.write_record("dispatch")
-    c.ctl("apply", c.records / "dispatch.yaml")
-    c.note("config", record="dispatch", revision=c.revisions()["dispatch"])
+    c.apply("dispatch", weights={"dispatch-2": 70})
     c.store_fault(outage_ms=7000)
     time.sleep(8.5)
 
--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -147,6 +147,8 @@
         self.key = wire.read_key(self.key_file)
         self.poller = None
         self.cut_file = self.folder / "cut" if cut else None
+        self.lock = threading.Lock()
+        self.write_us = 0
 
     def upstream_address(self, service, index, real=False):
         """As in Cluster for the first 50 services; the others differ by
@@ -240,30 +242,56 @@
 
     # ---- operators -------------------------------------------------------
 
+    def write(self, *command, vm=None, check=True, seconds=30):
+        """A command of amaranthctl that writes and does not wait until the
+        record is in force.  Returns the CompletedProcess; begun_us is the
+        time before it, which is the earliest that the write was accepted."""
+        begun = now_us()
+        done = self.ctl(*command, "--no-wait", vm=vm, check=check,
+                        seconds=seconds)
+        done.begun_us = begun
+        return done
+
     def apply(self, service, vm=None, check=True, **changes):
         """Changes fields of the service's record, applies it, and writes the
         accepted revision down.  Returns the CompletedProcess."""
         self.services[service].update(changes)
         self.write_record(service, len({v.data_centre for v in self.vms}))
-        done = self.ctl("apply", self.records / f"{service}.yaml", vm=vm,
-                        check=check)
+        done = self.write("apply", self.records / f"{service}.yaml", vm=vm,
+                          check=check)
         if done.returncode == 0:
-            self.accepted(service)
+            self.accepted(service, done)
         return done
 
-    def accepted(self, record):
+    def accepted(self, record, done):
         """Writes down the revision of RECORD that the store now holds."""
         revision = self.revisions()[record]
-        self.note("config", record=record, revision=revision)
+        self.note_write(done, "config", record=record, revision=revision)
         return revision
 
+    def note_write(self, done, event, **fields):
+        """Adds a line with the time of a write, in a history of its own: it
+        may lie before that of other lines of the operators."""
+        with self.lock:
+            self.write_us = max(self.write_us, done.begun_us)
+            line = {"t": self.write_us, "who": "operator", "ev": event,
+                    **fields}
+            with open(self.history / "write.jsonl", "a",
+                      encoding="utf-8") as out:
+                out.write(json.dumps(line) + "\n")
+
+    def leave(self, service, upstream):
+        """Marks an upstream as leaving."""
+        return self.set_state(service, upstream, "leaving")
+
     def set_state(self, service, upstream, state):
-        """Marks an upstream active or leaving by a new record."""
-        states = dict(self.services[service].get("states", {}))
-        states[upstream] = state
-        done = self.apply(service, states=states)
+        """Marks an upstream as active or leaving."""
+        self.services[service].setdefault("states", {})[upstream] = state
+        command = "leave" if state == "leaving" else "join"
+        done = self.write("upstream", command, service, upstream)
         event = "leaving" if state == "leaving" else "joining"
-        self.note(event, service=service, upstream=upstream)
+        self.note_write(done, event, service=service, upstream=upstream)
+        self.accepted(service, done)
         return done
 
     # ---- entry VMs -------------------------------------------------------
--- a/test/integration/lost_answer.py
+++ b/test/integration/lost_answer.py
@@ -11,7 +11,7 @@
     for i in range(3):
         before = c.revisions()["dispatch"]
         c.store_fault(lose_answers=1)
-        done = c.ctl("upstream", "leave", "dispatch", f"dispatch-{i + 1}",
+        done = c.write("upstream", "leave", "dispatch", f"dispatch-{i + 1}",
                      check=False)
         detail = f"status {done.returncode}: {done.stderr.strip()}"
         t.expect(done.returncode == 0, detail)
--- a/test/integration/operators_race.py
+++ b/test/integration/operators_race.py
@@ -12,7 +12,7 @@
 def attempt(c, vm, *command):
     """Tries again after a conflict."""
     for _ in range(10):
-        done = c.ctl(*command, vm=vm, check=False)
+        done = c.write(*command, vm=vm, check=False)
         if done.returncode != TEMPFAIL:
             return done
     return done
@@ -51,7 +51,7 @@
                  f"field of schema 2 lost: {detail} {after}")
         c.services["dispatch"]["states"] = {}
         c.write_record("dispatch")
-        c.ctl("apply", c.records / "dispatch.yaml")
+        c.write("apply", c.records / "dispatch.yaml")
 
 
 if __name__ == "__main__":
--- a/test/integration/reused_address.py
+++ b/test/integration/reused_address.py
@@ -19,12 +19,10 @@
     c.note("fault", what="upstream_crash", service="dispatch",
            upstream="dispatch-1")
     c.upstream("stop dispatch-1")
-    spec = c.services["dispatch"]
     text = (c.records / "dispatch.yaml").read_text()
     text = text.replace("incarnation: 1", "incarnation: 2", 1)
     (c.records / "dispatch.yaml").write_text(text)
-    c.ctl("apply", c.records / "dispatch.yaml")
-    c.accepted("dispatch")
+    c.accepted("dispatch", c.write("apply", c.records / "dispatch.yaml"))
     time.sleep(1)
     restarted = c.events("stop")[-1]["t"]
     c.upstream("start dispatch-1")
@@ -41,11 +39,10 @@
         c.upstream_address("archive", 0), c.upstream_address("dispatch", 0))
     taken = c.folder / "taken.yaml"
     taken.write_text(other)
-    done = c.ctl("apply", taken, check=False)
+    done = c.write("apply", taken, check=False)
     t.expect(done.returncode in (DATA, TEMPFAIL),
              f"address of another service accepted: {done.returncode} "
              f"{done.stdout} {done.stderr}")
-    del spec
 
 
 if __name__ == "__main__":
