--- a/standin/standin_flow.c
+++ b/standin/standin_flow.c
@@ -12,16 +12,9 @@
 #define ALERT_BYTES 120
 
 static void
-wheel_insert (struct standin_flow *f, uint64_t wake_us)
+set_timer (struct standin_flow *f, uint64_t due_us)
 {
-  struct standin_world *w = f->upstream->world;
-  uint64_t tick = wake_us / STANDIN_TICK_US;
-
-  if (tick <= w->wheel_at)
-    tick = w->wheel_at + 1;
-  f->wake_us = wake_us;
-  am_list_remove (&f->wheel);
-  am_list_push_back (&w->wheel[tick % STANDIN_WHEEL_SLOTS], &f->wheel);
+  standin_timer_set (&f->upstream->world->wheel, &f->timer, due_us);
 }
 
 static struct standin_flow_key
@@ -54,11 +47,13 @@
         u->spec.name, u->spec.service, f->id);
   HASH_DEL (u->flows, f);
   u->flow_count--;
-  am_list_remove (&f->wheel);
+  standin_timer_cancel (&f->timer);
   am_list_remove (&f->idle);
   free (f);
 }
 
+static void wake (struct standin_timer *t, uint64_t now_us);
+
 static struct standin_flow *
 add (struct standin_upstream *u, struct standin_flow_key key, uint64_t id)
 {
@@ -70,7 +65,7 @@
   f->upstream = u;
   f->key = key;
   f->id = id;
-  am_list_init (&f->wheel);
+  standin_timer_init (&f->timer, wake);
   am_list_init (&f->idle);
   HASH_ADD (hh, u->flows, key, sizeof f->key, f);
   am_list_push_back (&w->idle, &f->idle);
@@ -84,7 +79,7 @@
 
       f->next_us = standin_now_us ()
                    + (uint64_t)(am_rng_unit (&w->rng) * (double)interval);
-      wheel_insert (f, f->next_us);
+      set_timer (f, f->next_us);
     }
   standin_history_event (
       &w->history, "flow_open",
@@ -196,26 +191,20 @@
       "\",\"seq\":%" PRIu32,
       u->spec.name, u->spec.service, f->id, f->sequence);
   send_alert (f);
-  wheel_insert (f, now_us + STANDIN_ALERT_RESEND_US);
+  set_timer (f, now_us + STANDIN_ALERT_RESEND_US);
 }
 
 static void
-wake (struct standin_flow *f, uint64_t now_us)
+wake (struct standin_timer *t, uint64_t now_us)
 {
-  if (now_us < f->wake_us)
-    {
-      wheel_insert (f, f->wake_us);
-      return;
-    }
+  struct standin_flow *f = am_container_of (t, struct standin_flow, timer);
+
   if (now_us < f->upstream->frozen_until_us)
-    {
-      wheel_insert (f, f->upstream->frozen_until_us);
-      return;
-    }
-  if (f->unacknowledged)
+    set_timer (f, f->upstream->frozen_until_us);
+  else if (f->unacknowledged)
     {
       send_alert (f);
-      wheel_insert (f, now_us + STANDIN_ALERT_RESEND_US);
+      set_timer (f, now_us + STANDIN_ALERT_RESEND_US);
     }
   else
     begin_alert (f, now_us);
@@ -232,7 +221,7 @@
   if (f->next_us <= now)
     begin_alert (f, now);
   else
-    wheel_insert (f, f->next_us);
+    set_timer (f, f->next_us);
 }
 
 /* ---- receiving --------------------------------------------------------- */
@@ -434,21 +423,7 @@
 void
 standin_flow_tick (struct standin_world *w, uint64_t now_us)
 {
-  uint64_t now_tick = now_us / STANDIN_TICK_US;
-
-  if (now_tick - w->wheel_at > STANDIN_WHEEL_SLOTS)
-    w->wheel_at = now_tick - STANDIN_WHEEL_SLOTS;
-  while (w->wheel_at < now_tick)
-    {
-      struct am_list due;
-      struct am_list *slot = &w->wheel[++w->wheel_at % STANDIN_WHEEL_SLOTS];
-
-      am_list_init (&due);
-      for (struct am_list *n; (n = am_list_pop_front (slot));)
-        am_list_push_back (&due, n);
-      for (struct am_list *n; (n = am_list_pop_front (&due));)
-        wake (am_container_of (n, struct standin_flow, wheel), now_us);
-    }
+  standin_wheel_turn (&w->wheel, now_us);
   while (!am_list_empty (&w->idle))
     {
       struct standin_flow *f
--- a/standin/standin_upstream.h
+++ b/standin/standin_upstream.h
@@ -19,10 +19,10 @@
 #include "standin_history.h"
 #include "standin_program.h"
 #include "standin_target.h"
+#include "standin_wheel.h"
 
 #define STANDIN_TICK_MS 20
 #define STANDIN_TICK_US 20000u
-#define STANDIN_WHEEL_SLOTS 512
 
 /* A flow that sent nothing for this long is forgotten.  */
 #define STANDIN_FLOW_IDLE_US 30000000u
@@ -64,9 +64,9 @@
 
 struct standin_flow
 {
-  struct am_list wheel; /* in standin_world.wheel */
-  struct am_list idle;  /* in standin_world.idle, longest first */
-  UT_hash_handle hh;    /* in standin_upstream.flows */
+  struct standin_timer timer;
+  struct am_list idle; /* in standin_world.idle, longest first */
+  UT_hash_handle hh;   /* in standin_upstream.flows */
   struct standin_upstream *upstream;
   struct standin_flow_key key;
   uint64_t id;
@@ -77,7 +77,6 @@
   uint32_t sequence; /* of the last alert */
   uint64_t alert_us; /* when the last alert was due */
   uint64_t next_us;  /* when the next alert is due */
-  uint64_t wake_us;  /* of the wheel */
   uint64_t heard_us;
 };
 
@@ -126,8 +125,7 @@
   struct standin_upstream *upstreams;
   size_t count;
   uv_timer_t tick;
-  struct am_list wheel[STANDIN_WHEEL_SLOTS];
-  uint64_t wheel_at; /* tick number up to which the wheel has turned */
+  struct standin_wheel wheel; /* of flows */
   struct am_list idle;
 };
 
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -501,9 +501,7 @@
   w->upstreams = calloc (o->target_count, sizeof *w->upstreams);
   if (!w->upstreams)
     return AM_E_MEMORY;
-  w->wheel_at = standin_now_us () / STANDIN_TICK_US;
-  for (size_t i = 0; i < STANDIN_WHEEL_SLOTS; i++)
-    am_list_init (&w->wheel[i]);
+  standin_wheel_init (&w->wheel, STANDIN_TICK_US, standin_now_us ());
   am_list_init (&w->idle);
   for (size_t i = 0; i < o->target_count; i++)
     {
