Return loans as soon as nothing waits and even out request shares

Cause: loans kept for 200 ms after use starved their lenders, and upstreams whose slots belong to VMs with few slots were busier than others. Change: a loan goes back when its slot is free and the queue is empty; each VM follows its row of a scaled matrix of requests over slots.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -92,6 +92,7 @@
   uint32_t borrowed;    /* slots borrowed from peers */
   uint32_t lent;        /* own slots lent to peers */
   uint32_t connections; /* own share of the connections */
+  double share;         /* part of own requests that it should get, 0 to 1 */
 };
 
 /* Last load that the upstream reported, by any packet.  Owner: dispatch. */
@@ -172,7 +173,7 @@
 
   void *binding_state;    /* owner: the binding */
   struct am_queue *queue; /* owner: admission */
-  uint32_t choice_next;   /* owner: choice; position of round robin */
+  uint64_t choice_next;   /* owner: choice; mark of the last one chosen */
   double retry_tokens;    /* owner: retry budget */
 
   /* Home set that the credits are split over, by id.  Owner: credit.  */
--- a/src/core/credit.c
+++ b/src/core/credit.c
@@ -6,6 +6,11 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "core/lending.h"
+#include "core/policy.h"
+
+/* Rounds of scaling; the sums are then within 1 % for 7 VMs and 15 upstreams.
+ */
+#define SHARE_ROUNDS 16
 
 /* Units handed out so far, by position in the home set.  */
 struct tally
@@ -18,6 +23,7 @@
 struct ranked
 {
   struct am_upstream *upstream;
+  double part[AM_HOME_MAX]; /* of each home VM's requests */
 };
 
 static int
@@ -69,23 +75,24 @@
   return best;
 }
 
-/* Splits LIMIT units of U and returns the share of position OWN.  */
-static uint32_t
+/* Splits LIMIT units of U into SHARES, one for each position.  */
+static void
 split (const struct am_service *s, const struct am_upstream *u, uint32_t limit,
-       uint64_t *tally, size_t own)
+       uint64_t *tally, uint32_t *shares)
 {
   uint32_t n = (uint32_t)s->credit_home_count;
-  uint32_t share = limit / n;
   bool taken[AM_HOME_MAX] = { false };
 
+  for (size_t i = 0; i < n; i++)
+    shares[i] = limit / n;
   for (uint32_t odd = limit % n; odd > 0; odd--)
     {
       size_t at = next_position (s, u, tally, taken);
 
       taken[at] = true;
       tally[at]++;
+      shares[at]++;
     }
-  return share + (own < AM_HOME_MAX && taken[own] ? 1 : 0);
 }
 
 static size_t
@@ -100,20 +107,73 @@
 }
 
 static void
-set_credit (const struct am_service *s, struct am_upstream *u, struct tally *t,
+set_credit (const struct am_service *s, struct ranked *x, struct tally *t,
             size_t own)
 {
-  uint32_t slots = 0;
-  uint32_t connections = 0;
+  uint32_t slots[AM_HOME_MAX] = { 0 };
+  uint32_t connections[AM_HOME_MAX] = { 0 };
+  struct am_upstream *u = x->upstream;
 
   if (s->credit_home_count
       && u->state != AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED)
     {
-      slots = split (s, u, u->slots, t->slots, own);
-      connections = split (s, u, u->connections, t->connections, own);
+      split (s, u, u->slots, t->slots, slots);
+      split (s, u, u->connections, t->connections, connections);
+    }
+  for (size_t i = 0; i < s->credit_home_count; i++)
+    x->part[i] = u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
+                     ? slots[i] * am_policy_weight (u)
+                     : 0;
+  u->credit.slots = own < AM_HOME_MAX ? slots[own] : 0;
+  u->credit.connections = own < AM_HOME_MAX ? connections[own] : 0;
+}
+
+static double
+wanted_by (const struct am_upstream *u)
+{
+  return u->slots * am_policy_weight (u);
+}
+
+static void
+scale_columns (struct ranked *sorted, size_t n, size_t homes)
+{
+  for (size_t i = 0; i < n; i++)
+    {
+      double sum = 0;
+
+      for (size_t h = 0; h < homes; h++)
+        sum += sorted[i].part[h];
+      for (size_t h = 0; sum > 0 && h < homes; h++)
+        sorted[i].part[h] *= wanted_by (sorted[i].upstream) / sum;
     }
-  u->credit.slots = own < AM_HOME_MAX ? slots : 0;
-  u->credit.connections = own < AM_HOME_MAX ? connections : 0;
+}
+
+static void
+scale_rows (struct ranked *sorted, size_t n, size_t homes)
+{
+  for (size_t h = 0; h < homes; h++)
+    {
+      double sum = 0;
+
+      for (size_t i = 0; i < n; i++)
+        sum += sorted[i].part[h];
+      for (size_t i = 0; sum > 0 && i < n; i++)
+        sorted[i].part[h] /= sum;
+    }
+}
+
+static void
+set_request_shares (const struct am_service *s, struct ranked *sorted,
+                    size_t n, size_t own)
+{
+  for (int round = 0; round < SHARE_ROUNDS; round++)
+    {
+      scale_columns (sorted, n, s->credit_home_count);
+      scale_rows (sorted, n, s->credit_home_count);
+    }
+  for (size_t i = 0; i < n; i++)
+    sorted[i].upstream->credit.share
+        = own < AM_HOME_MAX ? sorted[i].part[own] : 0;
 }
 
 static size_t
@@ -144,7 +204,8 @@
   size_t n = sorted_upstreams (s, &sorted);
 
   for (size_t i = 0; i < n; i++)
-    set_credit (s, sorted[i].upstream, &t, own);
+    set_credit (s, &sorted[i], &t, own);
+  set_request_shares (s, sorted, n, own);
   free (sorted);
 }
 
--- a/src/core/credit.h
+++ b/src/core/credit.h
@@ -11,6 +11,12 @@
    upstream appended to the record changes none.  Connections are split the
    same way.
 
+   Request shares.  With 30 slots and 7 VMs some have 4 and some 5, and an
+   upstream whose slots belong to VMs with few is busier.  Each VM works out
+   how all of them should spread equal numbers of requests over their slots so
+   that every upstream gets its part, by scaling rows and columns in turn, and
+   follows its own row.
+
    Hold-down.  When a member leaves the home set, the old split stays in force
    for AM_CREDIT_HOLD_US, so that its requests can end before others take its
    slots.  A home set that only grew is taken at once.
@@ -74,11 +80,12 @@
 int am_credit_peer (struct am_board *b, uint32_t sender_id,
                     const uint8_t *body, size_t len);
 
-/* Gives back loans whose validity has ended and that are not in use.  Called
-   before a slot is chosen and when one becomes free.  */
+/* Gives back loans that are not in use and whose validity has ended or for
+   which nothing waits.  Called before a slot is chosen and when one becomes
+   free.  */
 void am_credit_expire (struct am_board *b);
 
-/* Ends hold-downs, returns idle loans and takes back lent slots whose
+/* Ends hold-downs, returns loans and takes back lent slots whose
    borrower is gone.  Called at each tick.  */
 void am_credit_tick (struct am_board *b);
 
--- a/src/core/lending.c
+++ b/src/core/lending.c
@@ -29,10 +29,6 @@
 /* A peer that had nothing to lend is not asked again for this long.  */
 #define HINT_LIFE_US 100000u
 
-/* A loan unused for this long goes back.  Several service times, so that one
-   loan serves many requests.  */
-#define IDLE_RETURN_US 200000u
-
 /* The borrower's validity ends this much before what the lender counts.  */
 #define VALID_MARGIN_US 50000u
 
@@ -67,7 +63,6 @@
   uint32_t lender_id;
   uint32_t id;
   uint64_t valid_until_us;
-  uint64_t idle_since_us; /* 0: in use */
   uint64_t returned_us;
   uint32_t attempts;
 };
@@ -612,6 +607,19 @@
     }
 }
 
+/* Returns true if X is free and either its validity has ended or nothing waits
+   for it.  */
+static bool
+may_go_back (const struct am_board *b, const struct loan *x)
+{
+  const struct am_queue *q;
+
+  if (!x->upstream || !am_credit_slot_free (x->upstream))
+    return false;
+  q = x->upstream->service->queue;
+  return b->now_us >= x->valid_until_us || !q || q->count == 0;
+}
+
 void
 am_credit_expire (struct am_board *b)
 {
@@ -619,36 +627,20 @@
     return;
   am_list_each (x, &b->lending->loans, struct loan, node)
   {
-    if (x->upstream && b->now_us >= x->valid_until_us
-        && am_credit_slot_free (x->upstream))
+    if (may_go_back (b, x))
       give_back (b, x);
   }
 }
 
-static void
-return_idle (struct am_board *b, struct loan *x)
-{
-  const struct am_queue *q = x->upstream->service->queue;
-
-  if (!am_credit_slot_free (x->upstream) || (q && q->count))
-    x->idle_since_us = 0;
-  else if (x->idle_since_us == 0)
-    x->idle_since_us = b->now_us;
-  else if (b->now_us - x->idle_since_us >= IDLE_RETURN_US)
-    give_back (b, x);
-}
-
 static void
 tick_loans (struct am_board *b)
 {
   am_credit_expire (b);
   am_list_each_safe (x, next, &b->lending->loans, struct loan, node)
   {
-    if (x->upstream)
-      return_idle (b, x);
-    else if (b->now_us - x->returned_us < RETURN_INTERVAL_US)
+    if (x->upstream || b->now_us - x->returned_us < RETURN_INTERVAL_US)
       continue;
-    else if (x->attempts < RETURN_ATTEMPTS)
+    if (x->attempts < RETURN_ATTEMPTS)
       send_return (b, x);
     else
       {
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -22,7 +22,7 @@
 /* A cold upstream counts as one of half its weight.  */
 #define COLD_SHARE 0.5
 
-/* Step of the mark of an upstream of weight 100 and one slot.  */
+/* Step of the mark of an upstream whose share is 1.  */
 #define MARK_STEP 1000.0
 
 double
@@ -110,10 +110,20 @@
 {
   if (u->choice_mark < s->choice_next)
     u->choice_mark = s->choice_next;
-  s->choice_next = (uint32_t)u->choice_mark;
+  s->choice_next = u->choice_mark;
   u->choice_mark += (uint64_t)(MARK_STEP / share);
 }
 
+/* A borrowed slot alone has no share of its own and counts as an average
+   one of the N candidates.  */
+static double
+request_share (const struct am_board *b, const struct am_upstream *u, size_t n)
+{
+  double share = u->credit.share > 0 ? u->credit.share : 1.0 / (double)n;
+
+  return share * share_of (b, u) / am_policy_weight (u);
+}
+
 static struct am_upstream *
 pick_local (struct am_board *b, struct am_service *s, enum am_work work,
             struct am_upstream *const *candidates, size_t n, uint64_t key)
@@ -138,9 +148,9 @@
       if (!best || used_before (b, candidates[i], best))
         best = candidates[i];
     }
-  least = share_of (b, best);
   advance_mark (s, best,
-                work == AM_WORK_FLOW ? least : least * am_credit_slots (best));
+                work == AM_WORK_FLOW ? share_of (b, best)
+                                     : request_share (b, best, n));
   return best;
 }
 
