--- a/src/core/control.c
+++ b/src/core/control.c
@@ -153,7 +153,7 @@
 {
   c->counters.received_bytes_gossip += e->len;
   if (m->body_case == AMARANTH__ENVELOPE__BODY_GOSSIP)
-    return am_probe_gossip (c, e->from, m->gossip);
+    return am_swim_gossip (c, e->from, m->gossip);
   if (m->body_case != AMARANTH__ENVELOPE__BODY_ANNOUNCE)
     return AM_E_FORMAT;
   am_spread_announced (c, e->from, m->announce);
@@ -217,7 +217,7 @@
 tick (struct am_control *c)
 {
   am_members_tick (c);
-  am_probe_tick (c);
+  am_swim_tick (c);
   am_spread_tick (c);
   am_readers_tick (c);
   am_verdicts_tick (c);
@@ -264,7 +264,7 @@
   err = dispatch (c, e);
   if (err == AM_E_FORMAT && e->type != AM_CONTROL_STORE)
     c->counters.malformed++;
-  am_probe_flush (c);
+  am_swim_flush (c);
   am_link_tick (c);
   return err;
 }
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -18,8 +18,8 @@
 /* Peers that an announcement or an urgent update goes to at once.  */
 #define AM_FANOUT 4
 
-/* Size of a gossip datagram without its frame header.  */
-#define AM_GOSSIP_MAX 1200
+/* Size of a gossip datagram without its frame header; with it, 1,200.  */
+#define AM_GOSSIP_MAX 1180
 
 #define AM_SECOND_US UINT64_C (1000000)
 
@@ -179,6 +179,9 @@
   uint64_t started_us;
   uint64_t next_join_us;
   uint64_t next_exchange_us;
+  uint64_t next_members_us; /* of the exchanges that follow a join */
+  uint64_t members_wait_us;
+  size_t members_before;
   uint32_t mismatch_id; /* member whose digest differed; 0: none */
   uint64_t next_sync_us;
   uint64_t sync_wait_us;  /* doubles while an exchange brings nothing */
@@ -246,14 +249,6 @@
   uint64_t number;
 };
 
-/* Revision of a service that the forwarder already had.  */
-struct am_floor
-{
-  UT_hash_handle by_id;
-  uint32_t service_id;
-  uint64_t revision;
-};
-
 /* Owner: link.  */
 struct am_link
 {
@@ -271,7 +266,9 @@
   uint64_t last_digest;
   uint64_t numbers;
   struct am_sent_snapshot sent[AM_SENT_MAX];
-  struct am_floor *floors;
+  Amaranth__Snapshot *told; /* what the forwarder served with when it
+                               connected, while some of it is newer than the
+                               records; owned */
 };
 
 struct am_control
--- a/src/core/control_link.c
+++ b/src/core/control_link.c
@@ -20,22 +20,17 @@
 }
 
 static void
-clear_floors (struct am_control *c)
+forget_told (struct am_control *c)
 {
-  struct am_floor *f;
-  struct am_floor *next;
-
-  HASH_ITER (by_id, c->link.floors, f, next)
-  {
-    HASH_DELETE (by_id, c->link.floors, f);
-    free (f);
-  }
+  if (c->link.told)
+    amaranth__snapshot__free_unpacked (c->link.told, NULL);
+  c->link.told = NULL;
 }
 
 void
 am_link_finish (struct am_control *c)
 {
-  clear_floors (c);
+  forget_told (c);
   free (c->link.report);
 }
 
@@ -46,6 +41,7 @@
   c->link.reported = false;
   c->link.last_digest = 0;
   c->link.dirty = true;
+  forget_told (c);
   am_control_log (c, AM_LOG_INFO, "forwarder connected=1");
 }
 
@@ -109,7 +105,6 @@
   if (c->link.boot_id && c->link.boot_id != r->boot_id)
     {
       am_verdicts_withdraw (c);
-      clear_floors (c);
       c->link.last_digest = 0;
       c->link.dirty = true;
     }
@@ -125,30 +120,23 @@
   return keep_report (c, r);
 }
 
-/* The forwarder tells the snapshot it serves with: revisions that a fresh
-   agent must reach before it sends one, and members to ask.  */
+/* The forwarder tells the snapshot it serves with: what a fresh agent must not
+   lower, and members to ask.  */
 static int
 take_snapshot (struct am_control *c, const Amaranth__Snapshot *s)
 {
+  size_t len = amaranth__snapshot__get_packed_size (s);
+  uint8_t *packed = malloc (len + 1);
   int err = AM_OK;
 
-  for (size_t i = 0; i < s->n_services && !err; i++)
-    {
-      struct am_floor *f;
-
-      HASH_FIND (by_id, c->link.floors, &s->services[i]->id,
-                 sizeof s->services[i]->id, f);
-      if (!f)
-        {
-          f = calloc (1, sizeof *f);
-          if (!f)
-            return AM_E_MEMORY;
-          f->service_id = s->services[i]->id;
-          HASH_ADD (by_id, c->link.floors, service_id, sizeof f->service_id,
-                    f);
-        }
-      f->revision = s->services[i]->revision;
-    }
+  if (!packed)
+    return AM_E_MEMORY;
+  amaranth__snapshot__pack (s, packed);
+  forget_told (c);
+  c->link.told = amaranth__snapshot__unpack (NULL, len, packed);
+  free (packed);
+  if (!c->link.told)
+    return AM_E_MEMORY;
   for (size_t i = 0; i < s->n_members && !err; i++)
     if (s->members[i]->id != c->self.id)
       err = am_members_update (c, s->members[i], AM_UPDATE_EXCHANGE);
@@ -176,15 +164,13 @@
   Amaranth__Snapshot snapshot;
   Amaranth__Member *members;
   Amaranth__Verdict *verdicts;
-  struct am_config_entry **entries;
-  size_t entry_count;
 };
 
 static int
 by_name (const void *a, const void *b)
 {
-  const struct am_config_entry *const *x = a;
-  const struct am_config_entry *const *y = b;
+  const Amaranth__Service *const *x = a;
+  const Amaranth__Service *const *y = b;
 
   return strcmp ((*x)->name, (*y)->name);
 }
@@ -194,8 +180,8 @@
 static int
 by_claim (const void *a, const void *b)
 {
-  const struct am_config_entry *const *x = a;
-  const struct am_config_entry *const *y = b;
+  const Amaranth__Service *const *x = a;
+  const Amaranth__Service *const *y = b;
 
   if ((*x)->revision != (*y)->revision)
     return (*x)->revision > (*y)->revision ? -1 : 1;
@@ -208,12 +194,12 @@
   uint64_t address;
 };
 
-/* Returns false if another service of the list has the address of E.  */
+/* Returns false if another service of the list has the address of S.  */
 static bool
 claim_address (struct claim **index, struct claim *memory,
-               const struct am_config_entry *e)
+               const Amaranth__Service *s)
 {
-  struct am_address a = { e->service->ip, (uint16_t)e->service->port };
+  struct am_address a = { s->ip, (uint16_t)s->port };
   struct claim *held;
 
   memory->address = am_address_key (a);
@@ -227,59 +213,89 @@
 /* Leaves out the services whose address another one has, so that a packet
    never reaches the wrong one of the two.  */
 static int
-drop_conflicts (struct am_control *c, struct builder *b)
+drop_conflicts (struct am_control *c, Amaranth__Snapshot *snap)
 {
-  struct claim *memory = calloc (b->entry_count + 1, sizeof *memory);
+  struct claim *memory = calloc (snap->n_services + 1, sizeof *memory);
   struct claim *index = NULL;
   size_t kept = 0;
 
   if (!memory)
     return AM_E_MEMORY;
-  qsort (b->entries, b->entry_count, sizeof *b->entries, by_claim);
-  for (size_t i = 0; i < b->entry_count; i++)
+  qsort (snap->services, snap->n_services, sizeof *snap->services, by_claim);
+  for (size_t i = 0; i < snap->n_services; i++)
     {
-      struct am_config_entry *e = b->entries[i];
+      Amaranth__Service *s = snap->services[i];
 
-      if (e->service->retired || claim_address (&index, &memory[i], e))
-        b->entries[kept++] = e;
+      if (s->retired || claim_address (&index, &memory[i], s))
+        snap->services[kept++] = s;
       else
         am_control_log (c, AM_LOG_ERROR,
                         "config_left_out record=%s error=address_in_use",
-                        e->name);
+                        s->name);
     }
-  b->entry_count = kept;
+  snap->n_services = kept;
   HASH_CLEAR (hh, index);
   free (memory);
-  qsort (b->entries, b->entry_count, sizeof *b->entries, by_name);
+  qsort (snap->services, kept, sizeof *snap->services, by_name);
   return AM_OK;
 }
 
+/* Puts the service that the forwarder told in the place of an older record.
+   Returns true if the record is older or missing.  */
+static bool
+keep_told (Amaranth__Snapshot *snap, Amaranth__Service *told)
+{
+  for (size_t i = 0; i < snap->n_services; i++)
+    if (snap->services[i]->id == told->id)
+      {
+        if (snap->services[i]->revision >= told->revision)
+          return false;
+        snap->services[i] = told;
+        return true;
+      }
+  snap->services[snap->n_services++] = told;
+  return true;
+}
+
+static void
+add_told (struct am_control *c, Amaranth__Snapshot *snap)
+{
+  Amaranth__Snapshot *told = c->link.told;
+  bool needed = false;
+
+  if (!told)
+    return;
+  for (size_t i = 0; i < told->n_services; i++)
+    needed |= keep_told (snap, told->services[i]);
+  if (snap->n_keys == 0 && told->n_keys)
+    {
+      snap->keys = told->keys;
+      snap->n_keys = told->n_keys;
+      needed = true;
+    }
+  if (!needed)
+    forget_told (c);
+}
+
 static int
 add_services (struct am_control *c, struct builder *b)
 {
+  size_t room = c->config.count + 1;
   struct am_config_entry *e;
   struct am_config_entry *next;
-  int err;
 
-  b->entries = calloc (c->config.count + 1, sizeof *b->entries);
-  if (!b->entries)
+  if (c->link.told)
+    room += c->link.told->n_services;
+  b->snapshot.services = calloc (room, sizeof *b->snapshot.services);
+  if (!b->snapshot.services)
     return AM_E_MEMORY;
   HASH_ITER (by_name, c->config.by_name, e, next)
   {
     if (e->service)
-      b->entries[b->entry_count++] = e;
+      b->snapshot.services[b->snapshot.n_services++] = e->service;
   }
-  err = drop_conflicts (c, b);
-  if (err)
-    return err;
-  b->snapshot.services
-      = calloc (b->entry_count + 1, sizeof *b->snapshot.services);
-  if (!b->snapshot.services)
-    return AM_E_MEMORY;
-  for (size_t i = 0; i < b->entry_count; i++)
-    b->snapshot.services[i] = b->entries[i]->service;
-  b->snapshot.n_services = b->entry_count;
-  return AM_OK;
+  add_told (c, &b->snapshot);
+  return drop_conflicts (c, &b->snapshot);
 }
 
 static int
@@ -345,23 +361,22 @@
 
   memset (b, 0, sizeof *b);
   amaranth__snapshot__init (&b->snapshot);
-  err = add_services (c, b);
-  if (!err)
-    err = add_members (c, b);
-  if (!err)
-    err = add_verdicts (c, b);
   if (keys)
     {
       b->snapshot.keys = keys->keys;
       b->snapshot.n_keys = keys->key_count;
     }
+  err = add_services (c, b);
+  if (!err)
+    err = add_members (c, b);
+  if (!err)
+    err = add_verdicts (c, b);
   return err;
 }
 
 static void
 builder_finish (struct builder *b)
 {
-  free (b->entries);
   free (b->members);
   free (b->verdicts);
   free (b->snapshot.services);
@@ -383,36 +398,18 @@
   return AM_OK;
 }
 
-static bool
-below_floor (const struct am_control *c, const struct builder *b)
-{
-  struct am_floor *f;
-  struct am_floor *next;
-
-  HASH_ITER (by_id, c->link.floors, f, next)
-  {
-    bool reached = false;
-
-    for (size_t i = 0; i < b->snapshot.n_services; i++)
-      reached = reached
-                || (b->snapshot.services[i]->id == f->service_id
-                    && b->snapshot.services[i]->revision >= f->revision);
-    if (!reached)
-      return true;
-  }
-  return false;
-}
-
 /* A forwarder that serves with a snapshot from before gets none until this
-   agent has a configuration and has joined.  */
+   agent has joined and has a configuration, its own or the one told.  */
 static bool
 may_send (const struct am_control *c)
 {
-  if (c->config.count == 0)
-    return c->link.digest == 0 && c->spread.joined;
-  return c->spread.joined || c->link.digest == 0;
+  if (c->link.digest == 0)
+    return c->config.count || c->spread.joined;
+  return c->spread.joined && (c->config.count || c->link.told);
 }
 
+/* Notes which configuration the snapshot with DIGEST stands for.  Two can have
+   one snapshot: a record can change in fields that forwarders do not get.  */
 static void
 remember (struct am_control *c, uint64_t digest)
 {
@@ -459,18 +456,15 @@
   struct builder b;
 
   c->link.dirty = false;
-  if (build (c, &b) == AM_OK && set_digest (&b) == AM_OK)
+  if (build (c, &b) != AM_OK || set_digest (&b) != AM_OK)
+    c->link.dirty = true;
+  else if (b.snapshot.digest != c->link.last_digest)
+    send_snapshot (c, &b);
+  else
     {
-      if (below_floor (c, &b))
-        {
-          c->counters.snapshots_held++;
-          c->link.last_sent_us = c->now_us;
-        }
-      else if (b.snapshot.digest != c->link.last_digest)
-        send_snapshot (c, &b);
+      remember (c, b.snapshot.digest);
+      acknowledge (c, c->link.digest);
     }
-  else
-    c->link.dirty = true;
   builder_finish (&b);
 }
 
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -8,8 +8,9 @@
 
 #define MEMBERS_MAX 4096
 
-/* An update is sent this many times for each decimal digit of the number of
-   members.  */
+/* An update is sent this many times, and as often again for each decimal
+   digit of the number of members.  With 4 for each digit alone, one of 7
+   members missed an update until its repetition.  */
 #define TRANSMIT_FACTOR 4
 
 static const char *const state_names[]
@@ -143,7 +144,7 @@
 uint32_t
 am_members_transmits (const struct am_control *c)
 {
-  uint32_t digits = 1;
+  uint32_t digits = 2;
 
   for (size_t n = c->vms.live + 1; n >= 10; n /= 10)
     digits++;
--- a/src/core/control_probe.c
+++ b/src/core/control_probe.c
@@ -231,8 +231,8 @@
 }
 
 int
-am_probe_gossip (struct am_control *c, struct am_address from,
-                 const Amaranth__Gossip *g)
+am_swim_gossip (struct am_control *c, struct am_address from,
+                const Amaranth__Gossip *g)
 {
   struct am_vm *sender;
   int err;
@@ -403,7 +403,7 @@
 }
 
 void
-am_probe_flush (struct am_control *c)
+am_swim_flush (struct am_control *c)
 {
   struct am_vm *to[AM_FANOUT];
   size_t n;
@@ -429,7 +429,7 @@
 }
 
 void
-am_probe_tick (struct am_control *c)
+am_swim_tick (struct am_control *c)
 {
   struct am_probe *p = &c->probe;
 
@@ -445,5 +445,5 @@
     }
   if (c->now_us >= c->next_outsider_us)
     try_outsiders (c);
-  am_probe_flush (c);
+  am_swim_flush (c);
 }
--- a/src/core/control_probe.h
+++ b/src/core/control_probe.h
@@ -18,14 +18,14 @@
 
 /* Handles a gossip message from FROM.  Returns AM_OK, AM_E_FORMAT or
    AM_E_MEMORY.  */
-int am_probe_gossip (struct am_control *c, struct am_address from,
-                     const Amaranth__Gossip *g);
+int am_swim_gossip (struct am_control *c, struct am_address from,
+                    const Amaranth__Gossip *g);
 
 /* Starts and ends probes and flushes urgent updates.  */
-void am_probe_tick (struct am_control *c);
+void am_swim_tick (struct am_control *c);
 
 /* Sends the queued updates to AM_FANOUT random members now, if the budget
    allows.  */
-void am_probe_flush (struct am_control *c);
+void am_swim_flush (struct am_control *c);
 
 #endif
--- a/src/core/control_spread.c
+++ b/src/core/control_spread.c
@@ -26,6 +26,12 @@
 #define JOIN_RETRY_US AM_SECOND_US
 #define JOIN_LIMIT_US (5 * AM_SECOND_US)
 
+/* After a join the tables of members are exchanged again, because the first
+   peer may have been as fresh as this one; the wait doubles while nothing is
+   new, up to the limit, which ends the exchanges.  */
+#define MEMBERS_WAIT_MIN_US (2 * AM_SECOND_US)
+#define MEMBERS_WAIT_LIMIT_US (4 * AM_SECOND_US)
+
 /* One part of an answer; a frame holds at most 4 MB.  */
 #define PART_BYTES (1u << 20)
 #define PART_RECORDS 1024
@@ -588,10 +594,30 @@
   request (c, am_vm_control (v), true);
 }
 
+static void
+members_tick (struct am_control *c)
+{
+  struct am_spread *s = &c->spread;
+  struct am_vm *v;
+
+  if (!s->joined || s->members_wait_us > MEMBERS_WAIT_LIMIT_US
+      || c->now_us < s->next_members_us)
+    return;
+  if (s->members_wait_us == 0 || c->vms.count > s->members_before)
+    s->members_wait_us = MEMBERS_WAIT_MIN_US;
+  else
+    s->members_wait_us *= 2;
+  s->next_members_us = c->now_us + s->members_wait_us;
+  if (s->members_before && am_members_random (c, 0, &v, 1))
+    request (c, am_vm_control (v), true);
+  s->members_before = c->vms.count;
+}
+
 void
 am_spread_tick (struct am_control *c)
 {
   join_tick (c);
+  members_tick (c);
   sync_tick (c);
   repeat_pulls (c);
 }
--- /dev/null
+++ b/test/test_control_membership.c
@@ -0,0 +1,263 @@
+/* Membership: failure detection, refutation, leaving, partitions.  */
+
+#include <check.h>
+
+#include "control_net.h"
+
+#define ALIVE AMARANTH__MEMBER_STATE__MEMBER_ALIVE
+#define SUSPECT AMARANTH__MEMBER_STATE__MEMBER_SUSPECT
+#define DEAD AMARANTH__MEMBER_STATE__MEMBER_DEAD
+#define LEAVING AMARANTH__MEMBER_STATE__MEMBER_LEAVING
+#define LEFT AMARANTH__MEMBER_STATE__MEMBER_LEFT
+
+static void
+start (struct net *n, size_t nodes, uint64_t seed)
+{
+  net_init (n, nodes, 3, seed);
+  net_start_all (n);
+  net_run (n, 12 * NET_SECOND);
+}
+
+static void
+all_see (const struct net *n, size_t subject, int state)
+{
+  for (size_t i = 0; i < n->count; i++)
+    if (i != subject && n->nodes[i].control)
+      ck_assert_int_eq (net_sees (n, i, subject), state);
+}
+
+/* Guards against members that do not find each other from two seeds.  */
+START_TEST (all_meet)
+{
+  struct net n;
+
+  start (&n, 12, (uint64_t)_i + 1);
+  ck_assert_uint_eq (net_live_pairs (&n), 12 * 11);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against a crashed member that stays alive in some table: it is dead
+   everywhere after its next probe, the suspicion and the spread.  */
+START_TEST (crash_is_seen_by_all)
+{
+  struct net n;
+
+  start (&n, 7, 2);
+  net_kill (&n, 3);
+  net_run (&n, 4 * NET_SECOND);
+  for (size_t i = 0; i < 7; i++)
+    if (i != 3)
+      ck_assert_int_ne (net_sees (&n, i, 3), LEFT);
+  net_run (&n, 16 * NET_SECOND);
+  all_see (&n, 3, DEAD);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against members that are declared dead because of lost datagrams.  */
+START_TEST (loss_kills_nobody)
+{
+  struct net n;
+
+  net_init (&n, 12, 3, (uint64_t)_i + 1);
+  n.loss = 0.1;
+  net_start_all (&n);
+  net_run (&n, 20 * NET_SECOND);
+  for (int k = 0; k < 60; k++)
+    {
+      net_run (&n, NET_SECOND);
+      ck_assert_uint_eq (net_live_pairs (&n), 12 * 11);
+    }
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against a restarted member that its old death keeps out, and against
+   a boot id that spreads slowly.  */
+START_TEST (restart_spreads_boot_id)
+{
+  struct net n;
+
+  start (&n, 12, 4);
+  net_kill (&n, 5);
+  net_run (&n, 20 * NET_SECOND);
+  all_see (&n, 5, DEAD);
+  net_start (&n, 5);
+  net_run (&n, 3 * NET_SECOND);
+  all_see (&n, 5, ALIVE);
+  n.nodes[6].forwarder.boot_id = 77;
+  net_run (&n, 3 * NET_SECOND);
+  for (size_t i = 0; i < 12; i++)
+    {
+      uint8_t *data;
+      size_t len;
+      Amaranth__Envelope *e;
+      uint64_t boot_id = 0;
+
+      ck_assert_int_eq (am_control_status (n.nodes[i].control, &data, &len),
+                        AM_OK);
+      e = amaranth__envelope__unpack (NULL, len, data);
+      for (size_t k = 0; k < e->status_reply->n_members; k++)
+        if (e->status_reply->members[k]->id == 7)
+          boot_id = e->status_reply->members[k]->boot_id;
+      if (i != 6)
+        ck_assert_uint_eq (boot_id, 77);
+      amaranth__envelope__free_unpacked (e, NULL);
+      free (data);
+    }
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against a stopping forwarder that still gets new work, and against a
+   planned stop that waits for suspicion.  */
+START_TEST (stop_is_announced)
+{
+  struct am_control_event e = { .type = AM_CONTROL_STOP };
+  struct net n;
+
+  start (&n, 7, 5);
+  n.nodes[2].forwarder.life = AMARANTH__LIFE_STATE__LIFE_STOPPING;
+  net_run (&n, 2 * NET_SECOND);
+  all_see (&n, 2, LEAVING);
+  net_event (&n, 2, &e);
+  net_run (&n, 3 * NET_SECOND);
+  ck_assert_uint_eq (n.nodes[2].exits, 0);
+  all_see (&n, 2, LEAVING);
+  e.type = AM_CONTROL_FORWARDER_LOST;
+  net_event (&n, 2, &e);
+  net_run (&n, NET_SECOND / 2);
+  ck_assert_uint_gt (n.nodes[2].exits, 0);
+  net_kill (&n, 2);
+  net_run (&n, 2 * NET_SECOND);
+  all_see (&n, 2, LEFT);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against an agent stopped alone that takes its serving forwarder out
+   of the fleet as left.  */
+START_TEST (agent_alone_is_not_left)
+{
+  struct am_control_event e = { .type = AM_CONTROL_STOP };
+  struct net n;
+
+  start (&n, 7, 6);
+  net_event (&n, 2, &e);
+  net_run (&n, 2 * NET_SECOND);
+  ck_assert_uint_gt (n.nodes[2].exits, 0);
+  all_see (&n, 2, LEAVING);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against a VM without a forwarder that is given new work.  */
+START_TEST (lost_forwarder_is_leaving)
+{
+  struct am_control_event e = { .type = AM_CONTROL_FORWARDER_LOST };
+  struct net n;
+
+  start (&n, 7, 7);
+  n.nodes[4].life++;
+  net_event (&n, 4, &e);
+  net_schedule (&n, 1000, NET_TICK, 4, 0, NULL, 0);
+  net_run (&n, 4 * NET_SECOND);
+  all_see (&n, 4, LEAVING);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against two sides of a healed partition that do not meet again, and
+   against members of one side that the other side buries.  */
+START_TEST (partition_heals)
+{
+  struct net n;
+
+  start (&n, 9, (uint64_t)_i + 8);
+  for (size_t i = 0; i < 9; i++)
+    n.nodes[i].group = i % 3 == 0;
+  net_run (&n, 60 * NET_SECOND);
+  ck_assert_int_eq (net_sees (&n, 1, 0), DEAD);
+  ck_assert_int_eq (net_sees (&n, 0, 1), DEAD);
+  for (size_t i = 0; i < 9; i++)
+    n.nodes[i].group = 0;
+  for (int k = 0; k < 60; k++)
+    {
+      net_run (&n, NET_SECOND / 10);
+      ck_assert_int_ne (net_sees (&n, 1, 2), DEAD);
+      ck_assert_int_ne (net_sees (&n, 0, 3), DEAD);
+    }
+  ck_assert_uint_eq (net_live_pairs (&n), 9 * 8);
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against a table that grows with every VM that ever lived.  */
+START_TEST (dead_are_forgotten)
+{
+  struct am_control_view v;
+  struct net n;
+
+  start (&n, 5, 9);
+  net_kill (&n, 4);
+  net_run (&n, 30 * NET_SECOND);
+  am_control_look (n.nodes[0].control, &v);
+  ck_assert_uint_eq (v.members, 4);
+  net_run (&n, 900 * NET_SECOND);
+  for (size_t i = 0; i < 4; i++)
+    {
+      am_control_look (n.nodes[i].control, &v);
+      ck_assert_uint_eq (v.members, 3);
+    }
+  net_finish (&n);
+}
+END_TEST
+
+/* Guards against datagrams above 1,200 bytes, also after many changes at
+   once.  */
+START_TEST (datagrams_are_bounded)
+{
+  struct net n;
+
+  start (&n, 40, 10);
+  for (size_t i = 20; i < 40; i++)
+    net_kill (&n, i);
+  for (int k = 0; k < 20000; k++)
+    {
+      struct net_event *top = &n.heap[0];
+
+      if (top->type == NET_DATAGRAM)
+        ck_assert_uint_le (top->len + NET_FRAME_HEADER, 1200);
+      net_run (&n, top->at - n.now);
+    }
+  net_finish (&n);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("control_membership");
+  TCase *t = tcase_create ("members");
+  SRunner *r;
+  int failed;
+
+  tcase_set_timeout (t, 100);
+  tcase_add_loop_test (t, all_meet, 0, 5);
+  tcase_add_test (t, crash_is_seen_by_all);
+  tcase_add_loop_test (t, loss_kills_nobody, 0, 3);
+  tcase_add_test (t, restart_spreads_boot_id);
+  tcase_add_test (t, stop_is_announced);
+  tcase_add_test (t, agent_alone_is_not_left);
+  tcase_add_test (t, lost_forwarder_is_leaving);
+  tcase_add_loop_test (t, partition_heals, 0, 5);
+  tcase_add_test (t, dead_are_forgotten);
+  tcase_add_test (t, datagrams_are_bounded);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_control_scale.c
@@ -0,0 +1,304 @@
+/* Control traffic and spread of a record over fleets of several sizes.
+
+   Without arguments: a check of the bounds at 7 and 50 agents.  With
+   arguments: --sizes N,N,... [--seed N] [--seconds N] prints one JSON object a
+   size, and last the slopes and the values extrapolated to 730.  */
+
+#include <check.h>
+#include <malloc.h>
+#include <time.h>
+
+#include "control_net.h"
+
+#define TARGET_NODES 730
+#define TARGET_SERVICES 580
+#define TARGETS_A_SERVICE 10
+#define SPREAD_BOUND_US (6 * NET_SECOND)
+#define BYTES_BOUND 6000.0
+#define MEMORY_BOUND (32u << 20)
+#define PROCESSOR_BOUND 0.011
+#define CHANGES 10
+
+/* The exchanges that follow a start are over after this time.  */
+#define SETTLE_SECONDS 90
+
+/* Seconds between two changes at 370 a day.  */
+#define CHANGE_SECONDS 233
+
+struct figures
+{
+  size_t nodes;
+  size_t records;
+  double bytes_quiet;  /* a second and node, sent and received */
+  double bytes_change; /* of one change, a node */
+  double bytes_total;  /* a second and node at 370 changes a day */
+  double messages_change;
+  double spread_median_s;
+  double spread_max_s;
+  double processor; /* share of a core a node */
+  double memory;    /* bytes a node */
+  double joined_s;
+  unsigned reversions;
+  double bytes_reader; /* a second, busiest node, at 370 changes a day */
+};
+
+static double
+total_bytes (const struct net *n)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < n->count; i++)
+    sum += (double)(n->nodes[i].sent + n->nodes[i].received);
+  return sum;
+}
+
+/* Bytes of the node that sent and received most.  */
+static double
+busiest (const struct net *n, const double *from)
+{
+  double most = 0;
+
+  for (size_t i = 0; i < n->count; i++)
+    {
+      double b = (double)(n->nodes[i].sent + n->nodes[i].received) - from[i];
+
+      most = b > most ? b : most;
+    }
+  return most;
+}
+
+static double
+total_messages (const struct net *n)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < n->count; i++)
+    sum += (double)n->nodes[i].messages;
+  return sum;
+}
+
+static double
+processor_seconds (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  const double *x = a;
+  const double *y = b;
+
+  return *x < *y ? -1 : *x > *y;
+}
+
+static void
+fill_store (struct net *n, size_t records)
+{
+  char name[32];
+
+  for (size_t i = 0; i < records; i++)
+    {
+      snprintf (name, sizeof name, "s%zu", i);
+      net_store_put (n, name, 1, 1, TARGETS_A_SERVICE);
+    }
+}
+
+static void
+measure_changes (struct net *n, struct figures *f)
+{
+  double times[CHANGES];
+  double bytes = total_bytes (n);
+  double messages = total_messages (n);
+  double start = (double)n->now;
+  double quiet;
+  double from[NET_NODES];
+
+  for (size_t i = 0; i < n->count; i++)
+    from[i] = (double)(n->nodes[i].sent + n->nodes[i].received);
+  for (size_t i = 0; i < CHANGES; i++)
+    {
+      net_store_put (n, "s0", 2 + i, 2 + i, TARGETS_A_SERVICE);
+      times[i]
+          = (double)net_until_held (n, "s0", 2 + i, 60 * NET_SECOND) / 1e6;
+      net_run (n, 5 * NET_SECOND);
+    }
+  quiet = ((double)n->now - start) / 1e6;
+  qsort (times, CHANGES, sizeof times[0], by_value);
+  f->spread_median_s = times[CHANGES / 2];
+  f->spread_max_s = times[CHANGES - 1];
+  f->bytes_change = (total_bytes (n) - bytes) / (double)n->count / CHANGES
+                    - f->bytes_quiet * quiet / CHANGES;
+  f->bytes_reader = f->bytes_quiet
+                    + (busiest (n, from) - f->bytes_quiet * quiet) / CHANGES
+                          / CHANGE_SECONDS;
+  f->messages_change = (total_messages (n) - messages) / CHANGES
+                       - quiet / CHANGES * 2 * (double)n->count;
+}
+
+static struct figures
+measure (size_t nodes, uint64_t seed, uint64_t seconds)
+{
+  struct figures f = { .nodes = nodes };
+  struct net n;
+  struct mallinfo2 before = mallinfo2 ();
+  double processor;
+  double bytes;
+
+  f.records = nodes * TARGET_SERVICES / TARGET_NODES + 1;
+  net_init (&n, nodes, nodes < 50 ? 3 : 5, seed);
+  fill_store (&n, f.records);
+  net_start_all (&n);
+  while (net_live_pairs (&n) < nodes * (nodes - 1)
+         || net_holding (&n, "s0", 1) < nodes)
+    net_run (&n, NET_SECOND / 10);
+  f.joined_s = (double)(n.now - NET_SECOND) / 1e6;
+  net_run (&n, SETTLE_SECONDS * NET_SECOND);
+  bytes = total_bytes (&n);
+  processor = processor_seconds ();
+  net_run (&n, seconds * NET_SECOND);
+  f.bytes_quiet = (total_bytes (&n) - bytes) / (double)nodes / (double)seconds;
+  f.processor
+      = (processor_seconds () - processor) / (double)nodes / (double)seconds;
+  f.memory = (double)(mallinfo2 ().uordblks - before.uordblks) / (double)nodes;
+  measure_changes (&n, &f);
+  f.bytes_total = f.bytes_quiet + f.bytes_change / CHANGE_SECONDS;
+  f.reversions = n.reversions;
+  net_finish (&n);
+  return f;
+}
+
+static void
+print (const struct figures *f)
+{
+  printf ("{\"nodes\":%zu,\"records\":%zu,\"joined_s\":%.1f,"
+          "\"bytes_a_second_quiet\":%.0f,\"bytes_a_change\":%.0f,"
+          "\"bytes_a_second\":%.0f,\"messages_a_change\":%.0f,"
+          "\"spread_median_s\":%.2f,\"spread_max_s\":%.2f,"
+          "\"processor_share\":%.6f,\"memory_bytes\":%.0f,"
+          "\"bytes_a_second_busiest\":%.0f,\"reversions\":%u}\n",
+          f->nodes, f->records, f->joined_s, f->bytes_quiet, f->bytes_change,
+          f->bytes_total, f->messages_change, f->spread_median_s,
+          f->spread_max_s, f->processor, f->memory, f->bytes_reader,
+          f->reversions);
+}
+
+/* Returns the value of the least-squares line through the points at X.  */
+static double
+extrapolate (const struct figures *f, size_t n, size_t offset, double x,
+             double *slope)
+{
+  double sx = 0;
+  double sy = 0;
+  double sxx = 0;
+  double sxy = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      double xi = (double)f[i].nodes;
+      double yi
+          = *(const double *)(const void *)((const char *)&f[i] + offset);
+
+      sx += xi;
+      sy += yi;
+      sxx += xi * xi;
+      sxy += xi * yi;
+    }
+  *slope = ((double)n * sxy - sx * sy) / ((double)n * sxx - sx * sx);
+  return (sy - *slope * sx) / (double)n + *slope * x;
+}
+
+static void
+print_target (const struct figures *f, size_t n)
+{
+  double slope[4];
+  double bytes = extrapolate (f, n, offsetof (struct figures, bytes_total),
+                              TARGET_NODES, &slope[0]);
+  double processor = extrapolate (f, n, offsetof (struct figures, processor),
+                                  TARGET_NODES, &slope[1]);
+  double memory = extrapolate (f, n, offsetof (struct figures, memory),
+                               TARGET_NODES, &slope[2]);
+  double spread = extrapolate (f, n, offsetof (struct figures, spread_max_s),
+                               TARGET_NODES, &slope[3]);
+
+  printf ("{\"name\":\"control_scale\",\"nodes\":%d,"
+          "\"bytes_a_second\":%.0f,\"bytes_slope\":%.4f,"
+          "\"processor_share\":%.5f,\"processor_slope\":%.3e,"
+          "\"memory_bytes\":%.0f,\"memory_slope\":%.0f,"
+          "\"spread_max_s\":%.2f,\"spread_slope\":%.5f,\"pass\":%s}\n",
+          TARGET_NODES, bytes, slope[0], processor, slope[1], memory, slope[2],
+          spread, slope[3],
+          bytes <= BYTES_BOUND && processor <= PROCESSOR_BOUND
+                  && memory <= MEMORY_BOUND && spread <= 6.0
+              ? "true"
+              : "false");
+}
+
+/* Guards against control traffic above 6 KB/s a node and against a record
+   that needs more than 6 s to reach every agent.  */
+START_TEST (stays_within_bounds)
+{
+  size_t sizes[] = { 7, 50 };
+  struct figures f = measure (sizes[_i], 1, 20);
+
+  print (&f);
+  ck_assert_uint_eq (f.reversions, 0);
+  ck_assert_double_le (f.bytes_total, BYTES_BOUND);
+  ck_assert_double_le (f.spread_max_s, 6.0);
+  ck_assert_double_le (f.memory, MEMORY_BOUND);
+}
+END_TEST
+
+static int
+report (int argc, char **argv)
+{
+  struct figures f[8];
+  const char *sizes = "7,50,200";
+  uint64_t seed = 1;
+  uint64_t seconds = 30;
+  size_t n = 0;
+
+  for (int i = 1; i + 1 < argc; i += 2)
+    {
+      if (strcmp (argv[i], "--sizes") == 0)
+        sizes = argv[i + 1];
+      else if (strcmp (argv[i], "--seed") == 0)
+        seed = strtoull (argv[i + 1], NULL, 10);
+      else if (strcmp (argv[i], "--seconds") == 0)
+        seconds = strtoull (argv[i + 1], NULL, 10);
+    }
+  while (*sizes && n < 8)
+    {
+      char *end;
+
+      f[n] = measure (strtoul (sizes, &end, 10), seed, seconds);
+      print (&f[n++]);
+      fflush (stdout);
+      sizes = *end ? end + 1 : end;
+    }
+  print_target (f, n);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  Suite *s = suite_create ("control_scale");
+  TCase *t = tcase_create ("bounds");
+  SRunner *r;
+  int failed;
+
+  if (argc > 1)
+    return report (argc, argv);
+  tcase_set_timeout (t, 100);
+  tcase_add_loop_test (t, stays_within_bounds, 0, 2);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
