--- a/src/record/placeholder_record.c
+++ b/src/record/placeholder_record.c
@@ -1,3 +1,4 @@
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -99,6 +100,43 @@
   return s;
 }
 
+static int
+read_keys (struct am_record *r, json_t *root)
+{
+  json_t *list = json_object_get (root, "keys");
+  size_t n = json_array_size (list);
+
+  r->kind = AM_RECORD_KEYS;
+  r->keys = calloc (n + 1, sizeof (Amaranth__Key *));
+  if (!r->keys)
+    return AM_E_MEMORY;
+  for (size_t i = 0; i < n; i++)
+    {
+      json_t *o = json_array_get (list, i);
+      const char *secret = text_of (o, "secret");
+      const char *state = text_of (o, "state");
+      Amaranth__Key *k = malloc (sizeof *k);
+
+      if (!k)
+        return AM_E_MEMORY;
+      amaranth__key__init (k);
+      r->keys[r->key_count++] = k;
+      k->id = number_of (o, "id", 0);
+      k->state
+          = strcmp (state, "active") == 0   ? AMARANTH__KEY_STATE__KEY_ACTIVE
+            : strcmp (state, "verify") == 0 ? AMARANTH__KEY_STATE__KEY_VERIFY
+                                            : AMARANTH__KEY_STATE__KEY_STANDBY;
+      k->secret.data = malloc (32);
+      if (!k->secret.data)
+        return AM_E_MEMORY;
+      if (sodium_hex2bin (k->secret.data, 32, secret, strlen (secret), NULL,
+                          &k->secret.len, NULL)
+          || k->secret.len != 32)
+        return AM_E_FORMAT;
+    }
+  return n ? AM_OK : AM_E_FORMAT;
+}
+
 int
 am_record_parse_json (struct am_record *r, const char *text, size_t len,
                       struct am_fault *f)
@@ -119,11 +157,15 @@
   strcpy (r->write_id, text_of (root, "write_id"));
   r->revision = number_of (root, "revision", 0);
   r->root = root;
-  if (strcmp (r->name, "ticket-keys") == 0)
-    r->kind = AM_RECORD_KEYS;
+  if (number_of (root, "schema", 0) > 2)
+    f->error = AM_E_VERSION;
+  else if (strcmp (r->name, "ticket-keys") == 0)
+    f->error = read_keys (r, root);
   else
     r->service = read_service (root);
-  return AM_OK;
+  if (f->error)
+    am_record_finish (r);
+  return f->error;
 }
 
 void
@@ -131,6 +173,8 @@
 {
   if (r->service)
     amaranth__service__free_unpacked (r->service, NULL);
+  for (size_t i = 0; i < r->key_count; i++)
+    amaranth__key__free_unpacked (r->keys[i], NULL);
   json_decref (r->root);
   free (r->keys);
 }
