--- /dev/null
+++ b/src/ctl/wait.c
@@ -0,0 +1,189 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/error.h"
+#include "ctl/exchange.h"
+#include "ctl/records.h"
+
+#define POLL_PAUSE_MS 200
+#define NS_PER_MS 1000000L
+#define MS_PER_S 1000
+#define LINE_SIZE 160
+
+struct wait
+{
+  struct ctl *ctl;
+  const struct am_record *const *versions;
+  size_t version_count;
+  size_t live;
+  size_t in_force;
+  size_t shown; /* in_force of the last progress line */
+  json_t *behind;
+};
+
+static uint64_t
+now_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (uint64_t)t.tv_sec * MS_PER_S + (uint64_t)t.tv_nsec / NS_PER_MS;
+}
+
+static const Amaranth__RecordVersion *
+find_version (const Amaranth__StatusReply *s, const char *name)
+{
+  for (size_t i = 0; i < s->n_in_force; i++)
+    if (strcmp (s->in_force[i]->name, name) == 0)
+      return s->in_force[i];
+  return NULL;
+}
+
+/* Says in REASON what E lacks; returns true if it lacks nothing.  */
+static bool
+has_all (const struct wait *w, const struct ctl_exchange *e, char *reason,
+         size_t size)
+{
+  const Amaranth__StatusReply *s = ctl_exchange_status (e);
+
+  if (!s)
+    {
+      snprintf (reason, size, "not reached: %s",
+                am_error_text (e->error ? e->error : AM_E_FORMAT));
+      return false;
+    }
+  for (size_t i = 0; i < w->version_count; i++)
+    {
+      const struct am_record *r = w->versions[i];
+      const Amaranth__RecordVersion *v = find_version (s, r->name);
+
+      if (v
+          && am_record_compare (v->revision, v->write_id, r->revision,
+                                r->write_id)
+                 >= 0)
+        continue;
+      snprintf (reason, size, "%s at revision %llu of %llu", r->name,
+                v ? (unsigned long long)v->revision : 0,
+                (unsigned long long)r->revision);
+      return false;
+    }
+  return true;
+}
+
+static void
+judge (struct wait *w, const struct ctl_exchange *list, size_t n)
+{
+  char reason[LINE_SIZE];
+
+  w->live = n;
+  w->in_force = 0;
+  json_array_clear (w->behind);
+  for (size_t i = 0; i < n; i++)
+    if (has_all (w, &list[i], reason, sizeof reason))
+      w->in_force++;
+    else
+      json_array_append_new (
+          w->behind,
+          json_pack ("{s:s, s:s}", "vm", list[i].name, "reason", reason));
+}
+
+/* One look at all live entry VMs.  */
+static int
+look (struct wait *w, uint32_t timeout_ms)
+{
+  struct ctl *c = w->ctl;
+  struct ctl_exchange *list;
+  struct ctl_vm *vms;
+  size_t n;
+  int err = ctl_live_vms (c, &vms, &n);
+
+  if (err)
+    return err;
+  list = calloc (n, sizeof *list);
+  if (!list)
+    {
+      free (vms);
+      return AM_E_MEMORY;
+    }
+  for (size_t i = 0; i < n; i++)
+    {
+      ctl_exchange_init (&list[i], vms[i].agent, NULL,
+                         AMARANTH__ENVELOPE__BODY_STATUS_REPLY);
+      memcpy (list[i].name, vms[i].name, sizeof vms[i].name);
+    }
+  free (vms);
+  ctl_exchange_run (list, n, c->key, timeout_ms);
+  judge (w, list, n);
+  ctl_exchange_list_free (list, n);
+  return AM_OK;
+}
+
+static void
+show (struct wait *w)
+{
+  if (w->in_force == w->shown)
+    return;
+  w->shown = w->in_force;
+  ctl_note (w->ctl, "in force on %zu of %zu live entry VMs", w->in_force,
+            w->live);
+}
+
+static int
+finish (struct wait *w, int err)
+{
+  struct ctl *c = w->ctl;
+  json_t *entry;
+  size_t i;
+
+  ctl_result (c, "in_force",
+              json_pack ("{s:I, s:I, s:O}", "vms", (json_int_t)w->in_force,
+                         "live", (json_int_t)w->live, "behind", w->behind));
+  if (err == AM_E_MEMORY)
+    return ctl_fail (c, err, "%s", am_error_text (err));
+  if (w->live == 0)
+    return ctl_fail (c, AM_E_CONNECTION,
+                     "accepted, but no agent answered within %u s: in force "
+                     "is not confirmed",
+                     c->timeout_ms / MS_PER_S);
+  if (w->in_force == w->live)
+    {
+      ctl_say (c, "in force on all %zu live entry VMs", w->live);
+      return AM_OK;
+    }
+  json_array_foreach (w->behind, i, entry)
+      ctl_note (c, "%s: %s", json_string_value (json_object_get (entry, "vm")),
+                json_string_value (json_object_get (entry, "reason")));
+  return ctl_fail (c, AM_E_TIMEOUT,
+                   "accepted, but in force on %zu of %zu live entry VMs "
+                   "after %u s",
+                   w->in_force, w->live, c->timeout_ms / MS_PER_S);
+}
+
+int
+ctl_wait_in_force (struct ctl *c, const struct am_record *const *versions,
+                   size_t n)
+{
+  struct wait w = { .ctl = c, .versions = versions, .version_count = n };
+  const struct timespec pause = { 0, POLL_PAUSE_MS * NS_PER_MS };
+  uint64_t deadline = now_ms () + c->timeout_ms;
+  int err;
+
+  w.behind = json_array ();
+  if (!w.behind)
+    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+  for (;;)
+    {
+      err = look (&w, CTL_AGENT_TIMEOUT_MS);
+      if (err == AM_E_MEMORY)
+        break;
+      show (&w);
+      if ((!err && w.in_force == w.live) || now_ms () >= deadline)
+        break;
+      nanosleep (&pause, NULL);
+    }
+  err = finish (&w, err);
+  json_decref (w.behind);
+  return err;
+}
