--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -141,9 +141,11 @@
 class ProofCluster(Cluster):
     """A Cluster with operators that write down what they did and see."""
 
-    def __init__(self, folder, cut=False, **arguments):
-        """cut: forwarders and agents are started so that cut() works."""
+    def __init__(self, folder, cut=False, alert_ms=1000, **arguments):
+        """cut: forwarders and agents are started so that cut() works.
+        alert_ms: interval of the alerts on each feed."""
         super().__init__(folder, **arguments)
+        self.alert_ms = alert_ms
         self.key = wire.read_key(self.key_file)
         self.poller = None
         self.cut_file = self.folder / "cut" if cut else None
@@ -192,6 +194,13 @@
                 else:
                     os.environ[k] = v
 
+    def start_upstreams(self, arguments=(), records=None):
+        """As in Cluster, with alerts on every feed."""
+        arguments = [*arguments]
+        if "--alert-ms" not in arguments:
+            arguments += ["--alert-ms", self.alert_ms]
+        super().start_upstreams(arguments, records)
+
     def start_forwarder(self, vm):
         return self.spawn_on(vm, super().start_forwarder)
 
--- a/test/integration/common.py
+++ b/test/integration/common.py
@@ -44,6 +44,7 @@
         arguments.setdefault("vms", 3)
         arguments.setdefault("services", SERVICES)
         arguments.setdefault("decisions", True)
+        arguments.setdefault("alert_ms", 250)
         c = ProofCluster(self.folder / f"run-{len(self.clusters)}",
                          **arguments)
         self.clusters.append(c)
