Keep tracked flows in place while configurations differ

Cause: a test with three entry VMs of different configurations showed a flow moved when the owner bound it to an upstream that the sender did not know yet, and the other way round when the next owner was the older one. Change: a sender forgets a flow it cannot place, so that all its packets go through the owner; an owner keeps a hint it cannot place and returns the packet to the sender, for at most 10 s.

--- a/src/core/tracked.h
+++ b/src/core/tracked.h
@@ -32,6 +32,10 @@
 /* How long a new owner asks the former one about flows it does not know.  */
 #define AM_TRACKED_WARMUP_US 3000000u
 
+/* How long a flow is kept at an upstream that is not known here: the bound for
+   a configuration to be in force everywhere is 6 s.  */
+#define AM_TRACKED_UNPLACED_US 10000000u
+
 /* A flow is reported silent after this many packets and this time without any
    packet back.  */
 #define AM_TRACKED_SILENT_PACKETS 5
@@ -88,6 +92,7 @@
   uint32_t unanswered;
   uint64_t unanswered_since_us;
   uint64_t introduced_us;
+  uint64_t unplaced_since_us; /* upstream is not known here; 0: it is */
   uint64_t seen_us;
 };
 
@@ -138,10 +143,24 @@
 struct am_upstream *am_tracked_upstream (struct am_service *s, uint32_t id,
                                          uint32_t incarnation);
 
-/* Binds F to U and keeps the bucket's count of exceptions.  */
-void am_tracked_assign (struct am_board *b, struct am_tracked *t,
-                        struct am_tracked_flow *f,
-                        const struct am_upstream *u);
+/* Returns true if an upstream with ID and INCARNATION is not known here and
+   may be newer than the configuration in force here.  */
+bool am_tracked_is_newer (struct am_service *s, uint32_t id,
+                          uint32_t incarnation);
+
+/* Binds F to the upstream with ID and INCARNATION, known here or not, and
+   keeps the bucket's count of exceptions.  */
+void am_tracked_assign (struct am_board *b, struct am_service *s,
+                        struct am_tracked_flow *f, uint32_t id,
+                        uint32_t incarnation);
+
+/* Returns the upstream of F, or NULL if it is not known here.  */
+struct am_upstream *am_tracked_upstream_of (struct am_service *s,
+                                            const struct am_tracked_flow *f);
+
+/* Returns true if F is to be kept although its upstream is not known here.  */
+bool am_tracked_is_unplaced (const struct am_board *b, struct am_service *s,
+                             const struct am_tracked_flow *f);
 
 /* Recomputes defaults, owners, backups and exceptions.  */
 void am_tracked_recompute (struct am_board *b, struct am_service *s);
--- a/src/core/tracked_binding.c
+++ b/src/core/tracked_binding.c
@@ -20,6 +20,8 @@
 #define FLAG_ASKED 2u
 /* The former owner does not know the flow either.  */
 #define FLAG_RETURNED 4u
+/* The owner does not know the flow's upstream yet: the sender delivers.  */
+#define FLAG_DELIVER 8u
 
 struct introduction
 {
@@ -167,6 +169,14 @@
   return am_board_member (b, k->former_id);
 }
 
+static const char *
+upstream_name (struct am_service *s, uint32_t id)
+{
+  const struct am_upstream *u = am_service_upstream (s, id);
+
+  return u ? u->name : "unknown";
+}
+
 /* Binds a flow that the owner does not know: by the sender's hint, else to the
    default.  */
 static struct am_tracked_flow *
@@ -176,27 +186,30 @@
   struct am_tracked *t = s->binding_state;
   uint32_t bucket = am_tracked_bucket_of (s, in->caller);
   const struct am_upstream *u
-      = am_tracked_upstream (s, in->hint_id, in->hint_incarnation);
-  const char *reason = u ? "hint" : "default";
+      = am_service_upstream (s, t->buckets[bucket].default_id);
+  bool hint = am_tracked_upstream (s, in->hint_id, in->hint_incarnation)
+              || am_tracked_is_newer (s, in->hint_id, in->hint_incarnation);
   struct am_tracked_flow *f;
 
-  if (!u)
-    u = am_service_upstream (s, t->buckets[bucket].default_id);
-  if (!u)
+  if (!hint && !u)
     return NULL;
   f = am_tracked_add (b, s, in->caller);
   if (!f)
     return NULL;
   f->owned = true;
-  am_tracked_assign (b, t, f, u);
+  if (hint)
+    am_tracked_assign (b, s, f, in->hint_id, in->hint_incarnation);
+  else
+    am_tracked_assign (b, s, f, u->id, u->incarnation);
   if (t->handing_over || !am_tracked_is_owner (b, &t->buckets[bucket]))
     am_tracked_copy_plan (t, f);
   am_board_decision (
       b, f->key,
       "event=bound flow=%llu service=%s upstream=%s policy=tracked bucket=%u "
       "reason=%s revision=%llu",
-      (unsigned long long)f->key, s->name, u->name, bucket, reason,
-      (unsigned long long)s->revision);
+      (unsigned long long)f->key, s->name,
+      !hint ? u->name : upstream_name (s, in->hint_id), bucket,
+      hint ? "hint" : "default", (unsigned long long)s->revision);
   return f;
 }
 
@@ -218,6 +231,38 @@
     send_clear (b, s, sender, f->bucket, k->default_id);
 }
 
+/* The flow is at an upstream that only newer configurations have: lets the
+   sender, which may have one, deliver the packet.  */
+static int
+return_to_sender (struct am_board *b, const struct am_service *s,
+                  const struct am_member *sender,
+                  const struct introduction *in,
+                  const struct am_tracked_flow *f)
+{
+  struct introduction back = *in;
+
+  if (!sender)
+    return AM_E_UPSTREAM_UNKNOWN;
+  back.flags = FLAG_DELIVER;
+  back.hint_id = f->upstream_id;
+  back.hint_incarnation = f->incarnation;
+  return send_introduction (b, s, sender, &back);
+}
+
+/* Returns the flow of IN as the owner knows it, or NULL.  */
+static struct am_tracked_flow *
+find_owned (struct am_board *b, struct am_service *s,
+            const struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
+
+  if (!f || am_tracked_upstream_of (s, f) || am_tracked_is_unplaced (b, s, f))
+    return f;
+  am_tracked_forget (t, f);
+  return NULL;
+}
+
 static int
 serve_as_owner (struct am_board *b, struct am_service *s,
                 const struct am_member *sender, const struct introduction *in)
@@ -225,33 +270,27 @@
   struct am_tracked *t = s->binding_state;
   struct am_tracked_bucket *k
       = &t->buckets[am_tracked_bucket_of (s, in->caller)];
-  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
-  const struct am_upstream *u
-      = f ? am_tracked_upstream (s, f->upstream_id, f->incarnation) : NULL;
-  const struct am_member *former;
+  struct am_tracked_flow *f = find_owned (b, s, in);
+  const struct am_member *former
+      = f || in->hint_id ? NULL : former_owner (b, k, in);
+  const struct am_upstream *u;
 
-  if (f && !u)
-    {
-      am_tracked_forget (t, f);
-      f = NULL;
-    }
-  if (!f && !in->hint_id)
+  if (former)
     {
       struct introduction ask = *in;
 
-      former = former_owner (b, k, in);
       ask.flags = FLAG_ASKED;
-      if (former)
-        return send_introduction (b, s, former, &ask);
+      return send_introduction (b, s, former, &ask);
     }
   if (!f)
     f = bind_new (b, s, in);
   if (!f)
     return AM_E_NO_UPSTREAM;
-  if (!u)
-    u = am_service_upstream (s, f->upstream_id);
   f->owned = true;
-  am_tracked_assign (b, t, f, u);
+  am_tracked_assign (b, s, f, f->upstream_id, f->incarnation);
+  u = am_tracked_upstream_of (s, f);
+  if (!u)
+    return return_to_sender (b, s, sender, in, f);
   deliver (b, t, f, u, in->data, in->len);
   correct_sender (b, s, sender, in, f, u);
   return AM_OK;
@@ -263,16 +302,14 @@
                  const struct am_member *sender, const struct introduction *in)
 {
   struct am_tracked *t = s->binding_state;
-  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
-  const struct am_upstream *u
-      = f ? am_tracked_upstream (s, f->upstream_id, f->incarnation) : NULL;
+  const struct am_tracked_flow *f = am_tracked_find (t, in->caller);
   struct introduction back = *in;
 
   if (!sender)
     return AM_E_NOT_FOUND;
   back.flags = FLAG_RETURNED;
-  back.hint_id = u ? u->id : 0;
-  back.hint_incarnation = u ? u->incarnation : 0;
+  back.hint_id = f ? f->upstream_id : 0;
+  back.hint_incarnation = f ? f->incarnation : 0;
   back.guess_id = back.hint_id;
   return send_introduction (b, s, sender, &back);
 }
@@ -322,7 +359,7 @@
     {
       f = am_tracked_add (b, s, in->caller);
       if (f)
-        am_tracked_assign (b, t, f, u);
+        am_tracked_assign (b, s, f, u->id, u->incarnation);
       am_board_decision (
           b, am_address_key (in->caller),
           "event=introduced flow=%llu service=%s owner=%s bucket=%u "
@@ -387,6 +424,27 @@
   return AM_OK;
 }
 
+/* The owner leaves the delivery of IN to this entry VM.  */
+static int
+deliver_for_owner (struct am_board *b, struct am_service *s,
+                   const struct introduction *in)
+{
+  struct am_tracked *t = s->binding_state;
+  const struct am_upstream *u
+      = am_tracked_upstream (s, in->hint_id, in->hint_incarnation);
+  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
+
+  if (!u)
+    return AM_E_UPSTREAM_UNKNOWN;
+  if (!f)
+    f = am_tracked_add (b, s, in->caller);
+  if (!f)
+    return AM_E_MEMORY;
+  am_tracked_assign (b, s, f, u->id, u->incarnation);
+  deliver (b, t, f, u, in->data, in->len);
+  return AM_OK;
+}
+
 /* ---- peers -------------------------------------------------------- */
 
 static int
@@ -399,11 +457,15 @@
 
   if (err)
     return err;
+  if (in.flags & FLAG_DELIVER)
+    return deliver_for_owner (b, s, &in);
   if (in.flags & FLAG_ASKED)
     return serve_as_former (b, s, sender, &in);
   return serve_as_owner (b, s, sender, &in);
 }
 
+/* A flow at an upstream that is not known here is forgotten, so that all its
+   packets go through the owner.  */
 static int
 take_bind (struct am_board *b, struct am_service *s, const uint8_t *body,
            size_t len)
@@ -416,9 +478,12 @@
     return AM_E_FORMAT;
   u = am_tracked_upstream (s, am_get_u32 (body + 7), am_get_u32 (body + 11));
   f = am_tracked_find (t, get_address (body + 1));
-  if (!f || !u)
+  if (!f)
     return AM_E_NOT_FOUND;
-  am_tracked_assign (b, t, f, u);
+  if (u)
+    am_tracked_assign (b, s, f, u->id, u->incarnation);
+  else
+    am_tracked_forget (t, f);
   return AM_OK;
 }
 
--- a/src/core/tracked_copy.c
+++ b/src/core/tracked_copy.c
@@ -165,11 +165,12 @@
 {
   struct am_tracked *t = s->binding_state;
   struct am_address caller = { am_get_u32 (p), am_get_u16 (p + 4) };
-  const struct am_upstream *u
-      = am_tracked_upstream (s, am_get_u32 (p + 6), am_get_u32 (p + 10));
+  uint32_t id = am_get_u32 (p + 6);
+  uint32_t incarnation = am_get_u32 (p + 10);
   struct am_tracked_flow *f;
 
-  if (!u)
+  if (!am_tracked_upstream (s, id, incarnation)
+      && !am_tracked_is_newer (s, id, incarnation))
     return;
   f = am_tracked_find (t, caller);
   if (!f)
@@ -177,7 +178,7 @@
   if (!f)
     return;
   am_tracked_touch (b, t, f);
-  am_tracked_assign (b, t, f, u);
+  am_tracked_assign (b, s, f, id, incarnation);
 }
 
 int
--- a/src/core/tracked_table.c
+++ b/src/core/tracked_table.c
@@ -99,15 +99,44 @@
   return u;
 }
 
+bool
+am_tracked_is_newer (struct am_service *s, uint32_t id, uint32_t incarnation)
+{
+  const struct am_upstream *u = am_service_upstream (s, id);
+
+  return id != 0 && (!u || u->incarnation < incarnation);
+}
+
+struct am_upstream *
+am_tracked_upstream_of (struct am_service *s, const struct am_tracked_flow *f)
+{
+  return am_tracked_upstream (s, f->upstream_id, f->incarnation);
+}
+
+bool
+am_tracked_is_unplaced (const struct am_board *b, struct am_service *s,
+                        const struct am_tracked_flow *f)
+{
+  return f->unplaced_since_us != 0
+         && b->now_us - f->unplaced_since_us < AM_TRACKED_UNPLACED_US
+         && am_tracked_is_newer (s, f->upstream_id, f->incarnation);
+}
+
 void
-am_tracked_assign (struct am_board *b, struct am_tracked *t,
-                   struct am_tracked_flow *f, const struct am_upstream *u)
+am_tracked_assign (struct am_board *b, struct am_service *s,
+                   struct am_tracked_flow *f, uint32_t id,
+                   uint32_t incarnation)
 {
+  struct am_tracked *t = s->binding_state;
   struct am_tracked_bucket *k = &t->buckets[f->bucket];
-  bool exception = am_tracked_is_owner (b, k) && u->id != k->default_id;
-
-  f->upstream_id = u->id;
-  f->incarnation = u->incarnation;
+  bool exception = am_tracked_is_owner (b, k) && id != k->default_id;
+
+  f->upstream_id = id;
+  f->incarnation = incarnation;
+  if (am_tracked_upstream (s, id, incarnation))
+    f->unplaced_since_us = 0;
+  else if (!f->unplaced_since_us)
+    f->unplaced_since_us = b->now_us;
   if (exception && !f->exception)
     {
       b->counters.tracked_exceptions++;
@@ -250,7 +279,7 @@
 
     f->exception = false;
     f->owned = was_owned && am_tracked_is_owner (b, k);
-    if (!am_tracked_upstream (s, f->upstream_id, f->incarnation))
+    if (!am_tracked_upstream_of (s, f) && !am_tracked_is_unplaced (b, s, f))
       {
         am_tracked_forget (t, f);
         continue;
