--- /dev/null
+++ b/test/test_ticket_binding.c
@@ -0,0 +1,354 @@
+#include "core_fixture.h"
+
+#include "core/opening.h"
+
+static struct net net;
+static struct config config;
+
+static void
+begin (size_t nodes, size_t upstreams)
+{
+  net_init (&net, nodes);
+  config_init (&config, AMARANTH__BINDING__BINDING_TICKET, upstreams, nodes);
+  net_apply_all (&net, &config);
+}
+
+/* Guards against flow state in an entry VM: a ticket of one must route through
+   another that never saw the flow.  */
+START_TEST (test_any_vm_routes)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct am_address at;
+
+  begin (2, 2);
+  at = net_open_flow (&net, 0, 5, ticket);
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct kept_action *k;
+
+      ck_assert_int_eq (
+          net_flow_packet (&net, i, AM_PACKET_DATA, 5, ticket, 'x'), AM_OK);
+      k = net_take (&net, AM_ACTION_UPSTREAM);
+      ck_assert_ptr_nonnull (k);
+      ck_assert (am_address_equal (k->a.to, at));
+      ck_assert_uint_eq (k->a.service_id, 77);
+    }
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against delivery on a ticket of another caller, connection or
+   service, or on none: each must be a typed reset and nothing else.  */
+START_TEST (test_foreign_tickets)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  uint8_t bent[AM_TICKET_SIZE];
+
+  begin (1, 2);
+  net_open_flow (&net, 0, 5, ticket);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 6, ticket, 'x');
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_AUTH);
+  for (size_t i = 0; i < AM_TICKET_SIZE; i++)
+    {
+      memcpy (bent, ticket, sizeof bent);
+      bent[i] ^= 0x10;
+      ck_assert_int_lt (
+          net_flow_packet (&net, 0, AM_PACKET_DATA, 5, bent, 'x'), 0);
+      net_to_caller (&net, AM_PACKET_RESET);
+    }
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 5, NULL, 'x');
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_TICKET);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against delivery to the service that took over an address: its own
+   id is not the ticket's.  */
+START_TEST (test_service_address_reused)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+
+  begin (1, 2);
+  net_open_flow (&net, 0, 5, ticket);
+  config.service.id = 78;
+  config.service.name = "booking";
+  ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 5, ticket, 'x');
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_TICKET);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+struct upstream_case
+{
+  Amaranth__UpstreamState state;
+  bool removed;
+  uint32_t incarnation;
+  int expected; /* of DATA with an old ticket */
+};
+
+/* Guards against cutting flows of a leaving upstream and against delivering to
+   one that is gone or replaced: every packet type in every state.  */
+START_TEST (test_upstream_states)
+{
+  static const struct upstream_case cases[] = {
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE, false, 1, AM_OK },
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING, false, 1, AM_OK },
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED, false, 1,
+      AM_E_UPSTREAM_UNKNOWN },
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE, true, 1,
+      AM_E_UPSTREAM_UNKNOWN },
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE, false, 2, AM_E_INCARNATION },
+    { AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING, false, 2, AM_E_INCARNATION }
+  };
+  static const uint8_t types[]
+      = { AM_PACKET_DATA, AM_PACKET_PING, AM_PACKET_CLOSE };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    for (size_t j = 0; j < sizeof types; j++)
+      {
+        const struct upstream_case *c = &cases[i];
+        uint8_t ticket[AM_TICKET_SIZE];
+
+        begin (1, 1);
+        net_open_flow (&net, 0, 5, ticket);
+        config.service.revision = 2;
+        config.upstream[0].state = c->state;
+        config.upstream[0].incarnation = c->incarnation;
+        config.service.n_upstreams = c->removed ? 0 : 1;
+        ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+        ck_assert_int_eq (net_flow_packet (&net, 0, types[j], 5, ticket, 0),
+                          c->expected);
+        ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM),
+                           c->expected == AM_OK);
+        if (c->expected)
+          ck_assert_int_eq (net_reset_reason (&net), c->expected);
+        net_finish (&net);
+      }
+}
+END_TEST
+
+/* Guards against broken flows while a change is in force on some entry VMs
+   only: one that does not know the upstream passes the packet to the issuer,
+   once, and the issuer delivers.  */
+START_TEST (test_stale_vm_passes_to_issuer)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct kept_action *k;
+  struct am_address at;
+
+  begin (2, 1);
+  config.service.revision = 2;
+  config.service.n_upstreams = 2;
+  config.upstream[0].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
+  ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+  at = net_open_flow (&net, 0, 5, ticket);
+  ck_assert_uint_eq (at.ip, config.upstream[1].ip);
+  ck_assert_int_eq (net_flow_packet (&net, 1, AM_PACKET_DATA, 5, ticket, 'x'),
+                    AM_OK);
+  ck_assert_uint_eq (net_pump (&net), 1);
+  k = net_take (&net, AM_ACTION_UPSTREAM);
+  ck_assert_ptr_nonnull (k);
+  ck_assert_uint_eq (k->node, 0);
+  ck_assert (am_address_equal (k->a.to, at));
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CALLER), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a packet that two stale entry VMs pass to and fro.  */
+START_TEST (test_one_hop_only)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+
+  begin (2, 1);
+  net_open_flow (&net, 0, 5, ticket);
+  config.service.revision = 2;
+  config.service.n_upstreams = 0;
+  net_apply_all (&net, &config);
+  net_flow_packet (&net, 1, AM_PACKET_DATA, 5, ticket, 'x');
+  ck_assert_uint_eq (net_pump (&net), 1);
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_UPSTREAM_UNKNOWN);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CALLER), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against cutting idle flows that answer, and against keeping those
+   that do not: the bound is the record's number of misses.  */
+START_TEST (test_silent_flow)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+
+  begin (2, 1);
+  net_open_flow (&net, 0, 5, ticket);
+  for (uint8_t misses = 0; misses < 3; misses++)
+    {
+      net_flow_packet (&net, 1, AM_PACKET_PING, 5, ticket, misses);
+      ck_assert_ptr_nonnull (net_take (&net, AM_ACTION_UPSTREAM));
+      ck_assert_uint_eq (net_count (&net, AM_ACTION_CALLER), 0);
+    }
+  net_flow_packet (&net, 1, AM_PACKET_PING, 5, ticket, 3);
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_SILENT);
+  ck_assert_uint_eq (net.nodes[1].board.counters.silent, 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a count of own flows that only grows: CLOSE at another entry
+   VM must reach upstream and issuer, once each.  */
+START_TEST (test_close_reaches_issuer)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct am_service *s;
+
+  begin (2, 1);
+  net_open_flow (&net, 0, 5, ticket);
+  s = am_board_service (&net.nodes[0].board, 77);
+  ck_assert_uint_eq (am_service_upstream (s, 500)->use.flows, 1);
+  for (int i = 0; i < 2; i++)
+    {
+      net_flow_packet (&net, 1, AM_PACKET_CLOSE, 5, ticket, 0);
+      net_pump (&net);
+      ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 1);
+      net_take (&net, AM_ACTION_UPSTREAM);
+      ck_assert_uint_eq (am_service_upstream (s, 500)->use.flows, 0);
+    }
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a count that stays too high after an upstream restarted: its
+   report decides about flows not seen since.  */
+START_TEST (test_count_follows_restart)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct am_upstream *u;
+
+  begin (1, 1);
+  for (uint64_t id = 1; id <= 5; id++)
+    net_open_flow (&net, 0, id, ticket);
+  u = am_service_upstream (am_board_service (&net.nodes[0].board, 77), 500);
+  ck_assert_uint_eq (u->use.flows, 5);
+  for (int i = 0; i < 32; i++)
+    {
+      net_run (&net, SECOND);
+      net.kept_count = 0;
+      net_answer (&net, 0, (struct am_address){ 0x7f280701, 9000 },
+                  AM_PACKET_PONG, 99, 0);
+      net.kept_count = 0;
+    }
+  net_run (&net, 2 * SECOND);
+  ck_assert_uint_eq (u->use.flows, 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against upstream replies that change on the way or reach another
+   caller, and against resets whose reason is lost.  */
+START_TEST (test_replies)
+{
+  struct am_address at = { 0x7f280701, 9000 };
+  struct am_address other = { 0x7f280799, 9000 };
+  struct am_packet p = { .type = AM_PACKET_DATA,
+                         .connection_id = 5,
+                         .body = (const uint8_t *)"alert",
+                         .body_len = 5 };
+
+  begin (1, 1);
+  ck_assert_int_eq (net_from_upstream (&net, 0, at, &p), AM_OK);
+  p = net_to_caller (&net, AM_PACKET_DATA);
+  ck_assert_mem_eq (p.body, "alert", 5);
+  net_answer (&net, 0, at, AM_PACKET_RESET, 5, AM_E_FLOW_UNKNOWN);
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_FLOW_UNKNOWN);
+  p.type = AM_PACKET_ANSWER;
+  ck_assert_int_eq (net_from_upstream (&net, 0, at, &p), AM_E_FORMAT);
+  ck_assert_int_eq (net_from_upstream (&net, 0, other, &p),
+                    AM_E_UPSTREAM_UNKNOWN);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CALLER), 0);
+  net_finish (&net);
+}
+END_TEST
+
+static void
+issue (uint64_t id, uint8_t *ticket)
+{
+  struct am_packet p;
+
+  ck_assert_int_eq (net_open (&net, 0, id, AM_OPEN_REQUEST), AM_OK);
+  p = net_to_caller (&net, AM_PACKET_OPENED);
+  memcpy (ticket, p.ticket, AM_TICKET_SIZE);
+}
+
+static int
+outcome_reason (void)
+{
+  struct am_packet p = net_to_caller (&net, AM_PACKET_OUTCOME);
+
+  ck_assert_uint_eq (p.body[0], AM_OUTCOME_UNKNOWN);
+  return (int32_t)am_get_u32 (p.body + 1);
+}
+
+/* Guards against a request that two processes run: only its issuer may, every
+   other passes it on, or says UNKNOWN when the issuer is gone.  */
+START_TEST (test_request_issuer)
+{
+  static const Amaranth__MemberState gone[]
+      = { AMARANTH__MEMBER_STATE__MEMBER_DEAD,
+          AMARANTH__MEMBER_STATE__MEMBER_LEFT };
+  uint8_t ticket[AM_TICKET_SIZE];
+  uint8_t body[AM_REQUEST_BODY_SIZE + 1] = { 0 };
+  struct am_packet p = { .type = AM_PACKET_REQUEST,
+                         .connection_id = 5,
+                         .ticket = ticket,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  begin (2, 1);
+  issue (5, ticket);
+  ck_assert_int_eq (net_from_caller (&net, 1, &p), AM_OK);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_PEER), 1);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  net_take (&net, AM_ACTION_PEER);
+  for (size_t i = 0; i < 2; i++)
+    {
+      config.member[0].state = gone[i];
+      ck_assert_int_eq (net_apply (&net, 1, &config), AM_OK);
+      ck_assert_int_eq (net_from_caller (&net, 1, &p), AM_E_ISSUER_GONE);
+      ck_assert_int_eq (outcome_reason (), AM_E_ISSUER_GONE);
+      ck_assert_uint_eq (net_count (&net, AM_ACTION_PEER), 0);
+    }
+  net.nodes[0].board.self.boot_id++;
+  ck_assert_int_eq (net_from_caller (&net, 0, &p), AM_E_ISSUER_GONE);
+  ck_assert_int_eq (outcome_reason (), AM_E_ISSUER_GONE);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against tickets of one kind used as the other.  */
+START_TEST (test_kinds_are_apart)
+{
+  uint8_t flow[AM_TICKET_SIZE];
+  uint8_t request[AM_TICKET_SIZE];
+
+  begin (1, 1);
+  net_open_flow (&net, 0, 5, flow);
+  issue (6, request);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 6, request, 0);
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_TICKET);
+  net_flow_packet (&net, 0, AM_PACKET_REQUEST, 5, flow, 0);
+  ck_assert_int_eq (net_reset_reason (&net), AM_E_TICKET);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+RUN_TESTS ("ticket_binding", test_any_vm_routes, test_foreign_tickets,
+           test_service_address_reused, test_upstream_states,
+           test_stale_vm_passes_to_issuer, test_one_hop_only, test_silent_flow,
+           test_close_reaches_issuer, test_count_follows_restart, test_replies,
+           test_request_issuer, test_kinds_are_apart)
