Hand tracked flows back to an owner that restarted

Cause: an owner that restarts under the same id has an empty table, and a flow at an upstream other than the default moved unless an entry VM with a hint saw its next packet first. Change: when the owner's boot id changes, the others send it the exceptions they know and introduce flows again. After: test_copies_are_handed_back passes; without the change it fails.

--- a/src/core/snapshot.c
+++ b/src/core/snapshot.c
@@ -517,8 +517,9 @@
     err = apply_services (b, snap);
   apply_keys (b, snap);
   apply_verdicts (b, snap);
-  b->snapshot_digest = snap->digest;
   derive (b);
+  if (!err)
+    b->snapshot_digest = snap->digest;
   return err;
 }
 
--- a/src/core/tracked.h
+++ b/src/core/tracked.h
@@ -72,7 +72,9 @@
   uint32_t epoch;      /* raised when default or owner changes */
   uint32_t exceptions; /* at the owner: flows not at the default */
   uint64_t owner_since_us;
-  bool changed; /* not the owner: every packet goes through it */
+  uint64_t owner_boot_id; /* 0: unknown */
+  bool owner_restarted;   /* found by the present recomputation */
+  bool changed;           /* not the owner: every packet goes through it */
 };
 
 struct am_tracked_flow
--- a/src/core/tracked_table.c
+++ b/src/core/tracked_table.c
@@ -220,6 +220,22 @@
   return former ? 0 : backup;
 }
 
+/* Returns true if the owner of K is another process than before, with an empty
+   table.  */
+static bool
+note_owner_process (struct am_board *b, struct am_tracked_bucket *k,
+                    uint32_t owner)
+{
+  const struct am_member *m = am_board_member (b, owner);
+  uint64_t boot_id = m ? m->boot_id : 0;
+  bool restarted = owner == k->owner_id && owner != b->self.id && boot_id
+                   && k->owner_boot_id && boot_id != k->owner_boot_id;
+
+  if (boot_id || owner != k->owner_id)
+    k->owner_boot_id = boot_id;
+  return restarted;
+}
+
 static void
 recompute_bucket (struct am_board *b, struct am_service *s, uint32_t bucket)
 {
@@ -233,7 +249,9 @@
   pick_owners (s, key, &owner, &backup);
   k->backup_id = backup;
   k->exceptions = 0;
-  if (default_id == k->default_id && owner == k->owner_id)
+  k->owner_restarted = note_owner_process (b, k, owner);
+  if (default_id == k->default_id && owner == k->owner_id
+      && !k->owner_restarted)
     return;
   if (owner != k->owner_id)
     {
@@ -259,13 +277,17 @@
     digest = am_hash_bytes (fields, sizeof fields, digest);
   }
   for (size_t i = 0; i < s->home_count; i++)
-    digest = am_hash_bytes (&s->home_set[i]->id, sizeof s->home_set[i]->id,
-                            digest);
+    {
+      uint64_t fields[] = { s->home_set[i]->id, s->home_set[i]->boot_id };
+
+      digest = am_hash_bytes (fields, sizeof fields, digest);
+    }
   return digest | 1;
 }
 
-/* Recounts the exceptions; copies them to the backup, and those of buckets
-   that now belong to another entry VM to the new owner.  */
+/* Recounts the exceptions; copies them to the backup, those of buckets that
+   now belong to another entry VM to the new owner, and all that is known here
+   to an owner that restarted.  */
 static void
 recount (struct am_board *b, struct am_service *s)
 {
@@ -291,7 +313,7 @@
       }
     if (am_tracked_is_owner (b, k))
       set_exception (t, f, true);
-    if (am_tracked_is_owner (b, k) || was_owned)
+    if (am_tracked_is_owner (b, k) || was_owned || k->owner_restarted)
       am_tracked_copy_plan (t, f);
   }
 }
--- a/test/test_tracked_binding.c
+++ b/test/test_tracked_binding.c
@@ -302,6 +302,34 @@
 }
 END_TEST
 
+/* Guards against moved flows when an owner restarts and only its backup has
+   copies of the exceptions: they must be handed back.  */
+START_TEST (test_copies_are_handed_back)
+{
+  struct am_address at[FLOWS];
+  struct am_dispatch_options o
+      = { .self = { .id = 1, .name = "vm", .region = "r", .boot_id = 2000 },
+          .peer_key = fixture_peer_key,
+          .sink = { keep, &net } };
+
+  begin (3, 3);
+  for (uint16_t i = 0; i < FLOWS; i++)
+    at[i] = packet (0, i);
+  config.service.revision = 2;
+  config.upstream[0].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
+  net_apply_all (&net, &config);
+  run (40 * SECOND);
+  am_dispatch_finish (&net.nodes[0]);
+  ck_assert_int_eq (am_dispatch_init (&net.nodes[0], &o), AM_OK);
+  config.member[0].boot_id = 2000;
+  net_apply_all (&net, &config);
+  run (AM_TRACKED_WARMUP_US + 5 * SECOND);
+  check_all (at, 1);
+  check_all (at, 7);
+  net_finish (&net);
+}
+END_TEST
+
 /* Guards against moved flows when an entry VM joins and becomes the owner of
    flows it never saw: it asks the former owner.  */
 START_TEST (test_owner_joins)
@@ -455,6 +483,6 @@
 RUN_TESTS ("tracked_binding", test_all_vms_agree, test_upstreams_change,
            test_views_differ, test_next_owner_is_stale, test_lost_corrections,
            test_planned_stop, test_owner_dies, test_owner_restarts,
-           test_owner_joins, test_copies_are_paced, test_copy_is_resent,
-           test_idle_flows_expire, test_silence_is_reported,
-           test_short_messages)
+           test_copies_are_handed_back, test_owner_joins,
+           test_copies_are_paced, test_copy_is_resent, test_idle_flows_expire,
+           test_silence_is_reported, test_short_messages)
