--- a/src/forwarder/decision_log.c
+++ b/src/forwarder/decision_log.c
@@ -8,6 +8,7 @@
 
 #define KIND_PREFIX "event="
 #define SECOND_US 1000000u
+#define SERIAL_SIZE 32
 
 int
 am_decision_log_init (struct am_decision_log *d, struct am_log *log,
@@ -93,19 +94,30 @@
     }
 }
 
+static bool
+is_about (const struct am_decision_line *l, uint64_t id, const char *serial)
+{
+  const char *at = strstr (l->text, serial);
+  char end = at ? at[strlen (serial)] : 'x';
+
+  return l->tag == id || end == ' ' || end == '\0';
+}
+
 size_t
-am_decision_log_find (const struct am_decision_log *d, uint64_t tag,
+am_decision_log_find (const struct am_decision_log *d, uint64_t id,
                       const char **lines, size_t max)
 {
   size_t first = d->count < AM_DECISION_RING_SIZE ? 0 : d->next;
+  char serial[SERIAL_SIZE];
   size_t n = 0;
 
+  snprintf (serial, sizeof serial, "serial=%llu", (unsigned long long)id);
   for (size_t i = 0; i < d->count && n < max; i++)
     {
       const struct am_decision_line *l
           = &d->ring[(first + i) % AM_DECISION_RING_SIZE];
 
-      if (l->tag == tag)
+      if (is_about (l, id, serial))
         lines[n++] = l->text;
     }
   return n;
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -40,6 +40,7 @@
 
   uv_timer_t tick;
   uv_timer_t second;
+  uv_timer_t grace; /* of the exit */
   uv_signal_t sigterm;
   uv_signal_t sighup;
   bool exiting;
