--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -50,6 +50,22 @@
   am_dispatch_report_free (&report);
 }
 
+/* Tells a new agent the snapshot in force, so that it does not lower it.  */
+static void
+send_snapshot (struct am_forwarder *f, struct am_stream *s)
+{
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+
+  if (!f->snapshot)
+    return;
+  e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
+  e.snapshot = amaranth__snapshot__unpack (NULL, f->snapshot_len, f->snapshot);
+  if (!e.snapshot)
+    return;
+  send_envelope (s, &e);
+  amaranth__snapshot__free_unpacked (e.snapshot, NULL);
+}
+
 static void
 take_snapshot (struct am_forwarder *f, struct am_stream *s,
                Amaranth__Snapshot *snapshot)
@@ -65,9 +81,15 @@
   amaranth__snapshot__pack (snapshot, data);
   e.data = data;
   err = am_forwarder_event (f, &e);
-  free (data);
-  if (err)
+  if (!err)
+    {
+      free (f->snapshot);
+      f->snapshot = data;
+      f->snapshot_len = e.len;
+    }
+  else
     {
+      free (data);
       am_log_line (&f->log, AM_LOG_WARNING,
                    "event=snapshot_refused digest=%016llx reason=%s",
                    (unsigned long long)snapshot->digest, am_error_name (err));
@@ -144,6 +166,17 @@
     }
 }
 
+/* An agent speaks only after it knows the boot id and what is in force.  */
+static void
+on_connected (void *userdata, struct am_stream *s)
+{
+  struct am_forwarder *f = userdata;
+
+  am_list_push_back (&f->control_streams, &s->node);
+  send_report (f, s);
+  send_snapshot (f, s);
+}
+
 static void
 on_message (void *userdata, struct am_stream *s, const uint8_t *data,
             size_t len)
@@ -151,8 +184,6 @@
   struct am_forwarder *f = userdata;
   Amaranth__Envelope *e;
 
-  if (am_list_empty (&s->node))
-    am_list_push_back (&f->control_streams, &s->node);
   e = amaranth__envelope__unpack (NULL, len, data);
   if (!e)
     {
@@ -177,8 +208,9 @@
 int
 am_control_open (struct am_forwarder *f)
 {
-  static const struct am_stream_callbacks callbacks
-      = { .message = on_message, .closed = on_closed };
+  static const struct am_stream_callbacks callbacks = {
+    .message = on_message, .connected = on_connected, .closed = on_closed
+  };
   struct am_address address
       = am_settings_address (f->settings, f->settings->ports.control);
   int err;
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -388,5 +388,6 @@
   uv_loop_close (&f->loop);
   am_log_line (&f->log, AM_LOG_NOTICE, "event=stopped");
   finish_core (f);
+  free (f->snapshot);
   am_settings_free (f->settings);
 }
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -194,6 +194,8 @@
       return;
     }
   start (s);
+  if (s->callbacks.connected && !s->closing)
+    s->callbacks.connected (s->userdata, s);
 }
 
 int
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -40,7 +40,7 @@
   /* One message; valid during the call.  The callback may close S.  */
   void (*message) (void *userdata, struct am_stream *s, const uint8_t *data,
                    size_t len);
-  /* An outgoing connection is established.  May be NULL.  */
+  /* The connection is established, outgoing or accepted.  May be NULL.  */
   void (*connected) (void *userdata, struct am_stream *s);
   /* S has ended for the reason ERROR (AM_OK: by the peer or by
      am_stream_close) and is freed after the call.  */
