--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/error.h"
+#include "core/snapshot_pack.h"
 #include "wire/amaranth.pb-c.h"
 
 /* Agents of this entry VM: one, and its successor during a restart.  */
@@ -50,16 +51,19 @@
   am_dispatch_report_free (&report);
 }
 
-/* Tells a new agent the snapshot in force, so that it does not lower it.  */
+/* Tells an agent the snapshot in force, so that it does not offer less.  */
 static void
 send_snapshot (struct am_forwarder *f, struct am_stream *s)
 {
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  uint8_t *data;
+  size_t len;
 
-  if (!f->snapshot)
+  if (am_snapshot_pack (&f->dispatch.board, &data, &len))
     return;
   e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
-  e.snapshot = amaranth__snapshot__unpack (NULL, f->snapshot_len, f->snapshot);
+  e.snapshot = amaranth__snapshot__unpack (NULL, len, data);
+  free (data);
   if (!e.snapshot)
     return;
   send_envelope (s, &e);
@@ -81,15 +85,9 @@
   amaranth__snapshot__pack (snapshot, data);
   e.data = data;
   err = am_forwarder_event (f, &e);
-  if (!err)
-    {
-      free (f->snapshot);
-      f->snapshot = data;
-      f->snapshot_len = e.len;
-    }
-  else
+  free (data);
+  if (err)
     {
-      free (data);
       am_log_line (&f->log, AM_LOG_WARNING,
                    "event=snapshot_refused digest=%016llx reason=%s",
                    (unsigned long long)snapshot->digest, am_error_name (err));
@@ -149,6 +147,10 @@
     case AMARANTH__ENVELOPE__BODY_SNAPSHOT:
       take_snapshot (f, s, e->snapshot);
       return;
+    case AMARANTH__ENVELOPE__BODY_STATUS_REQUEST:
+      send_snapshot (f, s);
+      send_report (f, s);
+      return;
     case AMARANTH__ENVELOPE__BODY_SET_LOG_LEVEL:
       take_log_level (f, s, e->set_log_level->level);
       return;
@@ -173,8 +175,8 @@
   struct am_forwarder *f = userdata;
 
   am_list_push_back (&f->control_streams, &s->node);
-  send_report (f, s);
   send_snapshot (f, s);
+  send_report (f, s);
 }
 
 static void
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -12,10 +12,6 @@
 #define PROGRAM "amaranth-forwarder"
 #define TICK_MS (AM_TICK_US / 1000)
 #define SECOND_MS 1000
-
-/* A control connection that never sent a message is not known here and would
-   keep the loop running.  */
-#define EXIT_GRACE_MS 200
 #define NANOSECONDS_PER_US 1000
 
 /* ---- core --------------------------------------------------------- */
@@ -124,12 +120,6 @@
     (void)am_forwarder_event (f, &e);
 }
 
-static void
-on_grace_over (uv_timer_t *handle)
-{
-  uv_stop (handle->loop);
-}
-
 /* ---- stop --------------------------------------------------------- */
 
 static void
@@ -145,8 +135,6 @@
   am_udp_close (&f->data);
   am_udp_close (&f->peer);
   am_pool_finish (&f->pool);
-  uv_timer_start (&f->grace, on_grace_over, EXIT_GRACE_MS, 0);
-  uv_unref ((uv_handle_t *)&f->grace);
 }
 
 void
@@ -279,7 +267,6 @@
 {
   uv_timer_init (&f->loop, &f->tick);
   uv_timer_init (&f->loop, &f->second);
-  uv_timer_init (&f->loop, &f->grace);
   uv_signal_init (&f->loop, &f->sigterm);
   uv_signal_init (&f->loop, &f->sighup);
   f->tick.data = f;
@@ -388,6 +375,5 @@
   uv_loop_close (&f->loop);
   am_log_line (&f->log, AM_LOG_NOTICE, "event=stopped");
   finish_core (f);
-  free (f->snapshot);
   am_settings_free (f->settings);
 }
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -35,14 +35,11 @@
   struct am_pool pool;
   struct am_listener control;
   struct am_list control_streams; /* of struct am_stream */
-  uint8_t *snapshot;              /* in force, packed; owned; NULL: none */
-  size_t snapshot_len;
   struct am_metrics_port metrics;
   struct am_histogram durations[AM_FORWARDER_EVENT_TYPES];
 
   uv_timer_t tick;
   uv_timer_t second;
-  uv_timer_t grace; /* of the exit */
   uv_signal_t sigterm;
   uv_signal_t sighup;
   bool exiting;
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -1,6 +1,7 @@
 #include "core_fixture.h"
 
 #include "core/snapshot.h"
+#include "core/snapshot_pack.h"
 
 static struct net net;
 static struct config config;
@@ -216,6 +217,50 @@
 }
 END_TEST
 
+/* Guards against a new agent that learns less than what is in force: packed
+   and applied elsewhere, the snapshot gives the same again.  */
+START_TEST (test_pack_in_force)
+{
+  struct am_event e = { .type = AM_EVENT_SNAPSHOT };
+  uint8_t *first;
+  uint8_t *second;
+  size_t first_len;
+  size_t second_len;
+
+  begin (3);
+  config.snapshot.digest = 4711;
+  config.service.revision = 6;
+  config.service.policy = AMARANTH__POLICY__POLICY_LOCAL;
+  config.service.objective = AMARANTH__OBJECTIVE__OBJECTIVE_IMBALANCE;
+  config.upstream[1].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
+  config.snapshot.n_keys = 2;
+  net_apply_all (&net, &config);
+  config.snapshot.n_services = 0;
+  config.snapshot.n_keys = 0;
+  net_apply_all (&net, &config);
+  ck_assert_int_eq (am_snapshot_pack (&net.nodes[0].board, &first, &first_len),
+                    AM_OK);
+  net_finish (&net);
+  net_init (&net, 1);
+  ck_assert_int_eq (
+      am_snapshot_pack (&net.nodes[0].board, &second, &second_len),
+      AM_E_NOT_FOUND);
+  e.data = first;
+  e.len = first_len;
+  ck_assert_int_eq (net_event (&net, 0, &e), AM_OK);
+  ck_assert_int_eq (
+      am_snapshot_pack (&net.nodes[0].board, &second, &second_len), AM_OK);
+  ck_assert_uint_eq (first_len, second_len);
+  ck_assert_mem_eq (first, second, first_len);
+  ck_assert_uint_eq (service ()->revision, 6);
+  ck_assert_uint_eq (net.nodes[0].board.key_count, 2);
+  ck_assert_uint_eq (service ()->home_count, 3);
+  free (first);
+  free (second);
+  net_finish (&net);
+}
+END_TEST
+
 /* Guards against a verdict that outlives its reason.  */
 START_TEST (test_verdicts)
 {
@@ -243,4 +288,4 @@
            test_services_leave_only_when_retired,
            test_address_of_newer_service_stays,
            test_missing_members_are_kept_a_while, test_home_set_by_state,
-           test_verdicts)
+           test_pack_in_force, test_verdicts)
