Bound the wait in admission queues and measure overload

Cause: a queue full by number took more than 5 s to work off at load 0.7 after an overload, and a refusal lowered the estimate of the time to answer throughout an overload. Change: admission refuses a wait above a fifth of the deadline (1 s at least), estimates include the deviation and decay only without answers.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -9,8 +9,13 @@
 /* Weight of a new sample in the smoothed time to answer is 1/8.  */
 #define ANSWER_SMOOTHING 8u
 
-/* A refusal lowers the estimate by 1/32.  */
-#define ESTIMATE_DECAY 32u
+/* A refusal lowers an estimate older than this by 1/8.  Lowering it at every
+   refusal made it too low throughout an overload.  */
+#define ESTIMATE_LIFE_US 1000000u
+#define ESTIMATE_DECAY 8u
+
+/* As in the retransmission timer of TCP (RFC 6298).  */
+#define SPREAD_FACTOR 4u
 
 int
 am_admission_prepare (struct am_service *s)
@@ -70,6 +75,7 @@
     }
   c->id = id;
   c->answer_us = 0;
+  c->spread_us = 0;
   return c;
 }
 
@@ -132,6 +138,23 @@
   return r->deadline_us > b->now_us ? r->deadline_us - b->now_us : 0;
 }
 
+static void
+lower_estimate (const struct am_board *b, struct am_queue_class *c)
+{
+  if (b->now_us - c->sampled_us < ESTIMATE_LIFE_US)
+    return;
+  c->answer_us -= c->answer_us / ESTIMATE_DECAY;
+  c->spread_us -= c->spread_us / ESTIMATE_DECAY;
+}
+
+static uint64_t
+longest_wait (const struct am_board *b, const struct am_request *r)
+{
+  uint64_t share = time_left (b, r) / AM_QUEUE_WAIT_SHARE;
+
+  return share > AM_QUEUE_WAIT_MIN_US ? share : AM_QUEUE_WAIT_MIN_US;
+}
+
 int
 am_admission_check (const struct am_board *b, struct am_service *s,
                     const struct am_request *r, uint32_t limit)
@@ -139,6 +162,7 @@
   struct am_queue_class *c = class_of (s->queue, r->class_id);
   uint64_t slots;
   uint64_t wait_us;
+  int error = AM_OK;
 
   if (c->count >= (limit ? limit : AM_QUEUE_LIMIT_DEFAULT))
     return AM_E_QUEUE_FULL;
@@ -148,10 +172,13 @@
   if (slots == 0)
     return AM_OK;
   wait_us = work_ahead_us (b, s->queue, c, r) / slots;
-  if (wait_us + c->answer_us <= time_left (b, r))
-    return AM_OK;
-  c->answer_us -= c->answer_us / ESTIMATE_DECAY;
-  return AM_E_DEADLINE;
+  if (wait_us + c->answer_us > time_left (b, r))
+    error = AM_E_DEADLINE;
+  else if (wait_us > longest_wait (b, r))
+    error = AM_E_QUEUE_FULL;
+  if (error)
+    lower_estimate (b, c);
+  return error;
 }
 
 void
@@ -201,24 +228,30 @@
 {
   struct am_queue_class *c = class_of (s->queue, r->class_id);
 
-  if (c->answer_us <= time_left (b, r))
+  if (c->answer_us + SPREAD_FACTOR * c->spread_us <= time_left (b, r))
     return true;
-  c->answer_us -= c->answer_us / ESTIMATE_DECAY;
+  lower_estimate (b, c);
   return false;
 }
 
 void
-am_admission_answered (struct am_service *s, uint32_t class_id,
-                       uint64_t answer_us)
+am_admission_answered (const struct am_board *b, struct am_service *s,
+                       uint32_t class_id, uint64_t answer_us)
 {
   struct am_queue_class *c;
+  uint64_t off;
 
   if (!s->queue)
     return;
   c = class_of (s->queue, class_id);
+  c->sampled_us = b->now_us;
+  off = answer_us > c->answer_us ? answer_us - c->answer_us
+                                 : c->answer_us - answer_us;
   if (c->answer_us == 0)
     c->answer_us = answer_us;
   else
-    c->answer_us = (c->answer_us * (ANSWER_SMOOTHING - 1) + answer_us)
-                   / ANSWER_SMOOTHING;
+    c->spread_us
+        = (c->spread_us * (ANSWER_SMOOTHING - 1) + off) / ANSWER_SMOOTHING;
+  c->answer_us
+      = (c->answer_us * (ANSWER_SMOOTHING - 1) + answer_us) / ANSWER_SMOOTHING;
 }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -1,10 +1,11 @@
 /* Admission: one bounded queue per class and service.
 
-   A request is refused at once if the queue of its class is full or its
-   deadline cannot be met with the work ahead of it and the smoothed time to
-   answer.  Order: priority of the class, where each AM_AGE_STEP_US of waiting
-   gains one level, so that no class starves; a weight of 2 gains one level.
-   Within a class first come, first served.  */
+   A request is refused at once if the queue of its class is full, by number
+   or by the time it would take, or if its deadline cannot be met with the
+   work ahead of it and the smoothed time to answer.  Order: priority of the
+   class, where each AM_AGE_STEP_US of waiting gains one level, so that no
+   class starves; a weight of 2 gains one level. Within a class first come,
+   first served.  */
 
 #ifndef AM_CORE_ADMISSION_H
 #define AM_CORE_ADMISSION_H
@@ -15,6 +16,12 @@
 /* Waiting time that outweighs one level of priority.  */
 #define AM_AGE_STEP_US 500000
 
+/* Longest wait that is admitted: a fifth of the deadline, but at least one
+   second.  After an overload of a class with a deadline of 5 s, a load of 0.7
+   works off such a queue in about 3.3 s; a full queue of 64 took over 5 s.  */
+#define AM_QUEUE_WAIT_SHARE 5u
+#define AM_QUEUE_WAIT_MIN_US 1000000u
+
 /* Queue limit of a class whose record gives none.  */
 #define AM_QUEUE_LIMIT_DEFAULT 64u
 
@@ -23,7 +30,9 @@
   uint32_t id;
   struct am_list waiting;
   size_t count;
-  uint64_t answer_us; /* smoothed time to answer, 0: not known */
+  uint64_t answer_us;  /* smoothed time to answer, 0: not known */
+  uint64_t spread_us;  /* smoothed deviation from it */
+  uint64_t sampled_us; /* time of the last answer */
 };
 
 struct am_queue
@@ -53,14 +62,16 @@
 struct am_request *am_admission_next (const struct am_board *b,
                                       const struct am_service *s);
 
-/* Returns true if R, next in its queue, can still be answered in time.  Each
-   refusal lowers the estimate a little, so that one slow answer does not shut
-   a class out for good.  */
+/* Returns true if R, next in its queue, can still be answered in time: by the
+   smoothed time to answer and four deviations, since a one-time request that
+   misses its deadline is UNKNOWN.  Without an answer for a second each
+   refusal lowers the estimate, so that one slow answer does not shut a class
+   out for good.  */
 bool am_admission_worthwhile (const struct am_board *b, struct am_service *s,
                               const struct am_request *r);
 
 /* Notes that a request of class CLASS_ID was answered after ANSWER_US.  */
-void am_admission_answered (struct am_service *s, uint32_t class_id,
-                            uint64_t answer_us);
+void am_admission_answered (const struct am_board *b, struct am_service *s,
+                            uint32_t class_id, uint64_t answer_us);
 
 #endif
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -420,7 +420,7 @@
 
   am_table_free_slot (b, r);
   am_health_ok (b, u, took_us);
-  am_admission_answered (r->service, r->class_id, took_us);
+  am_admission_answered (b, r->service, r->class_id, took_us);
   am_retry_success (r->service);
   if (!step (b, r, AM_REQUEST_ON_ANSWER, AM_OK))
     return;
--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -74,6 +74,8 @@
   double flow_life_us;
   uint32_t retries; /* of a caller after a refusal or its time limit */
   bool lending;
+  bool no_budget;    /* retries of repeatable requests are not bounded */
+  double lost_share; /* of requests that end as UNKNOWN */
 
   /* Model of the upstreams and what was measured.  */
   uint32_t busy[FLEET_UPSTREAMS];
@@ -298,6 +300,8 @@
                          .body = body,
                          .body_len = sizeof body };
 
+  if (e->attempt)
+    o.outcome = AM_OUTCOME_UNKNOWN;
   am_load_encode (&load, body);
   am_outcome_body_encode (&o, body + AM_LOAD_SIZE);
   v->board.now_us = f->now_us;
@@ -325,6 +329,8 @@
   for (uint32_t i = 0; i < FLEET_VMS; i++)
     {
       f->vms[i].board.now_us = f->now_us;
+      if (f->no_budget)
+        f->vms[i].service->retry_tokens = 1e9;
       am_credit_tick (&f->vms[i].board);
       am_requests_tick (&f->vms[i].board);
     }
@@ -366,7 +372,9 @@
     case FLEET_DONE:
       fleet_busy (f, e.upstream, -1);
       e.type = FLEET_STREAM;
-      e.len = AM_PACKET_ANSWER;
+      if (f->lost_share > 0 && am_rng_unit (&f->rng) < f->lost_share)
+        e.attempt = AM_OUTCOME_UNKNOWN;
+      e.len = e.attempt ? AM_PACKET_OUTCOME : AM_PACKET_ANSWER;
       e.at_us = f->now_us + FLEET_DELAY_US;
       fleet_push (f, e);
       break;
