--- a/src/core/control_link.c
+++ b/src/core/control_link.c
@@ -34,6 +34,20 @@
   free (c->link.report);
 }
 
+/* Asks the forwarder what it serves with; it answers with its Snapshot, if it
+   has one, and from then on sends reports.  */
+static void
+ask_snapshot (struct am_control *c)
+{
+  Amaranth__StatusRequest r = AMARANTH__STATUS_REQUEST__INIT;
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct am_address none = { 0 };
+
+  e.body_case = AMARANTH__ENVELOPE__BODY_STATUS_REQUEST;
+  e.status_request = &r;
+  am_control_emit (c, AM_CONTROL_SEND_FORWARDER, none, 0, &e);
+}
+
 void
 am_link_up (struct am_control *c)
 {
@@ -43,6 +57,7 @@
   c->link.dirty = true;
   forget_told (c);
   am_control_log (c, AM_LOG_INFO, "forwarder connected=1");
+  ask_snapshot (c);
 }
 
 void
--- a/src/core/control_link.h
+++ b/src/core/control_link.h
@@ -1,12 +1,13 @@
 /* Link to the forwarder: its reports, and the snapshots for it.
 
    A snapshot is sent at each change, at most ten a second.  An agent never
-   sends an empty or older one to a forwarder that has a newer one.  The
-   forwarder tells the snapshot it serves with when an agent connects; a
-   service or the keys in it that are newer than the agent's records go into
-   the agent's snapshots as they are.  To a forwarder that serves already,
-   nothing is sent until the agent has joined, so that it never takes the other
-   members away.  */
+   sends an empty or older one to a forwarder that has a newer one.  At each
+   connection it asks for the snapshot in force (StatusRequest), which the
+   forwarder answers with Snapshot before its next Report; a service or the
+   keys in it that are newer than the agent's records go into the agent's
+   snapshots as they are.  To a forwarder that serves already, nothing is sent
+   until the agent has joined, so that it never takes the other members away.
+ */
 
 #ifndef AM_CORE_CONTROL_LINK_H
 #define AM_CORE_CONTROL_LINK_H
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -234,6 +234,8 @@
   return AM_OK;
 }
 
+/* An agent that has just started does not know its forwarder's boot id yet;
+   the one held stays, because the forwarder may have gone on.  */
 static int
 take (struct am_control *c, struct am_vm *v, const Amaranth__Member *m,
       Amaranth__MemberState state)
@@ -245,7 +247,8 @@
   v->control_port = (uint16_t)m->control_port;
   v->peer_port = (uint16_t)m->peer_port;
   v->incarnation = m->incarnation;
-  v->boot_id = m->boot_id;
+  if (m->boot_id)
+    v->boot_id = m->boot_id;
   v->config_digest = m->config_digest;
   set_state (c, v, state, "update");
   c->verdicts.stale = true;
--- a/test/control_net.h
+++ b/test/control_net.h
@@ -475,6 +475,28 @@
   return 0;
 }
 
+/* The forwarder tells the snapshot it serves with to an agent that has
+   connected.  */
+static void
+net_tell_snapshot (struct net *n, size_t node)
+{
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
+  uint8_t *buf;
+
+  if (!n->nodes[node].forwarder.snapshot)
+    return;
+  e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
+  e.snapshot = n->nodes[node].forwarder.snapshot;
+  event.len = amaranth__envelope__get_packed_size (&e);
+  buf = malloc (event.len + 1);
+  amaranth__envelope__pack (&e, buf);
+  event.data = buf;
+  net_event (n, node, &event);
+  free (buf);
+}
+
+/* The forwarder takes a message of its agent.  */
 static void
 net_take_snapshot (struct net *n, size_t node, const uint8_t *data, size_t len)
 {
@@ -482,6 +504,14 @@
   Amaranth__Envelope *e = amaranth__envelope__unpack (NULL, len, data);
   Amaranth__Snapshot *s = e->snapshot;
 
+  if (e->body_case != AMARANTH__ENVELOPE__BODY_SNAPSHOT)
+    {
+      amaranth__envelope__free_unpacked (e, NULL);
+      net_tell_snapshot (n, node);
+      net_schedule (n, 1000, NET_REPORT, node, 0, NULL, 0);
+      return;
+    }
+
   for (size_t i = 0; f->snapshot && i < f->snapshot->n_services; i++)
     f->lowered += net_service_revision (s, f->snapshot->services[i]->id)
                   < f->snapshot->services[i]->revision;
@@ -549,27 +579,6 @@
 
 /* ---- nodes -------------------------------------------------------- */
 
-/* The forwarder tells the snapshot it serves with to an agent that has
-   connected.  */
-static void
-net_tell_snapshot (struct net *n, size_t node)
-{
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t *buf;
-
-  if (!n->nodes[node].forwarder.snapshot)
-    return;
-  e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
-  e.snapshot = n->nodes[node].forwarder.snapshot;
-  event.len = amaranth__envelope__get_packed_size (&e);
-  buf = malloc (event.len + 1);
-  amaranth__envelope__pack (&e, buf);
-  event.data = buf;
-  net_event (n, node, &event);
-  free (buf);
-}
-
 static void
 net_start (struct net *n, size_t node)
 {
@@ -605,8 +614,6 @@
     {
       e.type = AM_CONTROL_FORWARDER_UP;
       net_event (n, node, &e);
-      net_tell_snapshot (n, node);
-      net_schedule (n, 1000, NET_REPORT, node, 0, NULL, 0);
     }
 }
 
