Carry the store's index in gossip and announcements

A reader of the store gets every record at each change, 1.7 MB at the target size, so the readers have to rotate. A new reader that knows the index its configuration stands for starts its watch there, without reading everything first. Both fields are additive.

--- a/src/wire/amaranth.pb-c.c
+++ b/src/wire/amaranth.pb-c.c
@@ -2061,7 +2061,7 @@
   (ProtobufCMessageInit) amaranth__upstream_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__gossip__field_descriptors[7] =
+static const ProtobufCFieldDescriptor amaranth__gossip__field_descriptors[8] =
 {
   {
     "kind",
@@ -2147,6 +2147,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__Gossip, store_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__gossip__field_indices_by_name[] = {
   4,   /* field[4] = config_digest */
@@ -2154,13 +2166,14 @@
   0,   /* field[0] = kind */
   3,   /* field[3] = sender */
   1,   /* field[1] = sequence */
+  7,   /* field[7] = store_index */
   2,   /* field[2] = target_id */
   5,   /* field[5] = updates */
 };
 static const ProtobufCIntRange amaranth__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor amaranth__gossip__descriptor =
 {
@@ -2170,7 +2183,7 @@
   "Amaranth__Gossip",
   "amaranth",
   sizeof(Amaranth__Gossip),
-  7,
+  8,
   amaranth__gossip__field_descriptors,
   amaranth__gossip__field_indices_by_name,
   1,  amaranth__gossip__number_ranges,
@@ -2292,7 +2305,7 @@
   (ProtobufCMessageInit) amaranth__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__announce__field_descriptors[1] =
+static const ProtobufCFieldDescriptor amaranth__announce__field_descriptors[3] =
 {
   {
     "versions",
@@ -2306,14 +2319,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__Announce, config_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__Announce, store_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__announce__field_indices_by_name[] = {
+  1,   /* field[1] = config_digest */
+  2,   /* field[2] = store_index */
   0,   /* field[0] = versions */
 };
 static const ProtobufCIntRange amaranth__announce__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor amaranth__announce__descriptor =
 {
@@ -2323,7 +2362,7 @@
   "Amaranth__Announce",
   "amaranth",
   sizeof(Amaranth__Announce),
-  1,
+  3,
   amaranth__announce__field_descriptors,
   amaranth__announce__field_indices_by_name,
   1,  amaranth__announce__number_ranges,
--- a/src/wire/amaranth.pb-c.h
+++ b/src/wire/amaranth.pb-c.h
@@ -303,10 +303,14 @@
   Amaranth__Member **updates;
   size_t n_evidence;
   Amaranth__UpstreamEvidence **evidence;
+  /*
+   * of the store when it held config_digest; 0:
+   */
+  uint64_t store_index;
 };
 #define AMARANTH__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__gossip__descriptor) \
-    , AMARANTH__GOSSIP_KIND__GOSSIP_PING, 0, 0, NULL, 0, 0,NULL, 0,NULL }
+    , AMARANTH__GOSSIP_KIND__GOSSIP_PING, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Amaranth__RecordVersion
@@ -343,10 +347,18 @@
   ProtobufCMessage base;
   size_t n_versions;
   Amaranth__RecordVersion **versions;
+  /*
+   * of the sender
+   */
+  uint64_t config_digest;
+  /*
+   * of the store when it held config_digest
+   */
+  uint64_t store_index;
 };
 #define AMARANTH__ANNOUNCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__announce__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0 }
 
 
 struct  Amaranth__DigestRequest
