Rotate the store's readers with each change

An answer to a watch holds every record. The rendezvous key of the readers is now the digest of the configuration, so each change chooses others, who start their watch at the index that travels with the digest.

--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -188,6 +188,13 @@
   uint64_t synced_digest; /* own digest at the last exchange */
 };
 
+/* The index at which the store held the configuration DIGEST.  */
+struct am_store_point
+{
+  uint64_t digest;
+  uint64_t index; /* 0: not known */
+};
+
 /* Owner: readers.  */
 struct am_readers
 {
@@ -197,7 +204,9 @@
   uint64_t next_us;
   uint64_t backoff_us;
   int error;
-  bool answered; /* the store has answered once */
+  bool answered;               /* the store has answered once */
+  struct am_store_point known; /* of this agent's present configuration */
+  struct am_store_point hint;  /* of one that it may have soon */
 };
 
 /* ---- health ------------------------------------------------------- */
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -252,7 +252,22 @@
   v->config_digest = m->config_digest;
   set_state (c, v, state, "update");
   c->verdicts.stale = true;
-  am_members_queue (c, v);
+  return AM_OK;
+}
+
+/* Adds a member that was not known.  One from a whole table is not passed on:
+   it is no news, and at a start of the whole fleet the updates took minutes
+   of the budget.  */
+static int
+take_new (struct am_control *c, const Amaranth__Member *m,
+          enum am_update_source source)
+{
+  struct am_vm *v = add (c, m->id);
+
+  if (!v || take (c, v, m, m->state))
+    return AM_E_MEMORY;
+  if (source == AM_UPDATE_GOSSIP)
+    am_members_queue (c, v);
   return AM_OK;
 }
 
@@ -310,13 +325,17 @@
     {
       if (!state_live (m->state))
         return AM_OK;
-      v = add (c, m->id);
-      return v ? take (c, v, m, state) : AM_E_MEMORY;
+      return take_new (c, m, source);
     }
   if (!am_vm_live (v) && !state_live (m->state))
     return AM_OK;
   if (replaces (v, m->incarnation, state))
-    return take (c, v, m, state);
+    {
+      if (take (c, v, m, state))
+        return AM_E_MEMORY;
+      am_members_queue (c, v);
+      return AM_OK;
+    }
   if (m->incarnation == v->incarnation && state_live (m->state))
     v->config_digest = m->config_digest;
   return AM_OK;
--- a/src/core/control_probe.c
+++ b/src/core/control_probe.c
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "core/control_members.h"
+#include "core/control_readers.h"
 #include "core/control_spread.h"
 #include "core/control_verdicts.h"
 
@@ -52,6 +53,7 @@
   m->gossip.sequence = sequence;
   m->gossip.sender = &m->sender;
   m->gossip.config_digest = c->config.digest;
+  m->gossip.store_index = am_readers_index (c);
   m->gossip.updates = m->member_list;
   m->gossip.evidence = m->evidence_list;
   m->size = 0;
--- a/src/core/control_readers.c
+++ b/src/core/control_readers.c
@@ -20,11 +20,38 @@
    chance, before it reads the store.  */
 #define PEERS_FIRST_US AM_SECOND_US
 
+/* A new reader waits this long for the store's index from its peers before it
+   reads everything.  */
+#define INDEX_WAIT_US (2 * AM_SECOND_US)
+
+uint64_t
+am_readers_index (const struct am_control *c)
+{
+  const struct am_readers *r = &c->readers;
+
+  if (r->known.digest == c->config.digest && r->known.index)
+    return r->known.index;
+  return r->hint.digest == c->config.digest ? r->hint.index : 0;
+}
+
+void
+am_readers_heard (struct am_control *c, uint64_t digest, uint64_t index)
+{
+  struct am_store_point p = { digest, index };
+
+  if (index == 0 || digest == 0)
+    return;
+  if (digest != c->config.digest)
+    c->readers.hint = p;
+  else if (index > am_readers_index (c))
+    c->readers.known = p;
+}
+
 static bool
 chosen (struct am_control *c)
 {
   const char *dc = c->self.data_centre;
-  uint64_t key = am_hash_bytes (dc, strlen (dc), 0);
+  uint64_t key = am_hash_bytes (dc, strlen (dc), c->config.digest);
   uint64_t own = am_hash_rendezvous (key, c->self.id);
   unsigned ahead = 0;
 
@@ -49,6 +76,8 @@
   c->readers.reader = reader;
   c->readers.index = 0;
   c->readers.next_us = c->now_us;
+  if (c->config.count && c->readers.error == AM_OK)
+    c->readers.next_us += INDEX_WAIT_US;
   am_control_log (c, AM_LOG_INFO, "reader chosen=%d data_centre=%s", reader,
                   c->self.data_centre);
 }
@@ -121,6 +150,8 @@
   r->answered = true;
   err = take_values (c, s);
   r->index = s->index < r->index ? 0 : s->index;
+  r->known.digest = c->config.digest;
+  r->known.index = s->index;
   if (r->error != err)
     am_control_log (c, err ? AM_LOG_WARNING : AM_LOG_INFO, "store error=%s",
                     am_error_name (err));
@@ -163,6 +194,12 @@
     return;
   if (!r->reader && !fresh_needs_read (c))
     return;
+  if (r->reader && r->index == 0 && r->error == AM_OK
+      && am_readers_index (c))
+    {
+      r->index = am_readers_index (c);
+      r->next_us = c->now_us;
+    }
   if (c->now_us >= r->next_us)
     start_read (c);
 }
--- a/src/core/control_readers.h
+++ b/src/core/control_readers.h
@@ -1,8 +1,13 @@
 /* Readers of the store.
 
    In each data centre the first AM_READERS live members in rendezvous order
-   hold a watch; so the number of calls does not grow with the fleet.  An agent
-   that has no configuration after it asked its peers reads the store once.  */
+   hold a watch; so the number of calls does not grow with the fleet.  The key
+   of the order is the digest of the configuration: each change chooses new
+   readers, because an answer to a watch holds every record (1.7 MB at 580
+   services) and the same readers all day would receive 6.3 KB/s.  The index of
+   the store travels with the digest, so a new reader watches from there.  An
+   agent that has no configuration after it asked its peers reads the store
+   once.  */
 
 #ifndef AM_CORE_CONTROL_READERS_H
 #define AM_CORE_CONTROL_READERS_H
@@ -17,6 +22,13 @@
 /* Handles the result of a read.  Returns AM_OK or the store's error.  */
 int am_readers_result (struct am_control *c, const struct am_control_store *s);
 
+/* A member says that the store held the configuration DIGEST at INDEX.  */
+void am_readers_heard (struct am_control *c, uint64_t digest, uint64_t index);
+
+/* Returns the index at which the store held the present configuration, or
+   0.  */
+uint64_t am_readers_index (const struct am_control *c);
+
 /* Decides whether this VM is a reader and starts a read that is due.  */
 void am_readers_tick (struct am_control *c);
 
--- a/src/core/control_spread.c
+++ b/src/core/control_spread.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "core/control_config.h"
 #include "core/control_members.h"
+#include "core/control_readers.h"
 
 /* A version counts as recent this long; the announcements and the probes of a
    fleet of 1,000 need about three seconds.  */
@@ -88,6 +89,8 @@
     }
   a.versions = list;
   a.n_versions = n;
+  a.config_digest = c->config.digest;
+  a.store_index = am_readers_index (c);
   e.body_case = AMARANTH__ENVELOPE__BODY_ANNOUNCE;
   e.announce = &a;
   c->counters.announcements++;
@@ -205,6 +208,7 @@
 
   if (!v)
     return;
+  am_readers_heard (c, a->config_digest, a->store_index);
   for (size_t i = 0; i < a->n_versions; i++)
     want (c, v, a->versions[i]);
 }
@@ -538,6 +542,7 @@
   const struct am_config_entry *entries[AM_ANNOUNCE_MAX];
   size_t n;
 
+  am_readers_heard (c, g->config_digest, g->store_index);
   if (g->config_digest == c->config.digest)
     {
       c->spread.mismatch_id = 0;
