--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -234,6 +234,8 @@
   return AM_OK;
 }
 
+/* An agent that has just started does not know its forwarder's boot id yet;
+   the one held stays, because the forwarder may have gone on.  */
 static int
 take (struct am_control *c, struct am_vm *v, const Amaranth__Member *m,
       Amaranth__MemberState state)
@@ -245,11 +247,27 @@
   v->control_port = (uint16_t)m->control_port;
   v->peer_port = (uint16_t)m->peer_port;
   v->incarnation = m->incarnation;
-  v->boot_id = m->boot_id;
+  if (m->boot_id)
+    v->boot_id = m->boot_id;
   v->config_digest = m->config_digest;
   set_state (c, v, state, "update");
   c->verdicts.stale = true;
-  am_members_queue (c, v);
+  return AM_OK;
+}
+
+/* Adds a member that was not known.  One from a whole table is not passed on:
+   it is no news, and at a start of the whole fleet the updates took minutes
+   of the budget.  */
+static int
+take_new (struct am_control *c, const Amaranth__Member *m,
+          enum am_update_source source)
+{
+  struct am_vm *v = add (c, m->id);
+
+  if (!v || take (c, v, m, m->state))
+    return AM_E_MEMORY;
+  if (source == AM_UPDATE_GOSSIP)
+    am_members_queue (c, v);
   return AM_OK;
 }
 
@@ -307,13 +325,17 @@
     {
       if (!state_live (m->state))
         return AM_OK;
-      v = add (c, m->id);
-      return v ? take (c, v, m, state) : AM_E_MEMORY;
+      return take_new (c, m, source);
     }
   if (!am_vm_live (v) && !state_live (m->state))
     return AM_OK;
   if (replaces (v, m->incarnation, state))
-    return take (c, v, m, state);
+    {
+      if (take (c, v, m, state))
+        return AM_E_MEMORY;
+      am_members_queue (c, v);
+      return AM_OK;
+    }
   if (m->incarnation == v->incarnation && state_live (m->state))
     v->config_digest = m->config_digest;
   return AM_OK;
