--- a/src/ctl/wait.c
+++ b/src/ctl/wait.c
@@ -144,9 +144,9 @@
     return ctl_fail (c, err, "%s", am_error_text (err));
   if (w->live == 0)
     return ctl_fail (c, AM_E_CONNECTION,
-                     "accepted, but no agent answered within %u s: in force "
-                     "is not confirmed",
-                     c->timeout_ms / MS_PER_S);
+                     "accepted, but no agent answered within %.3g s: in "
+                     "force is not confirmed",
+                     (double)c->timeout_ms / MS_PER_S);
   if (w->in_force == w->live)
     {
       ctl_say (c, "in force on all %zu live entry VMs", w->live);
@@ -157,8 +157,8 @@
                 json_string_value (json_object_get (entry, "reason")));
   return ctl_fail (c, AM_E_TIMEOUT,
                    "accepted, but in force on %zu of %zu live entry VMs "
-                   "after %u s",
-                   w->in_force, w->live, c->timeout_ms / MS_PER_S);
+                   "after %.3g s",
+                   w->in_force, w->live, (double)c->timeout_ms / MS_PER_S);
 }
 
 int
--- a/src/ctl/write.c
+++ b/src/ctl/write.c
@@ -245,8 +245,10 @@
 static json_t *
 history_entry (const struct am_record *r)
 {
-  json_t *record = json_deep_copy (r->root);
+  char *text = am_record_to_json (r);
+  json_t *record = text ? json_loads (text, 0, NULL) : NULL;
 
+  free (text);
   ctl_hide_secrets (record);
   return json_pack ("{s:I, s:s, s:I, s:o}", "revision",
                     (json_int_t)r->revision, "write_id", r->write_id, "time",
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -27,7 +27,7 @@
                              "  level: notice\n"
                              "  decisions: false\n";
 
-static char folder[] = "/tmp/amaranth-settings-XXXXXX";
+static char folder[32];
 static char path[64];
 static struct am_settings *settings;
 static struct am_fault fault;
@@ -45,7 +45,7 @@
 static void
 setup (void)
 {
-  memcpy (folder + strlen (folder) - 6, "XXXXXX", 6);
+  snprintf (folder, sizeof folder, "/tmp/amaranth-settings-XXXXXX");
   ck_assert_ptr_nonnull (mkdtemp (folder));
   snprintf (path, sizeof path, "%s/vm.yaml", folder);
 }
