Take free address blocks in tests and experiments

Cause: a run in another worktree used the same addresses and made tests fail with 'already exists'. Change: each cluster locks a free block; the record that a racing operator applies names the revision that it was made from, because a file without one replaces what it finds.

Also: the forwarder ignores SIGPIPE (test malformed: it ended with status -13 when a metrics client went away), and a ticket under an unknown key, or for an unknown upstream, is passed to a home VM when its issuer is this VM or gone; without any key nothing is reset (test graceful_stop: a forwarder that had just started broke 5 of 40 feeds with key_unknown).

--- a/scripts/experiments/store.py
+++ b/scripts/experiments/store.py
@@ -68,7 +68,7 @@
                                          "queue_limit": 64}],
                                weights={"archive-1": 77}), 3, False)
     two = c.folder / "archive-2.yaml"
-    two.write_text(text)
+    two.write_text(text + f"revision: {before['revision']}\n")
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
         first = pool.submit(c.write, "apply", two, vm=c.vms[1], check=False)
         second = pool.submit(c.write, "upstream", "leave", "archive",
--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -10,6 +10,7 @@
 import bisect
 import concurrent.futures
 import contextlib
+import fcntl
 import json
 import operator
 import os
@@ -26,9 +27,10 @@
 
 OPERATORS = {"<=": operator.le, ">=": operator.ge, "==": operator.eq}
 
-# Blocks 127.95.0.0/16 to 127.99.0.0/16 are used in turn, so that sockets of
-# a run that has just ended do not meet those of the next.
-BLOCKS = (95, 96, 97, 98, 99)
+# Address blocks 127.N.0.0/16 of experiments and of integration tests.  Each
+# run takes a free one, so that runs of several worktrees do not meet.
+EXPERIMENT_BLOCKS = range(95, 100)
+TEST_BLOCKS = range(90, 95)
 
 # Longest time until a fresh cluster has its first configuration in force.
 READY_SECONDS = 30
@@ -78,8 +80,7 @@
     def cluster(self, **arguments):
         """A ProofCluster in a folder of its own."""
         self.runs += 1
-        block = BLOCKS[(os.getpid() + self.runs) % len(BLOCKS)]
-        arguments.setdefault("block", block)
+        arguments.setdefault("blocks", EXPERIMENT_BLOCKS)
         arguments.setdefault("seed", self.seed)
         arguments.setdefault("log_level", "warning")
         with ProofCluster(self.folder / f"run-{self.runs}",
@@ -138,13 +139,31 @@
     return json.loads(done.stdout.strip().splitlines()[-1])
 
 
+def lock_block(blocks):
+    """Waits for a free address block.  Returns its number and the file whose
+    lock keeps it until it is closed."""
+    base = pathlib.Path(tempfile.gettempdir())
+    while True:
+        for block in blocks:
+            held = open(base / f"amaranthcroft-block-{block}.lock", "a",
+                        encoding="ascii")
+            try:
+                fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                return block, held
+            except OSError:
+                held.close()
+        time.sleep(0.2)
+
+
 class ProofCluster(Cluster):
     """A Cluster with operators that write down what they did and see."""
 
-    def __init__(self, folder, cut=False, alert_ms=1000, **arguments):
-        """cut: forwarders and agents are started so that cut() works.
-        alert_ms: interval of the alerts on each feed."""
-        super().__init__(folder, **arguments)
+    def __init__(self, folder, blocks, cut=False, alert_ms=1000, **arguments):
+        """blocks: address blocks to choose from.  cut: forwarders and agents
+        are started so that cut() works.  alert_ms: interval of the alerts on
+        each feed."""
+        block, self.block_lock = lock_block(blocks)
+        super().__init__(folder, block=block, **arguments)
         self.alert_ms = alert_ms
         self.key = wire.read_key(self.key_file)
         self.poller = None
@@ -165,7 +184,10 @@
         if self.poller:
             self.poller.stop()
             self.poller = None
-        return super().stop()
+        try:
+            return super().stop()
+        finally:
+            self.block_lock.close()
 
     # ---- partition -------------------------------------------------------
 
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -257,9 +257,14 @@
     stale = true;
   if (!err)
     return deliver (b, a, u, &t, needs_renewal);
-  if (stale && pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err)))
+  if (stale
+      && (pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err))
+          || pass_on (b, a, am_forward_home (b, a->service),
+                      am_error_name (err))))
     return AM_OK;
   b->counters.tickets_refused++;
+  if (b->key_count == 0)
+    return err;
   return reset (b, a, err);
 }
 
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -267,6 +267,7 @@
 {
   uv_timer_init (&f->loop, &f->tick);
   uv_timer_init (&f->loop, &f->second);
+  signal (SIGPIPE, SIG_IGN);
   uv_signal_init (&f->loop, &f->sigterm);
   uv_signal_init (&f->loop, &f->sighup);
   f->tick.data = f;
--- a/test/integration/common.py
+++ b/test/integration/common.py
@@ -1,6 +1,5 @@
 """Frame of the integration tests: a small cluster, checks, evidence."""
 
-import os
 import pathlib
 import shutil
 import sys
@@ -10,7 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT / "scripts" / "lib")]
 
-from experiment import ProofCluster, read_check  # noqa: E402
+from experiment import TEST_BLOCKS, ProofCluster, read_check  # noqa: E402
 
 # Three entry VMs in three data centres, one service of each kind.
 SERVICES = [
@@ -39,8 +38,8 @@
         self.clusters = []
 
     def cluster(self, **arguments):
-        """A cluster on the address block that test/CMakeLists.txt gives."""
-        arguments.setdefault("block", int(os.environ.get("AM_BLOCK", "90")))
+        """A cluster on a free address block."""
+        arguments.setdefault("blocks", TEST_BLOCKS)
         arguments.setdefault("vms", 3)
         arguments.setdefault("services", SERVICES)
         arguments.setdefault("decisions", True)
--- a/test/integration/operators_race.py
+++ b/test/integration/operators_race.py
@@ -29,7 +29,7 @@
                                    deadline_ms=3000,
                                    states={first: "leaving"}), 3, False)
         old = c.folder / f"schema-1-{turn}.yaml"
-        old.write_text(text)
+        old.write_text(text + f"revision: {before['revision']}\n")
         with concurrent.futures.ThreadPoolExecutor(2) as pool:
             a = pool.submit(attempt, c, c.vms[0], "apply", old)
             b = pool.submit(attempt, c, c.vms[1], "upstream", "leave",
