Time alerts from their sending, not from the tick before it

An alert that is sent when due now carries the time of sending; one that waited for the echo before it keeps its due time, so that a stalled flow still shows.

--- a/standin/standin_flow.c
+++ b/standin/standin_flow.c
@@ -175,15 +175,16 @@
     send_packet (&r, &p);
 }
 
-/* Sends the next alert, which was due at f->next_us.  */
+/* Sends the next alert.  DUE_US is now, or earlier if the alert had to wait
+   for the echo of the one before it.  */
 static void
-begin_alert (struct standin_flow *f, uint64_t now_us)
+begin_alert (struct standin_flow *f, uint64_t now_us, uint64_t due_us)
 {
   struct standin_upstream *u = f->upstream;
 
   f->sequence++;
   f->unacknowledged = true;
-  f->alert_us = now_us - f->next_us > STANDIN_TICK_US ? f->next_us : now_us;
+  f->alert_us = due_us;
   f->next_us += u->world->work.alert_ms * US_PER_MS;
   standin_history_event (
       &u->world->history, "alert_sent",
@@ -207,7 +208,7 @@
       set_timer (f, now_us + STANDIN_ALERT_RESEND_US);
     }
   else
-    begin_alert (f, now_us);
+    begin_alert (f, now_us, now_us);
 }
 
 static void
@@ -219,7 +220,7 @@
     return;
   f->unacknowledged = false;
   if (f->next_us <= now)
-    begin_alert (f, now);
+    begin_alert (f, now, f->next_us);
   else
     set_timer (f, f->next_us);
 }
--- a/standin/standin_upstream.h
+++ b/standin/standin_upstream.h
@@ -21,8 +21,8 @@
 #include "standin_target.h"
 #include "standin_wheel.h"
 
-#define STANDIN_TICK_MS 20
-#define STANDIN_TICK_US 20000u
+#define STANDIN_TICK_MS 5
+#define STANDIN_TICK_US 5000u
 
 /* A flow that sent nothing for this long is forgotten.  */
 #define STANDIN_FLOW_IDLE_US 30000000u
