--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -521,18 +521,19 @@
         """Planned stop: SIGTERM to the forwarder, then the agent; the fabric
         notices once the forwarder has gone."""
         self.note("planned_stop", vm=vm.name)
-        vm.forwarder.stop()
+        status = vm.forwarder.stop()
         time.sleep(FABRIC_LAG_SECONDS)
         self.fabric_command(f"forwarder remove {vm.data}")
         vm.agent.stop()
-        self.note("stopped", vm=vm.name)
+        self.note("stopped", vm=vm.name, status=status)
 
     def start_vm(self, vm):
         """Starts both programs; the fabric notices after its lag."""
         self.start_agent(vm)
         self.start_forwarder(vm)
         time.sleep(FABRIC_LAG_SECONDS)
-        self.fabric_command(f"forwarder add {vm.data}")
+        via = self.fabric_relay_address(vm) if self.fabric_relays else ""
+        self.fabric_command(f"forwarder add {vm.data} {via}")
 
     def kill_vm(self, vm, notice=True):
         """SIGKILL of both programs; notice: the fabric removes it."""
@@ -620,8 +621,9 @@
 
     def leave(self, service, upstream):
         """Marks an upstream as leaving and notes it in the history."""
+        before = now_us()
         done = self.ctl("upstream", "leave", service, upstream)
-        self.note("leaving", upstream=upstream, service=service)
+        self.note("leaving", t=before, upstream=upstream, service=service)
         return done
 
     def store_records(self):
