Keep an old ticket key until feeds have renewed their tickets

Cause: keys prune right after keys rotate would have reset feeds that still hold a ticket under the old key; stop waited for the agent to exit and would have reported a drain longer than 2 s as a failure. Change: a key notes since when it only verifies, and prune drops it after 10 pings of the slowest service, at least 60 s; earlier it exits with 75. stop is done when the agent has taken the request.

--- a/src/ctl/cmd_agents.c
+++ b/src/ctl/cmd_agents.c
@@ -365,5 +365,5 @@
                      "stop needs --agent for each entry VM to stop");
   request.body_case = AMARANTH__ENVELOPE__BODY_STOP_REQUEST;
   request.stop_request = &body;
-  return tell_named (c, &request, AMARANTH__ENVELOPE__BODY_FAILURE, true);
+  return tell_named (c, &request, AMARANTH__ENVELOPE__BODY_STATUS_REPLY, true);
 }
--- a/src/ctl/cmd_keys.c
+++ b/src/ctl/cmd_keys.c
@@ -1,6 +1,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/error.h"
 #include "ctl/records.h"
@@ -9,6 +10,11 @@
 #define SECRET_SIZE 32
 #define TEXT_SIZE 512
 #define SCHEMA 2
+/* Feeds renew their tickets at each PING, so a key may be dropped when every
+   feed has sent several.  */
+#define OVERLAP_MIN_S 60
+#define OVERLAP_PINGS 10
+#define MS_PER_S 1000
 
 static void
 make_secret (char *hex, size_t size)
@@ -150,6 +156,8 @@
     return ctl_fail (c, AM_E_CONFLICT,
                      "the standby key is gone: another operator rotates keys");
   if (json_object_set_new (old, "state", json_string ("verify"))
+      || json_object_set_new (old, "verify_since",
+                              json_integer ((json_int_t)time (NULL)))
       || json_object_set_new (fresh, "state", json_string ("active")))
     return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
   return ctl_change_reread (c, change);
@@ -180,25 +188,81 @@
   return err ? err : ctl_changes_commit (c, change, 1);
 }
 
+/* Returns the time in which tickets under an old key are still renewed.  */
 static int
-prune (struct ctl *c, struct ctl_change *change)
+find_overlap (struct ctl *c, json_int_t *seconds)
 {
-  json_t *keys;
+  struct ctl_set set;
+  int err = ctl_set_read (c, &set);
+
+  *seconds = OVERLAP_MIN_S;
+  for (size_t i = 0; !err && i < set.count; i++)
+    {
+      const Amaranth__Service *s = set.entries[i].record.service;
+      json_int_t needed
+          = s ? (json_int_t)s->ping_interval_ms * OVERLAP_PINGS / MS_PER_S : 0;
+
+      if (needed > *seconds)
+        *seconds = needed;
+    }
+  ctl_set_free (&set);
+  return err;
+}
+
+/* Drops the keys whose overlap has ended.  Sets *LEFT to the longest time
+   that one of the others still needs.  */
+static size_t
+drop_old (json_t *keys, json_int_t overlap, json_int_t *left)
+{
+  json_int_t now = (json_int_t)time (NULL);
   size_t dropped = 0;
+
+  *left = 0;
+  for (size_t i = json_array_size (keys); i-- > 0;)
+    {
+      json_t *key = json_array_get (keys, i);
+      const json_t *since = json_object_get (key, "verify_since");
+      json_int_t end = (since ? json_integer_value (since) : now) + overlap;
+
+      if (strcmp (state_of (key), "verify") != 0)
+        continue;
+      if (!since)
+        json_object_set_new (key, "verify_since", json_integer (now));
+      if (end <= now)
+        {
+          json_array_remove (keys, i);
+          dropped++;
+        }
+      else if (end - now > *left)
+        *left = end - now;
+    }
+  return dropped;
+}
+
+static int
+prune (struct ctl *c, struct ctl_change *change)
+{
+  json_int_t overlap;
+  json_int_t left;
+  size_t dropped;
   int err = start_existing (c, change);
 
+  if (!err)
+    err = find_overlap (c, &overlap);
   if (err)
     return err;
-  keys = json_object_get (change->mine.root, "keys");
-  for (size_t i = json_array_size (keys); i-- > 0;)
-    if (strcmp (state_of (json_array_get (keys, i)), "verify") == 0)
-      {
-        json_array_remove (keys, i);
-        dropped++;
-      }
+  dropped
+      = drop_old (json_object_get (change->mine.root, "keys"), overlap, &left);
   ctl_say (c, "dropping %zu old keys", dropped);
   err = ctl_change_reread (c, change);
-  return err ? err : ctl_changes_commit (c, change, 1);
+  if (!err)
+    err = ctl_changes_commit (c, change, 1);
+  if (!err && left > 0)
+    err = ctl_fail (c, AM_E_TIMEOUT,
+                    "feeds may still use an old key; run keys prune again in "
+                    "%lld s",
+                    (long long)left);
+  return err;
 }
 
 static const struct
--- a/src/record/fields.c
+++ b/src/record/fields.c
@@ -61,6 +61,7 @@
   { AM_LEVEL_KEY, "id", IN_BOTH },
   { AM_LEVEL_KEY, "secret", IN_BOTH },
   { AM_LEVEL_KEY, "state", IN_BOTH },
+  { AM_LEVEL_KEY, "verify_since", IN_BOTH },
 };
 
 static const struct
--- a/src/record/read.c
+++ b/src/record/read.c
@@ -553,6 +553,7 @@
 {
   static const char allowed[] = "64 hexadecimal digits";
   const char *secret;
+  json_int_t verify_since;
   size_t len = 0;
   int state;
   int err = check_known (o);
@@ -562,6 +563,9 @@
                     &k->id);
   if (!err)
     err = get_word (o, "state", "standby, active, verify", -1, &state);
+  if (!err)
+    err = get_integer (o, "verify_since", (struct range){ 0, INT64_MAX, 0 },
+                       &verify_since);
   if (!err)
     err = get_string (o, "secret", allowed, &secret);
   if (err)
