--- a/src/core/board.h
+++ b/src/core/board.h
@@ -280,6 +280,7 @@
   struct am_service *services_by_address;
   struct am_list members;
   struct am_member *members_by_id;
+  uint64_t members_since_us; /* first snapshot with other members; 0: none */
   struct am_key keys[AM_KEYS_MAX];
   size_t key_count;
 
--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -48,6 +48,13 @@
   return NULL;
 }
 
+bool
+am_forward_members_settled (const struct am_board *b)
+{
+  return b->members_since_us != 0
+         && b->now_us - b->members_since_us >= AM_MEMBERS_SETTLE_US;
+}
+
 struct am_member *
 am_forward_issuer (struct am_board *b, const struct am_ticket *t)
 {
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -17,6 +17,14 @@
    preferred to suspect ones.  */
 struct am_member *am_forward_home (struct am_board *b, struct am_service *s);
 
+/* A fresh entry VM may not know every member before this time after its first
+   snapshot with others; the bound for a configuration to be in force
+   everywhere is 6 s.  */
+#define AM_MEMBERS_SETTLE_US 10000000u
+
+/* Returns true if a member that is not known here cannot be a live one.  */
+bool am_forward_members_settled (const struct am_board *b);
+
 /* Returns the member that issued T if it may still serve, or NULL: it is this
    entry VM, unknown, dead or has left.  */
 struct am_member *am_forward_issuer (struct am_board *b,
--- a/src/core/snapshot.c
+++ b/src/core/snapshot.c
@@ -424,6 +424,8 @@
       if (err)
         return err;
     }
+  if (!b->members_since_us && HASH_CNT (by_id, b->members_by_id) > 1)
+    b->members_since_us = b->now_us ? b->now_us : 1;
   am_list_each_safe (m, next, &b->members, struct am_member, node)
   {
     if (m->present)
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -66,6 +66,27 @@
   return true;
 }
 
+/* Passes on what this entry VM's configuration may be too old for: to the
+   issuer, which knew key and upstream when it minted, else to a home VM.  */
+static bool
+pass_stale (struct am_board *b, const struct arrival *a,
+            const struct am_ticket *t, int error)
+{
+  const struct am_member *m = am_forward_issuer (b, t);
+
+  if (!m)
+    m = am_forward_home (b, a->service);
+  return pass_on (b, a, m, am_error_name (error));
+}
+
+/* Returns true if the ring here cannot judge a ticket: a fresh entry VM may
+   have services before it has keys.  */
+static bool
+has_no_keys (const struct am_board *b)
+{
+  return b->key_count == 0;
+}
+
 /* ---- open --------------------------------------------------------- */
 
 static int
@@ -117,6 +138,9 @@
   if (!a->service->home
       && pass_on (b, a, am_forward_home (b, a->service), "not_home"))
     return AM_OK;
+  if (!am_key_ring_active (b)
+      && pass_on (b, a, am_forward_home (b, a->service), "no_active_key"))
+    return AM_OK;
   if (open.kind == AM_OPEN_REQUEST)
     return issue_request_ticket (b, a, open.request_class);
   return am_opens_arrive (b, a->service, a->caller, a->packet.connection_id);
@@ -257,8 +281,10 @@
     stale = true;
   if (!err)
     return deliver (b, a, u, &t, needs_renewal);
-  if (stale && pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err)))
+  if (stale && pass_stale (b, a, &t, err))
     return AM_OK;
+  if (stale && has_no_keys (b))
+    return err;
   b->counters.tickets_refused++;
   return reset (b, a, err);
 }
@@ -314,7 +340,8 @@
 
 /* Passes a request to the process that issued its ticket.  A member whose
    boot id differs from the ticket's is asked as well: only it knows whether
-   its entry here or the ticket is the older one.  */
+   its entry here or the ticket is the older one.  A fresh entry VM does not
+   judge a member that it does not know; the caller sends again.  */
 static int
 pass_to_issuer (struct am_board *b, const struct arrival *a,
                 const struct am_ticket *t)
@@ -323,6 +350,8 @@
     return AM_OK;
   if (b->via_peer)
     return AM_E_TICKET;
+  if (!am_board_member (b, t->issuer_id) && !am_forward_members_settled (b))
+    return AM_E_STATE;
   return tell_unknown (b, a, AM_E_ISSUER_GONE);
 }
 
@@ -343,6 +372,8 @@
   if (err == AM_E_KEY_UNKNOWN
       && pass_on (b, a, am_forward_issuer (b, &t), am_error_name (err)))
     return AM_OK;
+  if (err == AM_E_KEY_UNKNOWN && has_no_keys (b))
+    return err;
   if (err)
     {
       b->counters.tickets_refused++;
--- a/test/test_ticket_binding.c
+++ b/test/test_ticket_binding.c
@@ -1,5 +1,6 @@
 #include "core_fixture.h"
 
+#include "core/forward.h"
 #include "core/opening.h"
 
 static struct net net;
@@ -158,6 +159,39 @@
 }
 END_TEST
 
+/* Guards against feeds cut by an entry VM that has just restarted and has
+   services but no keys yet, also if it issued the ticket itself before.  */
+START_TEST (test_fresh_vm_without_keys)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  struct kept_action *k;
+
+  for (size_t issuer = 0; issuer < 2; issuer++)
+    {
+      begin (2, 1);
+      net_open_flow (&net, issuer, 5, ticket);
+      net.nodes[1].board.key_count = 0;
+      net.nodes[1].board.self.boot_id++;
+      ck_assert_int_eq (
+          net_flow_packet (&net, 1, AM_PACKET_DATA, 5, ticket, 'x'), AM_OK);
+      ck_assert_uint_eq (net_pump (&net), 1);
+      k = net_take (&net, AM_ACTION_UPSTREAM);
+      ck_assert_ptr_nonnull (k);
+      ck_assert_uint_eq (k->node, 0);
+      net_open (&net, 1, 6, AM_OPEN_FLOW);
+      ck_assert_uint_eq (net_pump (&net), 1);
+      k = net_take (&net, AM_ACTION_UPSTREAM);
+      ck_assert_ptr_nonnull (k);
+      ck_assert_uint_eq (k->node, 0);
+      net.nodes[0].board.key_count = 0;
+      net_flow_packet (&net, 1, AM_PACKET_DATA, 5, ticket, 'x');
+      ck_assert_uint_eq (net_pump (&net), 1);
+      ck_assert_uint_eq (net.kept_count, 0);
+      net_finish (&net);
+    }
+}
+END_TEST
+
 /* Guards against a packet that two stale entry VMs pass to and fro.  */
 START_TEST (test_one_hop_only)
 {
@@ -328,6 +362,36 @@
 }
 END_TEST
 
+/* Guards against UNKNOWN for a request under way at a live issuer that a fresh
+   entry VM has not heard of yet, and against silence for ever.  */
+START_TEST (test_unknown_issuer)
+{
+  uint8_t ticket[AM_TICKET_SIZE];
+  uint8_t body[AM_REQUEST_BODY_SIZE + 1] = { 0 };
+  struct am_packet p = { .type = AM_PACKET_REQUEST,
+                         .connection_id = 5,
+                         .ticket = ticket,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  net_init (&net, 3);
+  config_init (&config, AMARANTH__BINDING__BINDING_TICKET, 1, 3);
+  ck_assert_int_eq (net_apply (&net, 2, &config), AM_OK);
+  config.snapshot.n_members = 2;
+  ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+  ck_assert_int_eq (net_open (&net, 2, 5, AM_OPEN_REQUEST), AM_OK);
+  memcpy (ticket, net_to_caller (&net, AM_PACKET_OPENED).ticket,
+          sizeof ticket);
+  ck_assert_int_eq (net_from_caller (&net, 0, &p), AM_E_STATE);
+  ck_assert_uint_eq (net.kept_count, 0);
+  net_run (&net, AM_MEMBERS_SETTLE_US);
+  net.kept_count = 0;
+  ck_assert_int_eq (net_from_caller (&net, 0, &p), AM_E_ISSUER_GONE);
+  ck_assert_int_eq (outcome_reason (), AM_E_ISSUER_GONE);
+  net_finish (&net);
+}
+END_TEST
+
 /* Guards against tickets of one kind used as the other.  */
 START_TEST (test_kinds_are_apart)
 {
@@ -349,6 +413,7 @@
 
 RUN_TESTS ("ticket_binding", test_any_vm_routes, test_foreign_tickets,
            test_service_address_reused, test_upstream_states,
-           test_stale_vm_passes_to_issuer, test_one_hop_only, test_silent_flow,
-           test_close_reaches_issuer, test_count_follows_restart, test_replies,
-           test_request_issuer, test_kinds_are_apart)
+           test_stale_vm_passes_to_issuer, test_fresh_vm_without_keys,
+           test_one_hop_only, test_silent_flow, test_close_reaches_issuer,
+           test_count_follows_restart, test_replies, test_request_issuer,
+           test_unknown_issuer, test_kinds_are_apart)
