--- a/test/core_board.h
+++ b/test/core_board.h
@@ -4,6 +4,7 @@
 #ifndef AM_TEST_CORE_BOARD_H
 #define AM_TEST_CORE_BOARD_H
 
+#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -105,6 +106,29 @@
   return s;
 }
 
+/* Runs the N tests as suite NAME.  Returns the exit status.  */
+static inline int
+run_tests (const char *name, const TTest *const *tests, size_t n)
+{
+  Suite *suite = suite_create (name);
+  TCase *tc = tcase_create (name);
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tc, 100);
+  for (size_t i = 0; i < n; i++)
+    tcase_add_test (tc, tests[i]);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+#define RUN_TESTS(name, tests) \
+  run_tests (name, tests, sizeof (tests) / sizeof (tests)[0])
+
 static inline void
 board_free (struct am_board *b)
 {
--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -5,7 +5,6 @@
    which covers loss, duplication, delay and reordering.  A failing schedule is
    printed; AM_SCHEDULE="UPSTREAMS EVENT EVENT ..." runs it again.  */
 
-#include <check.h>
 #include <stdio.h>
 
 #include "base/error.h"
@@ -24,7 +23,8 @@
 #define EVENT_LIST(X)                                                         \
   X (R0)                                                                      \
   X (R1)                                                                      \
-  X (C0) X (C1)         /* REQUEST or CANCEL is delivered */                  \
+  X (C0)                                                                      \
+  X (C1)                /* REQUEST or CANCEL is delivered */                  \
       X (U0) X (U1)     /* upstream takes a packet: runs it, or stops it */   \
       X (X0) X (X1)     /* upstream refuses the next packet */                \
       X (A0) X (A1)     /* upstream ends its oldest run with an ANSWER */     \
@@ -549,19 +549,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("explore_request");
-  TCase *tc = tcase_create ("explore_request");
-  SRunner *runner;
-  int failed;
-
-  tcase_set_timeout (tc, 100);
-  tcase_add_test (tc, test_replay);
-  tcase_add_test (tc, test_all_short_schedules);
-  tcase_add_test (tc, test_random_schedules);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  const TTest *const tests[]
+      = { test_replay, test_all_short_schedules, test_random_schedules };
+
+  return RUN_TESTS ("explore_request", tests);
 }
--- a/test/test_fairness.c
+++ b/test/test_fairness.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 
 #include "core_fleet.h"
@@ -161,18 +160,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("fairness");
-  TCase *tc = tcase_create ("fairness");
-  SRunner *runner;
-  int failed;
-
-  tcase_set_timeout (tc, 100);
-  tcase_add_test (tc, test_local_is_fair);
-  tcase_add_test (tc, test_lending_shortens_the_wait);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  const TTest *const tests[]
+      = { test_local_is_fair, test_lending_shortens_the_wait };
+
+  return RUN_TESTS ("fairness", tests);
 }
--- a/test/test_overload.c
+++ b/test/test_overload.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 
 #include "core_fleet.h"
@@ -133,18 +132,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("overload");
-  TCase *tc = tcase_create ("overload");
-  SRunner *runner;
-  int failed;
+  const TTest *const tests[]
+      = { test_goodput_and_recovery, test_retry_budget };
 
-  tcase_set_timeout (tc, 100);
-  tcase_add_test (tc, test_goodput_and_recovery);
-  tcase_add_test (tc, test_retry_budget);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return RUN_TESTS ("overload", tests);
 }
