Let a writer lose more races, with a pause that has jitter

Cause: in a trial with 8 operators that changed one record at once, one of them lost 6 races in a row; the limit was 8. Change: 32 races, each followed by a random pause of up to 50 ms. Conclusion: the limit no longer lies within reach of a few operators.

--- a/src/ctl/write.c
+++ b/src/ctl/write.c
@@ -9,8 +9,11 @@
 #include "ctl/records.h"
 #include "io/store_client.h"
 
-/* A race is lost again only if others keep writing the same record.  */
 #define ATTEMPTS_MAX 8
+/* One of 8 operators at once lost 6 races, so 8 was too close.  The pause
+   with jitter lets the others finish.  */
+#define RACES_MAX 32
+#define RACE_PAUSE_MAX_MS 50
 #define READ_BACK_MAX 10
 #define READ_BACK_PAUSE_MS 300
 #define WRITE_ID_BYTES 16
@@ -184,7 +187,7 @@
 {
   int err = AM_OK;
 
-  for (unsigned i = 0; i < ATTEMPTS_MAX; i++)
+  for (unsigned i = 0; i < RACES_MAX; i++)
     {
       char *text = NULL;
 
@@ -201,12 +204,13 @@
         return fail_write (c, change, err);
       ctl_note (c, "%s: changed by another writer; merging",
                 change->merged.name);
+      pause_ms ((long)randombytes_uniform (RACE_PAUSE_MAX_MS));
       err = prepare_again (c, change);
       if (err)
         return err;
     }
   return ctl_fail (c, AM_E_CONFLICT, "%s: lost %d races; try again",
-                   change->mine.name, ATTEMPTS_MAX);
+                   change->mine.name, RACES_MAX);
 }
 
 /* ---- history ---- */
