--- a/src/core/control_readers.c
+++ b/src/core/control_readers.c
@@ -194,8 +194,7 @@
     return;
   if (!r->reader && !fresh_needs_read (c))
     return;
-  if (r->reader && r->index == 0 && r->error == AM_OK
-      && am_readers_index (c))
+  if (r->reader && r->index == 0 && r->error == AM_OK && am_readers_index (c))
     {
       r->index = am_readers_index (c);
       r->next_us = c->now_us;
