--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -74,8 +74,10 @@
   double flow_life_us;
   uint32_t retries; /* of a caller after a refusal or its time limit */
   bool lending;
-  bool no_budget;    /* retries of repeatable requests are not bounded */
-  double lost_share; /* of requests that end as UNKNOWN */
+  double peer_loss;        /* of datagrams between VMs; as many are doubled */
+  uint32_t peer_jitter_us; /* longest extra delay of one */
+  bool no_budget;          /* retries of repeatable requests are not bounded */
+  double lost_share;       /* of requests that end as UNKNOWN */
 
   /* Model of the upstreams and what was measured.  */
   uint32_t busy[FLEET_UPSTREAMS];
@@ -169,6 +171,24 @@
                                          .attempt = attempt + 1 });
 }
 
+static inline void
+fleet_send_peer (struct fleet *f, struct fleet_event e)
+{
+  uint64_t sent_us = e.at_us;
+  int copies = 1;
+
+  if (am_rng_unit (&f->rng) < f->peer_loss)
+    copies = 0;
+  else if (am_rng_unit (&f->rng) < f->peer_loss)
+    copies = 2;
+  for (int i = 0; f->lending && i < copies; i++)
+    {
+      if (f->peer_jitter_us)
+        e.at_us = sent_us + am_rng_below (&f->rng, f->peer_jitter_us);
+      fleet_push (f, e);
+    }
+}
+
 static inline void
 fleet_emit (void *userdata, const struct am_action *a)
 {
@@ -190,8 +210,7 @@
       e.vm = a->to.ip - 0x7f320201;
       e.len = a->len;
       memcpy (e.data, a->data, a->len);
-      if (f->lending)
-        fleet_push (f, e);
+      fleet_send_peer (f, e);
     }
   if (a->type == AM_ACTION_STREAM
       && !am_packet_decode_stream (&p, a->data, a->len)
--- /dev/null
+++ b/test/test_credit.c
@@ -0,0 +1,256 @@
+#include "core_fleet.h"
+
+#define SECOND 1000000u
+#define LOAD 0.9
+
+/* Sums of the shares over the boards of O->vms entry VMs.  */
+struct shares
+{
+  uint32_t slots[FLEET_UPSTREAMS];
+  uint32_t vm_slots[FLEET_VMS];
+  uint32_t vm_connections[FLEET_VMS];
+};
+
+static void
+ignore (void *userdata, const struct am_action *a)
+{
+  (void)userdata;
+  (void)a;
+}
+
+static const struct am_sink quiet = { ignore, NULL };
+
+static void
+add_up (struct am_board *boards, uint32_t vms, struct shares *sum)
+{
+  memset (sum, 0, sizeof *sum);
+  for (uint32_t i = 0; i < vms; i++)
+    {
+      struct am_service *s
+          = am_container_of (boards[i].services.next, struct am_service, node);
+
+      am_list_each (u, &s->upstreams, struct am_upstream, node)
+      {
+        sum->slots[u->address.ip - 0x7f320001] += u->credit.slots;
+        sum->vm_slots[i] += u->credit.slots;
+        sum->vm_connections[i] += u->credit.connections;
+      }
+    }
+}
+
+static uint32_t
+difference (const uint32_t *counts, uint32_t n)
+{
+  uint32_t least = counts[0];
+  uint32_t most = counts[0];
+
+  for (uint32_t i = 1; i < n; i++)
+    {
+      least = counts[i] < least ? counts[i] : least;
+      most = counts[i] > most ? counts[i] : most;
+    }
+  return most - least;
+}
+
+/* Guards against shares that exceed an upstream's limit, leave a part of it
+   unused, or differ by more than one between VMs.  */
+START_TEST (test_split)
+{
+  for (uint32_t vms = 1; vms <= FLEET_VMS; vms++)
+    {
+      for (uint32_t upstreams = 1; upstreams <= FLEET_UPSTREAMS; upstreams++)
+        {
+          struct board_options o = {
+            .vms = vms, .upstreams = upstreams, .slots = 2, .connections = 2000
+          };
+          struct am_board boards[FLEET_VMS];
+          struct shares sum;
+
+          for (uint32_t i = 0; i < vms; i++)
+            board_make (&boards[i], i + 1, &o, &quiet);
+          add_up (boards, vms, &sum);
+          for (uint32_t u = 0; u < upstreams; u++)
+            ck_assert_uint_eq (sum.slots[u], 2);
+          ck_assert_uint_le (difference (sum.vm_slots, vms), 1);
+          ck_assert_uint_le (difference (sum.vm_connections, vms), 1);
+          for (uint32_t i = 0; i < vms; i++)
+            board_free (&boards[i]);
+        }
+    }
+}
+END_TEST
+
+/* Guards against slots of a vanished member being used while its requests may
+   still run, and against slots that nobody takes over afterwards.  */
+START_TEST (test_hold_down)
+{
+  struct board_options o
+      = { .vms = 7, .upstreams = 15, .slots = 2, .connections = 2000 };
+  struct am_board boards[FLEET_VMS];
+  struct shares before;
+  struct shares sum;
+
+  for (uint32_t i = 0; i < FLEET_VMS; i++)
+    {
+      boards[i].now_us = 0;
+      board_make (&boards[i], i + 1, &o, &quiet);
+    }
+  add_up (boards, 6, &before);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      struct am_service *s
+          = am_container_of (boards[i].services.next, struct am_service, node);
+
+      boards[i].now_us = SECOND;
+      am_board_member (&boards[i], 7)->state
+          = AMARANTH__MEMBER_STATE__MEMBER_DEAD;
+      board_set_home (&boards[i], s);
+      boards[i].now_us += AM_CREDIT_HOLD_US - 1;
+      am_credit_tick (&boards[i]);
+    }
+  add_up (boards, 6, &sum);
+  ck_assert_mem_eq (&sum, &before, sizeof sum);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      boards[i].now_us++;
+      am_credit_tick (&boards[i]);
+    }
+  add_up (boards, 6, &sum);
+  for (uint32_t u = 0; u < 15; u++)
+    ck_assert_uint_eq (sum.slots[u], 2);
+  for (uint32_t i = 0; i < FLEET_VMS; i++)
+    board_free (&boards[i]);
+}
+END_TEST
+
+static void
+run_lossy (struct fleet *f, double loss, uint32_t jitter_us)
+{
+  fleet_init (f, AMARANTH__POLICY__POLICY_LOCAL, 11);
+  f->peer_loss = loss;
+  f->peer_jitter_us = jitter_us;
+  f->request_rate
+      = LOAD * FLEET_UPSTREAMS * FLEET_SLOTS * 1e6 / FLEET_SERVICE_US;
+  f->end_us = f->now_us + 60 * SECOND;
+  fleet_again (f, FLEET_REQUEST, 0);
+  fleet_run_until (f, f->end_us, SECOND, NULL, NULL);
+}
+
+/* Guards against a slot used by lender and borrower at the same time, and
+   against one that never comes back, when credit messages are lost, doubled
+   and delayed beyond the timeouts.  */
+START_TEST (test_lossy_lending)
+{
+  static const uint32_t jitters[] = { 0, 20000, 3000000 };
+  struct fleet *f = malloc (sizeof *f);
+
+  for (int i = 0; i < 3; i++)
+    {
+      uint64_t borrowed = 0;
+
+      run_lossy (f, 0.2, jitters[i]);
+      ck_assert_uint_eq (f->refusals, 0);
+      f->request_rate = 1e-9;
+      fleet_run_until (f, f->now_us + 20 * SECOND, SECOND, NULL, NULL);
+      for (int vm = 0; vm < FLEET_VMS; vm++)
+        {
+          borrowed += f->vms[vm].board.counters.borrowed;
+          for (int u = 0; u < FLEET_UPSTREAMS; u++)
+            {
+              ck_assert_uint_eq (f->vms[vm].upstreams[u]->credit.lent, 0);
+              ck_assert_uint_eq (f->vms[vm].upstreams[u]->credit.borrowed, 0);
+            }
+        }
+      printf ("jitter_us=%u borrowed=%llu\n", jitters[i],
+              (unsigned long long)borrowed);
+      ck_assert (borrowed > 0 || jitters[i] > 100000);
+      fleet_free (f);
+    }
+  free (f);
+}
+END_TEST
+
+/* Hands the last peer datagram to B.  */
+struct mailbox
+{
+  uint8_t data[256];
+  size_t len;
+};
+
+static void
+keep_peer (void *userdata, const struct am_action *a)
+{
+  struct mailbox *m = userdata;
+
+  if (a->type != AM_ACTION_PEER)
+    return;
+  memcpy (m->data, a->data, a->len);
+  m->len = a->len;
+}
+
+static void
+pass_on (struct mailbox *m, struct am_board *b)
+{
+  struct am_peer_header h;
+  const uint8_t *body;
+  size_t len;
+
+  ck_assert_int_eq (
+      am_peer_decode (&h, b->peer_key, m->data, m->len, &body, &len), AM_OK);
+  ck_assert_int_eq (am_credit_peer (b, h.sender_id, body, len), AM_OK);
+}
+
+/* Guards against a borrower that begins work on a loan after a pause longer
+   than its validity, and against a slot lost with a borrower that died.  */
+START_TEST (test_loan_ends_by_itself)
+{
+  struct board_options o
+      = { .vms = 2, .upstreams = 1, .slots = 1, .connections = 1 };
+  struct mailbox box[2] = { { .len = 0 }, { .len = 0 } };
+  struct am_board boards[2];
+  struct am_upstream *u[2];
+  struct am_upstream *chosen;
+  int lender;
+
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      struct am_sink sink = { keep_peer, &box[i] };
+      struct am_service *s = board_make (&boards[i], i + 1, &o, &sink);
+
+      boards[i].now_us = SECOND;
+      u[i] = am_service_upstream (s, am_hash_name ("u-0"));
+    }
+  lender = u[0]->credit.slots ? 0 : 1;
+  am_credit_borrow (&boards[!lender], u[!lender]->service);
+  pass_on (&box[!lender], &boards[lender]);
+  ck_assert (!am_credit_slot_free (u[lender]));
+  pass_on (&box[lender], &boards[!lender]);
+  ck_assert (am_credit_slot_free (u[!lender]));
+  u[!lender]->use.busy = 1;
+  boards[!lender].now_us += 3 * SECOND;
+  u[!lender]->use.busy = 0;
+  ck_assert_int_eq (am_choice_pick (&boards[!lender], u[!lender]->service,
+                                    AM_WORK_REQUEST, NULL, 0, &chosen),
+                    AM_E_LIMIT);
+  am_board_member (&boards[lender], !lender + 1)->boot_id = 99;
+  am_credit_tick (&boards[lender]);
+  boards[lender].now_us += AM_CREDIT_HOLD_US - 1;
+  am_credit_tick (&boards[lender]);
+  ck_assert (!am_credit_slot_free (u[lender]));
+  boards[lender].now_us++;
+  am_credit_tick (&boards[lender]);
+  ck_assert (am_credit_slot_free (u[lender]));
+  board_free (&boards[0]);
+  board_free (&boards[1]);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[]
+      = { test_split, test_hold_down, test_lossy_lending,
+          test_loan_ends_by_itself };
+
+  return RUN_TESTS ("credit", tests);
+}
