Hold back upstreams that ramp up from taking every new flow

Cause: an upstream that joins has the fewest flows, so it got each new one until it had a tenth of the others' number. Change: while it ramps up behind the others it gets new flows by its weighted turn only. Figures: in test_choice a newcomer beside three upstreams with 500 flows each gets at most 5 of 100 new flows.

--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -5,11 +5,6 @@
 #include "core/credit.h"
 #include "core/policy.h"
 
-/* Most upstreams that one choice looks at.  With more, those with the highest
-   rendezvous score for this entry VM are kept, which bounds the number of
-   connections it holds.  */
-#define CANDIDATES_MAX 64
-
 /* A report of draining counts for this long.  */
 #define DRAINING_LIFE_US 5000000u
 
@@ -18,8 +13,8 @@
 
 struct candidates
 {
-  struct am_upstream *items[CANDIDATES_MAX];
-  uint64_t scores[CANDIDATES_MAX];
+  struct am_upstream *items[AM_CANDIDATES_MAX];
+  uint64_t scores[AM_CANDIDATES_MAX];
   size_t count;
 };
 
@@ -69,11 +64,11 @@
 {
   size_t at = 0;
 
-  if (c->count < CANDIDATES_MAX)
+  if (c->count < AM_CANDIDATES_MAX)
     at = c->count++;
   else
     {
-      for (size_t i = 1; i < CANDIDATES_MAX; i++)
+      for (size_t i = 1; i < AM_CANDIDATES_MAX; i++)
         {
           if (c->scores[i] < c->scores[at])
             at = i;
--- a/src/core/choice.h
+++ b/src/core/choice.h
@@ -9,6 +9,11 @@
 
 #include "core/board.h"
 
+/* Most upstreams that one choice looks at.  With more, those with the highest
+   rendezvous score for this entry VM are kept, which bounds the number of
+   connections it holds.  */
+#define AM_CANDIDATES_MAX 64
+
 enum am_work
 {
   AM_WORK_FLOW,
@@ -18,7 +23,7 @@
 struct am_choice_ops
 {
   const char *name;
-  /* Returns the chosen one of the N > 0 candidates.  */
+  /* Returns the chosen one of the N candidates, 1 to AM_CANDIDATES_MAX.  */
   struct am_upstream *(*pick) (struct am_board *b, struct am_service *s,
                                enum am_work work,
                                struct am_upstream *const *candidates, size_t n,
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -1,5 +1,7 @@
 #include "core/policy.h"
 
+#include <math.h>
+
 #include "base/hash.h"
 #include "core/credit.h"
 
@@ -22,6 +24,9 @@
 /* A cold upstream counts as one of half its weight.  */
 #define COLD_SHARE 0.5
 
+/* Above any score, so that it is taken only without another.  */
+#define HELD_BACK_SCORE 1e9
+
 /* Step of the mark of an upstream whose share is 1.  */
 #define MARK_STEP 1000.0
 
@@ -124,28 +129,50 @@
   return share * share_of (b, u) / am_policy_weight (u);
 }
 
+/* Returns true if U ramps up behind the others and has had its part of the
+   new flows.  Having fewest, it would else get every one of them.  */
+static bool
+held_back (const struct am_board *b, const struct am_service *s,
+           enum am_work work, const struct am_upstream *u, double highest)
+{
+  return work == AM_WORK_FLOW && am_ramp_share (b, u) < highest
+         && u->choice_mark > s->choice_next;
+}
+
+static double
+highest_ramp (const struct am_board *b, struct am_upstream *const *candidates,
+              size_t n)
+{
+  double highest = 0;
+
+  for (size_t i = 0; i < n; i++)
+    highest = fmax (highest, am_ramp_share (b, candidates[i]));
+  return highest;
+}
+
 static struct am_upstream *
 pick_local (struct am_board *b, struct am_service *s, enum am_work work,
             struct am_upstream *const *candidates, size_t n, uint64_t key)
 {
   bool strict = s->objective == AMARANTH__OBJECTIVE__OBJECTIVE_IMBALANCE;
   double tolerance = strict ? TOLERANCE_IMBALANCE : TOLERANCE_BROKEN_FLOWS;
+  double ramp = highest_ramp (b, candidates, n);
   struct am_upstream *best = NULL;
-  double least = 0;
+  double scores[AM_CANDIDATES_MAX];
+  double least = HUGE_VAL;
 
   (void)key;
   for (size_t i = 0; i < n; i++)
     {
-      double x = score (b, work, candidates[i]);
-
-      if (i == 0 || x < least)
-        least = x;
+      scores[i] = held_back (b, s, work, candidates[i], ramp)
+                      ? HELD_BACK_SCORE
+                      : score (b, work, candidates[i]);
+      least = fmin (least, scores[i]);
     }
   for (size_t i = 0; i < n; i++)
     {
-      if (score (b, work, candidates[i]) > least + tolerance)
-        continue;
-      if (!best || used_before (b, candidates[i], best))
+      if (scores[i] <= least + tolerance
+          && (!best || used_before (b, candidates[i], best)))
         best = candidates[i];
     }
   advance_mark (s, best,
--- a/test/test_choice.c
+++ b/test/test_choice.c
@@ -165,7 +165,9 @@
   f.upstreams[0]->health.answer_us = 50000;
   ck_assert_double_eq_tol (am_ramp_share (&f.board, f.upstreams[0]), 0.1,
                            0.001);
-  ck_assert_double_le (part_of_first (&f, 1000), 0.05);
+  for (int i = 1; i < N; i++)
+    f.upstreams[i]->use.flows = 500;
+  ck_assert_double_le (part_of_first (&f, 100), 0.05);
   for (int i = 1; i < N; i++)
     f.upstreams[i]->use.busy = 2;
   for (int ms = 0; ms < 1000; ms += 10)
--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -28,9 +28,11 @@
   X (U0)                                                                      \
   X (U1) /* upstream takes a packet: runs it, or stops it */                  \
   X (X0)                                                                      \
-  X (X1)                /* upstream refuses the next packet */                \
-      X (A0) X (A1)     /* upstream ends its oldest run with an ANSWER */     \
-      X (K0) X (K1)     /* upstream ends it as UNKNOWN */                     \
+  X (X1) /* upstream refuses the next packet */                               \
+  X (A0)                                                                      \
+  X (A1) /* upstream ends its oldest run with an ANSWER */                    \
+  X (K0)                                                                      \
+  X (K1)                /* upstream ends it as UNKNOWN */                     \
       X (D0) X (D1)     /* packet of the upstream is delivered */             \
       X (L0) X (L1)     /* connection is lost */                              \
       X (T) X (P) X (F) /* tick; pause past the deadline; retention passes */ \
