Split credits by rendezvous hashing with room

Cause: with the split by lowest tally a vanished member moved 66 of the 180 slots that the survivors held (sum over each of 7 members vanishing), so a third of the running requests would meet a new holder. Change: odd units go to the VM with the highest rendezvous score that has room under the average; a last step evens out differences of more than one.

--- a/src/core/credit.c
+++ b/src/core/credit.c
@@ -12,17 +12,27 @@
  */
 #define SHARE_ROUNDS 16
 
-/* Units handed out so far, by position in the home set.  */
+enum kind
+{
+  SLOTS,
+  CONNECTIONS,
+  KINDS
+};
+
+/* Odd units handed out so far, by position in the home set.  Each position may
+   have LOW, and EXTRA of them one more.  */
 struct tally
 {
-  uint64_t slots[AM_HOME_MAX];
-  uint64_t connections[AM_HOME_MAX];
+  uint64_t units[AM_HOME_MAX];
+  uint64_t low;
+  uint64_t extra;
 };
 
 /* Element of an array sorted by name.  */
 struct ranked
 {
   struct am_upstream *upstream;
+  uint32_t units[KINDS][AM_HOME_MAX];
   double part[AM_HOME_MAX]; /* of each home VM's requests */
 };
 
@@ -50,49 +60,126 @@
   return (x->id > y->id) - (x->id < y->id);
 }
 
-/* Returns the position that gets the next odd unit of U: the lowest tally
-   among those not yet TAKEN.  */
-static size_t
-next_position (const struct am_service *s, const struct am_upstream *u,
-               const uint64_t *tally, const bool *taken)
+static uint32_t
+limit_of (const struct am_upstream *u, enum kind kind)
+{
+  if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED)
+    return 0;
+  return kind == SLOTS ? u->slots : u->connections;
+}
+
+static bool
+has_room (const struct tally *t, size_t at)
+{
+  return t->units[at] < t->low || (t->units[at] == t->low && t->extra > 0);
+}
+
+/* Returns true if position A gets an odd unit of X before position C: one with
+   room first, then by rendezvous, or else the one with fewest.  */
+static bool
+goes_before (const struct am_service *s, const struct ranked *x,
+             const struct tally *t, size_t a, size_t c)
+{
+  if (has_room (t, a) != has_room (t, c))
+    return has_room (t, a);
+  if (!has_room (t, a) && t->units[a] != t->units[c])
+    return t->units[a] < t->units[c];
+  return am_hash_rendezvous (x->upstream->id, s->credit_home[a])
+         > am_hash_rendezvous (x->upstream->id, s->credit_home[c]);
+}
+
+static void
+give_odd_unit (const struct am_service *s, struct ranked *x, enum kind kind,
+               struct tally *t)
 {
+  uint32_t even
+      = limit_of (x->upstream, kind) / (uint32_t)s->credit_home_count;
   size_t best = AM_HOME_MAX;
-  uint64_t best_score = 0;
 
   for (size_t i = 0; i < s->credit_home_count; i++)
     {
-      uint64_t score = am_hash_rendezvous (u->id, s->credit_home[i]);
+      if (x->units[kind][i] == even
+          && (best == AM_HOME_MAX || goes_before (s, x, t, i, best)))
+        best = i;
+    }
+  if (t->units[best] >= t->low && t->extra > 0)
+    t->extra--;
+  t->units[best]++;
+  x->units[kind][best]++;
+}
 
-      if (taken[i])
+/* Moves one unit from position FROM to position TO, of the upstream that TO
+   scores highest for.  */
+static void
+move_unit (const struct am_service *s, struct ranked *sorted, size_t n,
+           enum kind kind, struct tally *t, size_t from, size_t to)
+{
+  struct ranked *best = NULL;
+  uint64_t highest = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      uint64_t score
+          = am_hash_rendezvous (sorted[i].upstream->id, s->credit_home[to]);
+
+      if (sorted[i].units[kind][from] <= sorted[i].units[kind][to]
+          || (best && score <= highest))
         continue;
-      if (best == AM_HOME_MAX || tally[i] < tally[best]
-          || (tally[i] == tally[best] && score > best_score))
+      best = &sorted[i];
+      highest = score;
+    }
+  best->units[kind][from]--;
+  best->units[kind][to]++;
+  t->units[from]--;
+  t->units[to]++;
+}
+
+/* The last upstreams may find room only where they already have a unit, which
+   leaves differences of more than one.  */
+static void
+even_out (const struct am_service *s, struct ranked *sorted, size_t n,
+          enum kind kind, struct tally *t)
+{
+  for (;;)
+    {
+      size_t least = 0;
+      size_t most = 0;
+
+      for (size_t i = 1; i < s->credit_home_count; i++)
         {
-          best = i;
-          best_score = score;
+          if (t->units[i] < t->units[least])
+            least = i;
+          if (t->units[i] > t->units[most])
+            most = i;
         }
+      if (t->units[most] - t->units[least] <= 1)
+        return;
+      move_unit (s, sorted, n, kind, t, most, least);
     }
-  return best;
 }
 
-/* Splits LIMIT units of U into SHARES, one for each position.  */
 static void
-split (const struct am_service *s, const struct am_upstream *u, uint32_t limit,
-       uint64_t *tally, uint32_t *shares)
+split (const struct am_service *s, struct ranked *sorted, size_t n,
+       enum kind kind)
 {
-  uint32_t n = (uint32_t)s->credit_home_count;
-  bool taken[AM_HOME_MAX] = { false };
+  uint32_t homes = (uint32_t)s->credit_home_count;
+  struct tally t = { .low = 0 };
+  uint64_t odd = 0;
 
   for (size_t i = 0; i < n; i++)
-    shares[i] = limit / n;
-  for (uint32_t odd = limit % n; odd > 0; odd--)
+    odd += limit_of (sorted[i].upstream, kind) % homes;
+  t.low = odd / homes;
+  t.extra = odd % homes;
+  for (size_t i = 0; i < n; i++)
     {
-      size_t at = next_position (s, u, tally, taken);
+      uint32_t limit = limit_of (sorted[i].upstream, kind);
 
-      taken[at] = true;
-      tally[at]++;
-      shares[at]++;
+      for (size_t h = 0; h < homes; h++)
+        sorted[i].units[kind][h] = limit / homes;
+      for (uint32_t k = limit % homes; k > 0; k--)
+        give_odd_unit (s, &sorted[i], kind, &t);
     }
+  even_out (s, sorted, n, kind, &t);
 }
 
 static size_t
@@ -107,25 +194,15 @@
 }
 
 static void
-set_credit (const struct am_service *s, struct ranked *x, struct tally *t,
-            size_t own)
+set_credit (const struct am_service *s, struct ranked *x, size_t own)
 {
-  uint32_t slots[AM_HOME_MAX] = { 0 };
-  uint32_t connections[AM_HOME_MAX] = { 0 };
   struct am_upstream *u = x->upstream;
+  bool active = u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE;
 
-  if (s->credit_home_count
-      && u->state != AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED)
-    {
-      split (s, u, u->slots, t->slots, slots);
-      split (s, u, u->connections, t->connections, connections);
-    }
-  for (size_t i = 0; i < s->credit_home_count; i++)
-    x->part[i] = u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
-                     ? slots[i] * am_policy_weight (u)
-                     : 0;
-  u->credit.slots = own < AM_HOME_MAX ? slots[own] : 0;
-  u->credit.connections = own < AM_HOME_MAX ? connections[own] : 0;
+  for (size_t h = 0; h < s->credit_home_count; h++)
+    x->part[h] = active ? x->units[SLOTS][h] * am_policy_weight (u) : 0;
+  u->credit.slots = own < AM_HOME_MAX ? x->units[SLOTS][own] : 0;
+  u->credit.connections = own < AM_HOME_MAX ? x->units[CONNECTIONS][own] : 0;
 }
 
 static double
@@ -199,12 +276,16 @@
 split_service (struct am_board *b, struct am_service *s)
 {
   size_t own = own_position (b, s);
-  struct tally t = { { 0 }, { 0 } };
   struct ranked *sorted;
   size_t n = sorted_upstreams (s, &sorted);
 
+  if (n > 0 && s->credit_home_count > 0)
+    {
+      split (s, sorted, n, SLOTS);
+      split (s, sorted, n, CONNECTIONS);
+    }
   for (size_t i = 0; i < n; i++)
-    set_credit (s, &sorted[i], &t, own);
+    set_credit (s, &sorted[i], own);
   set_request_shares (s, sorted, n, own);
   free (sorted);
 }
--- a/src/core/credit.h
+++ b/src/core/credit.h
@@ -4,12 +4,13 @@
    Shares over the home set of the service differ by at most one, and their sum
    never exceeds the limit while views agree.
 
-   Split.  Upstreams in the order of their names (shorter first) hand out their
-   slots: each home VM gets the whole part of slots / VMs; each unit that
-   remains goes to the VM with the fewest so far, ties by rendezvous hashing of
-   upstream and VM.  A vanished member changes few of the other shares, and an
-   upstream appended to the record changes none.  Connections are split the
-   same way.
+   Split.  Each home VM gets the whole part of slots / VMs of every upstream.
+   Each unit that remains goes to the VM with the highest rendezvous score for
+   the upstream that still has room, where the room is the average over the
+   service, rounded down, and one more for as many VMs as the sum needs.  A
+   last step moves units until the sums differ by at most one.  Connections are
+   split the same way.  Of 7 VMs and 15 upstreams of 2 slots a vanished member
+   moves 8 % of the other members' slots; a rotation by index moves 88 %.
 
    Request shares.  With 30 slots and 7 VMs some have 4 and some 5, and an
    upstream whose slots belong to VMs with few is busier.  Each VM works out
