Bound the answers to credit requests

Cause: asks were bounded for each borrower, but six borrowers may all ask the one VM with idle slots. Change: at most 16 answers a second, burst 16; others count as none idle.

--- a/src/core/lending.c
+++ b/src/core/lending.c
@@ -22,6 +22,11 @@
 #define ASKS_PER_SECOND 8.0
 #define ASKS_BURST 16.0
 
+/* ASKs that are answered.  Several borrowers may ask the one peer with idle
+   slots; to those without an answer it has none.  */
+#define LENDS_PER_SECOND 16.0
+#define LENDS_BURST 16.0
+
 /* An ASK without answer is given up after this time; peers are about 1 ms
    away.  */
 #define ASK_TIMEOUT_US 50000u
@@ -78,6 +83,12 @@
   uint64_t until_us;
 };
 
+struct bucket
+{
+  double tokens;
+  uint64_t at_us;
+};
+
 struct am_lending
 {
   struct borrower *borrowers;
@@ -85,8 +96,8 @@
   struct am_list lent;
   uint32_t next_loan_id;
   uint32_t next_ask;
-  double asks; /* token bucket */
-  uint64_t asks_us;
+  struct bucket asks;
+  struct bucket lends;
 };
 
 struct item
@@ -117,8 +128,8 @@
   am_list_init (&l->lent);
   l->next_loan_id = (uint32_t)am_rng_next (&b->rng);
   l->next_ask = (uint32_t)am_rng_next (&b->rng);
-  l->asks = ASKS_BURST;
-  l->asks_us = b->now_us;
+  l->asks = (struct bucket){ ASKS_BURST, b->now_us };
+  l->lends = (struct bucket){ LENDS_BURST, b->now_us };
   b->lending = l;
   return AM_OK;
 }
@@ -146,6 +157,20 @@
   b->lending = NULL;
 }
 
+static bool
+take_token (const struct am_board *b, struct bucket *k, double rate,
+            double burst)
+{
+  k->tokens += (double)(b->now_us - k->at_us) / 1e6 * rate;
+  k->at_us = b->now_us;
+  if (k->tokens > burst)
+    k->tokens = burst;
+  if (k->tokens < 1)
+    return false;
+  k->tokens -= 1;
+  return true;
+}
+
 /* ---- messages ----------------------------------------------------- */
 
 static size_t
@@ -314,6 +339,8 @@
   uint32_t idle = lendable_total (b, s);
   uint32_t give = (idle + 1) / 2;
 
+  if (!take_token (b, &b->lending->lends, LENDS_PER_SECOND, LENDS_BURST))
+    return;
   if (give > ask->value)
     give = ask->value;
   while (reply.count < give && reply.count < ITEMS_MAX)
@@ -465,22 +492,6 @@
   return best;
 }
 
-static bool
-take_ask_token (struct am_board *b)
-{
-  struct am_lending *l = b->lending;
-  double seconds = (double)(b->now_us - l->asks_us) / 1e6;
-
-  l->asks_us = b->now_us;
-  l->asks += seconds * ASKS_PER_SECOND;
-  if (l->asks > ASKS_BURST)
-    l->asks = ASKS_BURST;
-  if (l->asks < 1)
-    return false;
-  l->asks -= 1;
-  return true;
-}
-
 void
 am_credit_borrow (struct am_board *b, struct am_service *s)
 {
@@ -497,7 +508,7 @@
     note_idle (b, s->id, w->asked_id, 0);
   w->asked_us = 0;
   peer = peer_to_ask (b, s, w);
-  if (!peer || !take_ask_token (b))
+  if (!peer || !take_token (b, &b->lending->asks, ASKS_PER_SECOND, ASKS_BURST))
     return;
   w->number = b->lending->next_ask++;
   w->asked_id = peer->id;
--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -34,8 +34,9 @@
   X (K0)                                                                      \
   X (K1) /* upstream ends it as UNKNOWN */                                    \
   X (D0)                                                                      \
-  X (D1)                /* packet of the upstream is delivered */             \
-      X (L0) X (L1)     /* connection is lost */                              \
+  X (D1) /* packet of the upstream is delivered */                            \
+  X (L0)                                                                      \
+  X (L1)                /* connection is lost */                              \
       X (T) X (P) X (F) /* tick; pause past the deadline; retention passes */ \
       X (B)             /* crash and restart under a new boot id */
 
