--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -74,8 +74,10 @@
   double flow_life_us;
   uint32_t retries; /* of a caller after a refusal or its time limit */
   bool lending;
-  bool no_budget;    /* retries of repeatable requests are not bounded */
-  double lost_share; /* of requests that end as UNKNOWN */
+  double peer_loss;        /* of datagrams between VMs; as many are doubled */
+  uint32_t peer_jitter_us; /* longest extra delay of one */
+  bool no_budget;          /* retries of repeatable requests are not bounded */
+  double lost_share;       /* of requests that end as UNKNOWN */
 
   /* Model of the upstreams and what was measured.  */
   uint32_t busy[FLEET_UPSTREAMS];
@@ -87,8 +89,10 @@
   uint64_t wait_us;  /* from arrival to the upstream */
   uint64_t runs;
   uint64_t peer_bytes;
-  double good_weight; /* answered, by weight */
-  uint64_t told[3];   /* ANSWER, NOT-RUN, UNKNOWN */
+  double good_weight;  /* answered, by weight */
+  uint64_t told[3];    /* ANSWER, NOT-RUN, UNKNOWN */
+  uint64_t answers[2]; /* by class */
+  uint64_t digest;     /* of all actions */
 };
 
 static inline double
@@ -159,6 +163,8 @@
   if (fleet_measuring (f))
     {
       f->told[o.outcome]++;
+      if (o.outcome == 0)
+        f->answers[request_class]++;
       if (o.outcome == 0)
         f->good_weight += v->service->classes[request_class].weight;
     }
@@ -169,6 +175,24 @@
                                          .attempt = attempt + 1 });
 }
 
+static inline void
+fleet_send_peer (struct fleet *f, struct fleet_event e)
+{
+  uint64_t sent_us = e.at_us;
+  int copies = 1;
+
+  if (am_rng_unit (&f->rng) < f->peer_loss)
+    copies = 0;
+  else if (am_rng_unit (&f->rng) < f->peer_loss)
+    copies = 2;
+  for (int i = 0; f->lending && i < copies; i++)
+    {
+      if (f->peer_jitter_us)
+        e.at_us = sent_us + am_rng_below (&f->rng, f->peer_jitter_us);
+      fleet_push (f, e);
+    }
+}
+
 static inline void
 fleet_emit (void *userdata, const struct am_action *a)
 {
@@ -179,6 +203,7 @@
   struct am_packet p;
   struct am_run_body run;
 
+  f->digest = am_hash_bytes (a->data, a->len, f->digest + a->type);
   if (a->type == AM_ACTION_CALLER
       && !am_packet_decode (&p, a->data + AM_PROXY_HEADER_SIZE,
                             a->len - AM_PROXY_HEADER_SIZE))
@@ -190,8 +215,7 @@
       e.vm = a->to.ip - 0x7f320201;
       e.len = a->len;
       memcpy (e.data, a->data, a->len);
-      if (f->lending)
-        fleet_push (f, e);
+      fleet_send_peer (f, e);
     }
   if (a->type == AM_ACTION_STREAM
       && !am_packet_decode_stream (&p, a->data, a->len)
