--- a/src/core/control_readers.c
+++ b/src/core/control_readers.c
@@ -60,7 +60,7 @@
   am_list_each (v, &c->vms.all, struct am_vm, node)
   {
     if (am_vm_live (v) && strcmp (v->data_centre, dc) == 0
-        && am_hash_rendezvous (key, v->id) > own && ++ahead >= AM_READERS)
+        && am_hash_rendezvous (key, v->id) > own && ++ahead >= c->reader_count)
       return false;
   }
   return true;
