--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -363,5 +363,8 @@
   err = start (&f);
   if (err)
     return standin_fail ("standin-fabric", "listen", err, AM_EXIT_UNAVAILABLE);
-  return standin_program_run (&f.program);
+  standin_program_run (&f.program);
+  standin_program_finish (&f.program);
+  free (f.services);
+  return AM_EXIT_OK;
 }
--- a/standin/standin_program.c
+++ b/standin/standin_program.c
@@ -60,6 +60,22 @@
   uv_stop (&p->loop);
 }
 
+static void
+close_handle (uv_handle_t *handle, void *userdata)
+{
+  (void)userdata;
+  if (!uv_is_closing (handle))
+    uv_close (handle, NULL);
+}
+
+void
+standin_program_finish (struct standin_program *p)
+{
+  uv_walk (&p->loop, close_handle, NULL);
+  uv_run (&p->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&p->loop);
+}
+
 uint64_t
 standin_now_us (void)
 {
--- a/standin/standin_program.h
+++ b/standin/standin_program.h
@@ -33,6 +33,10 @@
 /* Ends the loop.  */
 void standin_program_end (struct standin_program *p);
 
+/* Closes every handle of the loop, without callbacks, and the loop.  For
+   programs whose handles own no memory.  */
+void standin_program_finish (struct standin_program *p);
+
 /* Returns microseconds of CLOCK_MONOTONIC, the clock of the histories.  */
 uint64_t standin_now_us (void);
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -842,6 +842,7 @@
   if (err)
     return standin_fail ("standin-store", "listen", err, AM_EXIT_UNAVAILABLE);
   standin_program_run (&s.program);
+  standin_program_finish (&s.program);
   stop_daemon (&s);
   return AM_EXIT_OK;
 }
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -547,6 +547,8 @@
     return standin_fail ("standin-upstream", o.history, err,
                          AM_EXIT_UNAVAILABLE);
   err = start_world (&w, &o);
+  free (o.targets);
+  free (o.only);
   if (!err)
     err = standin_control_open (&control, &w.program.loop, o.control,
                                 on_command, &w);
