Take a flow as silent when its pings stay unanswered

The caller's own timer now runs from the last PONG, and an opaque flow opens anew from another port, since its address is its identity.

--- a/standin/standin_feed.c
+++ b/standin/standin_feed.c
@@ -21,8 +21,9 @@
    that single losses do not count as silence.  */
 #define PING_TRIES 4
 
-/* Intervals without any packet after which the caller opens anew by its own
-   timer.  The entry VMs report silence one interval before.  */
+/* Intervals without a PONG after which the caller opens anew by its own timer,
+   whatever else arrives: alerts may still come down a path that lost the way
+   up.  The entry VMs report silence one interval before.  */
 #define SILENT_INTERVALS 4.5
 
 /* Every second interval carries DATA up.  */
@@ -40,7 +41,8 @@
   UT_hash_handle hh;
   struct standin_caller_service *service;
   struct am_udp_port *port;
-  struct am_udp_port own; /* opaque: the flow is its address and port */
+  struct am_udp_port own[2]; /* opaque: the flow is its address and port; a
+                                re-opened one changes to the other */
   uint64_t id;
   enum feed_state state;
   uint8_t ticket[AM_TICKET_SIZE];
@@ -48,6 +50,7 @@
   uint64_t broken_us;  /* when the flow before it ended, 0: none */
   uint64_t backoff_us;
   uint64_t heard_us;
+  uint64_t pong_us;
   uint32_t ping_sequence;
   uint8_t ping_tries;
   bool answered;
@@ -179,6 +182,30 @@
   f->heard_us = now_us;
 }
 
+static void on_opaque (void *userdata, struct am_address from,
+                       const uint8_t *data, size_t len);
+
+/* Opens the socket of an opaque flow that is not in use, and closes the other
+   one.  Returns AM_OK or AM_E_IO.  */
+static int
+change_port (struct standin_feed *f)
+{
+  struct am_udp_port *old = f->port;
+  struct am_udp_port *next = &f->own[old == &f->own[0]];
+  struct am_address address = am_udp_address (old);
+  int err;
+
+  address.port = 0;
+  err = am_udp_open (next, &f->service->caller->program.loop, address,
+                     on_opaque, f);
+  if (err)
+    return err;
+  f->port = next;
+  if (old == &f->own[0] || old == &f->own[1])
+    am_udp_close (old);
+  return AM_OK;
+}
+
 /* The flow ended against the caller's wish: opens it anew.  */
 static void
 break_flow (struct standin_feed *f, int error)
@@ -197,6 +224,8 @@
   note_gap (f, now);
   HASH_DEL (c->feeds, f);
   f->broken_us = now;
+  if (f->service->opaque)
+    change_port (f);
   begin (f);
   standin_history_event (&c->history, "reopen",
                          "\"flow\":\"%" PRIu64 "\",\"old\":\"%" PRIu64
@@ -213,6 +242,7 @@
 
   f->state = FEED_OPEN;
   f->heard_us = now;
+  f->pong_us = now;
   n->opened++;
   standin_values_add (&n->open_us, now - f->started_us);
   if (f->broken_us)
@@ -274,8 +304,11 @@
       send_open (f);
       set_timer (f, now_us + f->backoff_us);
     }
-  else if ((double)(now_us - f->heard_us) > silent_us)
-    break_flow (f, AM_E_TIMEOUT);
+  else if ((double)(now_us - f->pong_us) > silent_us)
+    {
+      send_close (f, f->ticket);
+      break_flow (f, AM_E_TIMEOUT);
+    }
   else
     ping (f, now_us);
 }
@@ -314,6 +347,7 @@
 take_pong (struct standin_feed *f, uint32_t sequence)
 {
   f->unanswered = 0;
+  f->pong_us = standin_now_us ();
   if (sequence == f->ping_sequence)
     f->answered = true;
 }
@@ -474,24 +508,18 @@
   struct standin_caller *c = s->caller;
   struct standin_feed *f = calloc (1, sizeof *f);
   uint32_t source = s->flows_started % STANDIN_SOURCES;
-  struct am_address address = am_udp_address (&c->sources[source]);
 
   if (!f)
     return;
   f->service = s;
   f->port = &c->sources[source];
-  f->own.fd = -1;
+  f->own[0].fd = -1;
+  f->own[1].fd = -1;
   standin_timer_init (&f->timer, fire);
-  address.port = 0;
-  if (s->opaque)
+  if (s->opaque && change_port (f) != AM_OK)
     {
-      f->port = &f->own;
-      if (am_udp_open (&f->own, &c->program.loop, address, on_opaque, f)
-          != AM_OK)
-        {
-          free (f);
-          return;
-        }
+      free (f);
+      return;
     }
   begin (f);
 }
@@ -537,8 +565,8 @@
       standin_history_event (&c->history, "close", "\"flow\":\"%" PRIu64 "\"",
                              f->id);
       c->feed_counts.closed++;
-      if (f->own.fd >= 0)
-        am_udp_close (&f->own);
+      if (f->service->opaque)
+        am_udp_close (f->port);
       am_list_push_back (&c->finished, &f->timer.node);
       f = next;
     }
