--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -417,15 +417,28 @@
                                     timeout=5) as answer:
             return json.load(answer)
 
-    def store_fault(self, **fault):
-        """PUT /standin/fault: outage_ms, delay_ms, lose_answers,
-        lose_requests, snapshot, restore."""
+    def store_put(self, path, value):
+        """PUT of a JSON value to a path of the store; returns the JSON."""
         request = urllib.request.Request(
-            f"http://{self.store_address}/standin/fault", method="PUT",
-            data=json.dumps(fault).encode())
+            f"http://{self.store_address}{path}", method="PUT",
+            data=json.dumps(value).encode())
         with urllib.request.urlopen(request, timeout=5) as answer:
             return json.load(answer)
 
+    def store_fault(self, **fault):
+        """PUT /standin/fault: outage_ms, delay_ms, lose_answers,
+        lose_requests, snapshot, restore."""
+        return self.store_put("/standin/fault", fault)
+
+    def publish_vms(self, leaving=()):
+        """Gives the platform's list of VMs, which lags (--vm-list-lag-ms);
+        LEAVING are names of VMs listed as leaving."""
+        return self.store_put("/standin/vms", [
+            {"id": vm.id, "name": vm.name, "address": vm.address,
+             "port": 7100, "data_centre": vm.data_centre,
+             "state": "leaving" if vm.name in leaving else "live"}
+            for vm in self.vms])
+
     def start_upstreams(self, arguments=(), records=None):
         """Starts all upstreams in one process; history/upstream.jsonl."""
         argv = [self.program("standin-upstream")]
@@ -512,6 +525,8 @@
 
     def start_entry_vms(self):
         """All forwarders and agents."""
+        if self.store:
+            self.publish_vms()
         for vm in self.vms:
             self.start_forwarder(vm)
             self.start_agent(vm)
