--- a/standin/standin_program.c
+++ b/standin/standin_program.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "base/error.h"
@@ -27,6 +28,19 @@
   p->stop (p->userdata);
 }
 
+/* A stand-in for many callers or targets needs a socket for each; the default
+   soft limit is 1,024.  */
+static void
+raise_file_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 int
 standin_program_init (struct standin_program *p, standin_stop stop,
                       void *userdata)
@@ -35,6 +49,7 @@
   p->stop = stop;
   p->userdata = userdata;
   signal (SIGPIPE, SIG_IGN);
+  raise_file_limit ();
   if (uv_loop_init (&p->loop) != 0)
     return AM_E_IO;
   uv_signal_init (&p->loop, &p->terminate);
--- a/standin/standin_target.h
+++ b/standin/standin_target.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "base/address.h"
+#include "record/record.h"
 
 #define STANDIN_TARGET_NAME_SIZE 64
 
@@ -25,8 +26,9 @@
 
 /* Reads the service record FILE (YAML, schema 1 or 2) and adds its upstreams,
    but retired ones, to the array *TARGETS of *COUNT, which the caller frees.
-   Returns AM_OK, AM_E_IO, AM_E_FORMAT, AM_E_FIELD_MISSING or AM_E_MEMORY.  */
+   On failure F tells why.  Returns AM_OK, AM_E_IO, AM_E_MEMORY,
+   AM_E_FIELD_VALUE (not a service) or an error of am_record_parse_yaml.  */
 int standin_targets_read (struct standin_target **targets, size_t *count,
-                          const char *file);
+                          const char *file, struct am_fault *f);
 
 #endif
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -16,6 +16,8 @@
 /* Wait between the stop and the start of one target, for its sockets.  */
 #define RESTART_US 50000u
 
+#define FAULT_LINE_SIZE 512
+
 struct options
 {
   const char **only;
@@ -406,10 +408,13 @@
 static void
 add_record (struct options *o, const char *file, struct argp_state *state)
 {
-  int err = standin_targets_read (&o->targets, &o->target_count, file);
+  struct am_fault f;
+  char line[FAULT_LINE_SIZE];
 
-  if (err)
-    argp_failure (state, AM_EXIT_DATA, 0, "%s: %s", file, am_error_text (err));
+  if (standin_targets_read (&o->targets, &o->target_count, file, &f) == AM_OK)
+    return;
+  am_fault_format (&f, file, line, sizeof line);
+  argp_failure (state, AM_EXIT_DATA, 0, "%s", line);
 }
 
 static int
--- a/test/test_upstream_standin.c
+++ b/test/test_upstream_standin.c
@@ -17,7 +17,8 @@
 #define SERVICE_MS "1000"
 
 static const char record[]
-    = "schema: 2\nkind: service\nname: s\naddress: " SERVICE "\nupstreams:\n"
+    = "schema: 2\nkind: service\nname: s\nregion: r\naddress: " SERVICE
+      "\nbinding: ticket\nobjective: broken_flows\npolicy: local\nupstreams:\n"
       "  - name: s-1\n    address: " TARGET "\n    data_centre: a\n"
       "    incarnation: 1\n    state: active\n    slots: 2\n"
       "    connections: 2\n";
