--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -6,6 +6,7 @@
 #ifndef AM_CORE_CONTROL_BOARD_H
 #define AM_CORE_CONTROL_BOARD_H
 
+#include <string.h>
 #include <uthash.h>
 
 #include "base/list.h"
@@ -317,6 +318,16 @@
   struct am_link link;
 };
 
+/* Copies the string FROM to the array TO of SIZE bytes, cut if longer.  */
+static inline void
+am_copy_text (char *to, size_t size, const char *from)
+{
+  size_t len = strnlen (from, size - 1);
+
+  memcpy (to, from, len);
+  to[len] = '\0';
+}
+
 /* Packs E and emits it as an action of TYPE.  Memory failure drops it, as a
    lost datagram would be.  */
 void am_control_emit (struct am_control *c, enum am_control_action_type type,
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -103,7 +103,7 @@
   if (fits)
     {
       *revision = (uint64_t)n;
-      strcpy (write_id, id);
+      am_copy_text (write_id, AM_WRITE_ID_SIZE, id);
     }
   json_decref (root);
   return fits ? AM_OK : AM_E_FORMAT;
@@ -116,8 +116,8 @@
   struct am_refused *r = &c->config.refused[c->config.refused_next];
 
   c->config.refused_next = (c->config.refused_next + 1) % AM_REFUSED_MAX;
-  strcpy (r->name, name);
-  strcpy (r->write_id, write_id);
+  am_copy_text (r->name, sizeof r->name, name);
+  am_copy_text (r->write_id, sizeof r->write_id, write_id);
   r->revision = revision;
   c->counters.records_refused++;
   am_control_log (c, AM_LOG_WARNING,
@@ -187,7 +187,7 @@
   e = calloc (1, sizeof *e);
   if (!e)
     return NULL;
-  strcpy (e->name, name);
+  am_copy_text (e->name, sizeof e->name, name);
   am_list_init (&e->recent);
   HASH_ADD_KEYPTR (by_name, c->config.by_name, e->name, strlen (e->name), e);
   c->config.count++;
@@ -207,7 +207,7 @@
   free_parsed (e);
   e->kind = parsed->kind;
   e->revision = parsed->revision;
-  strcpy (e->write_id, parsed->write_id);
+  am_copy_text (e->write_id, sizeof e->write_id, parsed->write_id);
   e->service = parsed->service;
   e->keys = parsed->keys;
   e->key_count = parsed->key_count;
@@ -268,7 +268,7 @@
   if (strcmp (parsed.name, name) != 0)
     {
       f.error = AM_E_FORMAT;
-      strcpy (f.field, "name");
+      am_copy_text (f.field, sizeof f.field, "name");
       refuse (c, name, revision, write_id, &f);
       err = AM_E_FORMAT;
     }
@@ -350,6 +350,7 @@
     if (e->snapshot == 0 || e->snapshot > number)
       continue;
     e->in_force_revision = e->revision;
-    strcpy (e->in_force_write_id, e->write_id);
+    am_copy_text (e->in_force_write_id, sizeof e->in_force_write_id,
+                  e->write_id);
   }
 }
--- a/src/core/control_link.c
+++ b/src/core/control_link.c
@@ -236,7 +236,8 @@
 
   if (!memory)
     return AM_E_MEMORY;
-  qsort (snap->services, snap->n_services, sizeof *snap->services, by_claim);
+  qsort (snap->services, snap->n_services, sizeof (Amaranth__Service *),
+         by_claim);
   for (size_t i = 0; i < snap->n_services; i++)
     {
       Amaranth__Service *s = snap->services[i];
@@ -251,7 +252,7 @@
   snap->n_services = kept;
   HASH_CLEAR (hh, index);
   free (memory);
-  qsort (snap->services, kept, sizeof *snap->services, by_name);
+  qsort (snap->services, kept, sizeof (Amaranth__Service *), by_name);
   return AM_OK;
 }
 
@@ -301,7 +302,7 @@
 
   if (c->link.told)
     room += c->link.told->n_services;
-  b->snapshot.services = calloc (room, sizeof *b->snapshot.services);
+  b->snapshot.services = calloc (room, sizeof (Amaranth__Service *));
   if (!b->snapshot.services)
     return AM_E_MEMORY;
   HASH_ITER (by_name, c->config.by_name, e, next)
@@ -338,12 +339,12 @@
   size_t n = c->vms.count + 1;
 
   b->members = calloc (n, sizeof *b->members);
-  b->snapshot.members = calloc (n, sizeof *b->snapshot.members);
+  b->snapshot.members = calloc (n, sizeof (Amaranth__Member *));
   if (!b->members || !b->snapshot.members)
     return AM_E_MEMORY;
   add_member (b, &c->self);
   am_list_each (v, &c->vms.all, struct am_vm, node) { add_member (b, v); }
-  qsort (b->snapshot.members, n, sizeof *b->snapshot.members, by_id);
+  qsort (b->snapshot.members, n, sizeof (Amaranth__Member *), by_id);
   return AM_OK;
 }
 
@@ -353,7 +354,7 @@
   size_t n = c->verdicts.ejected_count;
 
   b->verdicts = calloc (n + 1, sizeof *b->verdicts);
-  b->snapshot.verdicts = calloc (n + 1, sizeof *b->snapshot.verdicts);
+  b->snapshot.verdicts = calloc (n + 1, sizeof (Amaranth__Verdict *));
   if (!b->verdicts || !b->snapshot.verdicts)
     return AM_E_MEMORY;
   for (size_t i = 0; i < n; i++)
--- a/src/core/control_spread.c
+++ b/src/core/control_spread.c
@@ -175,7 +175,7 @@
   w = calloc (1, sizeof *w);
   if (!w)
     return NULL;
-  strcpy (w->name, name);
+  am_copy_text (w->name, sizeof w->name, name);
   HASH_ADD_KEYPTR (by_name, c->spread.wanted, w->name, strlen (w->name), w);
   return w;
 }
@@ -203,7 +203,7 @@
       return;
     }
   w->revision = version->revision;
-  strcpy (w->write_id, version->write_id);
+  am_copy_text (w->write_id, sizeof w->write_id, version->write_id);
   w->other.ip = 0;
   ask (c, am_vm_control (v), w);
 }
--- a/src/core/control_status.c
+++ b/src/core/control_status.c
@@ -42,7 +42,7 @@
   size_t n = c->vms.count;
 
   r->members = calloc (n + 1, sizeof *r->members);
-  r->status.members = calloc (n + 1, sizeof *r->status.members);
+  r->status.members = calloc (n + 1, sizeof (Amaranth__Member *));
   if (!r->members || !r->status.members)
     return AM_E_MEMORY;
   am_list_each (v, &c->vms.all, struct am_vm, node)
@@ -86,9 +86,9 @@
   struct am_config_entry *next;
 
   r->versions = calloc (2 * n + 1, sizeof *r->versions);
-  r->status.records = calloc (n + 1, sizeof *r->status.records);
-  r->status.in_force = calloc (n + 1, sizeof *r->status.in_force);
-  r->status.services = calloc (n + 1, sizeof *r->status.services);
+  r->status.records = calloc (n + 1, sizeof (Amaranth__RecordVersion *));
+  r->status.in_force = calloc (n + 1, sizeof (Amaranth__RecordVersion *));
+  r->status.services = calloc (n + 1, sizeof (Amaranth__Service *));
   if (!r->versions || !r->status.records || !r->status.in_force
       || !r->status.services)
     return AM_E_MEMORY;
@@ -102,7 +102,7 @@
   size_t n = c->verdicts.ejected_count;
 
   r->verdicts = calloc (n + 1, sizeof *r->verdicts);
-  r->status.verdicts = calloc (n + 1, sizeof *r->status.verdicts);
+  r->status.verdicts = calloc (n + 1, sizeof (Amaranth__Verdict *));
   if (!r->verdicts || !r->status.verdicts)
     return AM_E_MEMORY;
   for (size_t i = 0; i < n; i++)
--- a/src/record/placeholder_record.c
+++ b/src/record/placeholder_record.c
@@ -94,7 +94,8 @@
   s->ping_misses = 3;
   s->slow_start_ms = number_of (root, "slow_start_ms", 10000);
   s->open_rate = number_of (root, "open_rate", 200);
-  s->upstreams = calloc (json_array_size (list) + 1, sizeof *s->upstreams);
+  s->upstreams
+      = calloc (json_array_size (list) + 1, sizeof (Amaranth__Upstream *));
   for (size_t i = 0; s->upstreams && i < json_array_size (list); i++)
     s->upstreams[s->n_upstreams++] = read_upstream (json_array_get (list, i));
   return s;
@@ -153,8 +154,8 @@
       f->error = AM_E_FORMAT;
       return AM_E_FORMAT;
     }
-  strcpy (r->name, text_of (root, "name"));
-  strcpy (r->write_id, text_of (root, "write_id"));
+  snprintf (r->name, sizeof r->name, "%s", text_of (root, "name"));
+  snprintf (r->write_id, sizeof r->write_id, "%s", text_of (root, "write_id"));
   r->revision = number_of (root, "revision", 0);
   r->root = root;
   if (number_of (root, "schema", 0) > 2)
