--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -24,9 +24,8 @@
   X (R0)                                                                      \
   X (R1)                                                                      \
   X (C0)                                                                      \
-  X (C1) /* REQUEST or CANCEL is delivered */                                 \
-  X (U0)                                                                      \
-  X (U1)                /* upstream takes a packet: runs it, or stops it */   \
+  X (C1)                /* REQUEST or CANCEL is delivered */                  \
+      X (U0) X (U1)     /* upstream takes a packet: runs it, or stops it */   \
       X (X0) X (X1)     /* upstream refuses the next packet */                \
       X (A0) X (A1)     /* upstream ends its oldest run with an ANSWER */     \
       X (K0) X (K1)     /* upstream ends it as UNKNOWN */                     \
