Answer probes and close flows in standin-blast

Cause: reports went to the caller instead of the probe's source, so the forwarder avoided the upstream after three probes; flows that were never closed filled the upstream's connections.

--- a/scripts/experiments/overload.py
+++ b/scripts/experiments/overload.py
@@ -4,7 +4,7 @@
 
 import plot
 from cluster import KORTRIJKSE
-from experiment import median, per_second, percentile
+from experiment import per_second, percentile
 
 DESCRIPTION = "goodput holds at twice the capacity and recovers at once"
 POLICIES = ("local", "two_choices", "random", "round_robin")
@@ -117,7 +117,8 @@
 
 def judge(x, r, begins, g):
     before, over, after = begins
-    capacity = UPSTREAMS * SLOTS * 1e6 / median(r.service_us)
+    capacity = (UPSTREAMS * SLOTS * 1e6 * len(r.service_us)
+                / sum(r.service_us))
     window = (over + 1_500_000, after - 200_000)
     goodput = r.goodput(*window)
     best = r.best(*window, capacity)
--- a/standin/blast.c
+++ b/standin/blast.c
@@ -178,14 +178,15 @@
 
 /* Answers OPEN and PROBE in the upstream's place.  */
 static void
-answer (struct blast *b, const struct am_packet *p, uint8_t type,
+answer (struct blast *b, const struct am_proxy_header *to,
+        const struct am_packet *p, uint8_t type,
         const struct sockaddr_in *from)
 {
   uint8_t buf[DATAGRAM_MAX];
   uint8_t load[AM_LOAD_SIZE];
   struct am_load l = { .connections = 1 };
   struct am_proxy_header h
-      = { .source = b->o.service, .destination = b->o.caller };
+      = { .source = to->destination, .destination = to->source };
   am_load_encode (&l, load);
   struct am_packet out = { .type = type,
                            .connection_id = p->connection_id,
@@ -213,9 +214,21 @@
   if (p.type == AM_PACKET_DATA)
     b->received++;
   else if (p.type == AM_PACKET_OPEN)
-    answer (b, &p, AM_PACKET_OPENED, from);
+    answer (b, &h, &p, AM_PACKET_OPENED, from);
   else if (p.type == AM_PACKET_PROBE)
-    answer (b, &p, AM_PACKET_REPORT, from);
+    answer (b, &h, &p, AM_PACKET_REPORT, from);
+}
+
+/* Ends a flow, so that the upstream's limit is not reached.  */
+static void
+close_flow (struct blast *b, uint64_t id, const uint8_t *ticket)
+{
+  uint8_t buf[DATAGRAM_MAX];
+  struct sockaddr_in to = to_system (b->o.target);
+  struct am_packet p
+      = { .type = AM_PACKET_CLOSE, .connection_id = id, .ticket = ticket };
+  size_t len = write_datagram (b, &p, buf);
+  sendto (b->back, buf, len, 0, (struct sockaddr *)&to, sizeof to);
 }
 
 static void
@@ -234,6 +247,7 @@
   if (b->o.mode == MODE_OPEN)
     {
       b->received++;
+      close_flow (b, p.connection_id, p.ticket);
       return;
     }
   struct flow *f = &b->flows[(p.connection_id - 1) % FLOWS_MAX];
@@ -374,6 +388,8 @@
           (unsigned long long)b->sent, (unsigned long long)b->received,
           (unsigned long long)b->lost, (unsigned long long)b->refused, seconds,
           (double)b->received / seconds);
+  for (uint64_t i = 0; i < b->open; i++)
+    close_flow (b, b->flows[i].id, b->flows[i].ticket);
   close (b->back);
   close (b->sink);
   return b->received ? AM_EXIT_OK : AM_EXIT_UNAVAILABLE;
