--- a/src/core/board.h
+++ b/src/core/board.h
@@ -29,9 +29,9 @@
 #define AM_HOME_MAX 7
 
 struct am_service;
+struct am_ticket_cache;
 struct am_requests;
 struct am_opens;
-struct am_ticket_cache;
 
 /* ---- actions ------------------------------------------------------ */
 
@@ -284,14 +284,14 @@
   uint64_t members_since_us; /* first snapshot with other members; 0: none */
   struct am_key keys[AM_KEYS_MAX];
   size_t key_count;
+  struct am_ticket_cache *tickets; /* verified; owner: key ring */
 
   /* Owner: lifecycle.  */
   bool stopping;
   uint64_t stopping_since_us;
 
-  struct am_requests *requests;    /* owner: request */
-  struct am_opens *opens;          /* owner: opening */
-  struct am_ticket_cache *tickets; /* owner: key ring */
+  struct am_requests *requests; /* owner: request */
+  struct am_opens *opens;       /* owner: opening */
 };
 
 /* Sets up an empty board.  */
