--- a/src/core/board.h
+++ b/src/core/board.h
@@ -29,10 +29,9 @@
 #define AM_HOME_MAX 7
 
 struct am_service;
+struct am_ticket_cache;
 struct am_requests;
-struct am_lending;
 struct am_opens;
-struct am_ticket_cache;
 
 /* ---- actions ------------------------------------------------------ */
 
@@ -94,7 +93,6 @@
   uint32_t borrowed;    /* slots borrowed from peers */
   uint32_t lent;        /* own slots lent to peers */
   uint32_t connections; /* own share of the connections */
-  double share;         /* part of own requests that it should get, 0 to 1 */
 };
 
 /* Last load that the upstream reported, by any packet.  Owner: dispatch. */
@@ -136,8 +134,7 @@
   struct am_upstream_credit credit;
   struct am_upstream_report report;
   struct am_upstream_probe probe;
-  uint64_t choice_mark;  /* owner: choice; order of last use */
-  uint64_t ramp_next_us; /* owner: choice; next request while ramping up */
+  uint64_t choice_mark; /* owner: choice; order of last use */
 };
 
 /* Class of requests of a service.  Owner: snapshot.  */
@@ -186,15 +183,8 @@
 
   void *binding_state;    /* owner: the binding */
   struct am_queue *queue; /* owner: admission */
-  uint64_t choice_next;   /* owner: choice; mark of the last one chosen */
+  uint32_t choice_next;   /* owner: choice; position of round robin */
   double retry_tokens;    /* owner: retry budget */
-
-  /* Home set that the credits are split over, by id.  Owner: credit.  */
-  uint32_t credit_home[AM_HOME_MAX];
-  size_t credit_home_count;
-  uint32_t credit_next[AM_HOME_MAX]; /* set that replaces it */
-  size_t credit_next_count;
-  uint64_t credit_due_us; /* when; 0: nothing pending */
 };
 
 /* ---- entry VMs and keys ------------------------------------------- */
@@ -294,6 +284,7 @@
   uint64_t members_since_us; /* first snapshot with other members; 0: none */
   struct am_key keys[AM_KEYS_MAX];
   size_t key_count;
+  struct am_ticket_cache *tickets; /* verified; owner: key ring */
 
   /* Owner: lifecycle.  */
   bool stopping;
--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -20,19 +20,32 @@
 #define FIFO_SIZE 64
 #define VISITED_SIZE (1u << 18)
 
-#define EVENT_LIST(X)                                                         \
-  X (R0)                                                                      \
-  X (R1)                                                                      \
-  X (C0)                                                                      \
-  X (C1)                /* REQUEST or CANCEL is delivered */                  \
-      X (U0) X (U1)     /* upstream takes a packet: runs it, or stops it */   \
-      X (X0) X (X1)     /* upstream refuses the next packet */                \
-      X (A0) X (A1)     /* upstream ends its oldest run with an ANSWER */     \
-      X (K0) X (K1)     /* upstream ends it as UNKNOWN */                     \
-      X (D0) X (D1)     /* packet of the upstream is delivered */             \
-      X (L0) X (L1)     /* connection is lost */                              \
-      X (T) X (P) X (F) /* tick; pause past the deadline; retention passes */ \
-      X (B)             /* crash and restart under a new boot id */
+/* Delivered: REQUEST (R), CANCEL (C).  Upstream: takes a packet and runs or
+   stops it (U), refuses the next packet (X), ends its oldest run with an
+   ANSWER (A) or as UNKNOWN (K); its packet is delivered (D), its connection is
+   lost (L).  Tick (T), pause past the deadline (P), retention passes (F),
+   crash and restart under a new boot id (B).  */
+#define EVENT_LIST(X) \
+  X (R0)              \
+  X (R1)              \
+  X (C0)              \
+  X (C1)              \
+  X (U0)              \
+  X (U1)              \
+  X (X0)              \
+  X (X1)              \
+  X (A0)              \
+  X (A1)              \
+  X (K0)              \
+  X (K1)              \
+  X (D0)              \
+  X (D1)              \
+  X (L0)              \
+  X (L1)              \
+  X (T)               \
+  X (P)               \
+  X (F)               \
+  X (B)
 
 enum event
 {
