Refuse credit messages of unknown members

Cause: an ASK of a member that this VM does not know lent a slot whose LEND could not be sent, so it was idle until its time limit. Change: such messages are refused; random bodies are tested. Conclusion: test_credit passes, also under the sanitizers.

--- a/src/core/credit.h
+++ b/src/core/credit.h
@@ -77,7 +77,8 @@
 void am_credit_borrow (struct am_board *b, struct am_service *s);
 
 /* Handles a borrow, lend or return message of a peer (see wire/peer.h).
-   Returns AM_OK or a typed error.  */
+   Returns AM_OK, AM_E_SHORT, AM_E_FORMAT, AM_E_SERVICE_UNKNOWN, AM_E_NOT_FOUND
+   (no such member) or AM_E_STATE (lending is not set up).  */
 int am_credit_peer (struct am_board *b, uint32_t sender_id,
                     const uint8_t *body, size_t len);
 
--- a/src/core/lending.c
+++ b/src/core/lending.c
@@ -685,6 +685,8 @@
   s = am_board_service (b, m.service_id);
   if (!s)
     return AM_E_SERVICE_UNKNOWN;
+  if (!am_board_member (b, sender_id))
+    return AM_E_NOT_FOUND;
   if (m.op == AM_CREDIT_LEND)
     note_idle (b, s->id, sender_id, m.idle);
   switch (m.op)
--- a/test/test_credit.c
+++ b/test/test_credit.c
@@ -187,6 +187,44 @@
 }
 END_TEST
 
+/* Guards against input of a peer or upstream that breaks the issuer: random
+   bodies, half of them with a plausible head.  */
+START_TEST (test_random_input)
+{
+  struct board_options o
+      = { .vms = 2, .upstreams = 2, .slots = 2, .connections = 2 };
+  struct am_board b;
+  struct am_service *s = board_make (&b, 1, &o, &quiet);
+  struct am_upstream *u = am_service_upstream (s, am_hash_name ("u-0"));
+
+  for (int n = 0; n < 50000; n++)
+    {
+      uint8_t body[96];
+      size_t len = am_rng_below (&b.rng, sizeof body);
+      struct am_packet p = { .type = (uint8_t)am_rng_below (&b.rng, 15),
+                             .body = body,
+                             .body_len = len };
+
+      for (size_t i = 0; i < sizeof body; i++)
+        body[i] = (uint8_t)am_rng_next (&b.rng);
+      if (n % 2)
+        {
+          body[0] = (uint8_t)(1 + n / 2 % 4);
+          body[1] = (uint8_t)(len >= 16 ? (len - 16) / 8 : 0);
+          len = 16 + body[1] * 8u;
+          for (int i = 0; i < 4; i++)
+            body[4 + i] = (uint8_t)(s->id >> (24 - 8 * i));
+        }
+      am_credit_peer (&b, 2, body, len);
+      am_requests_stream (&b, u, &p);
+      b.now_us += 1000;
+      am_credit_tick (&b);
+      ck_assert_uint_le (u->credit.lent, u->credit.slots);
+    }
+  board_free (&b);
+}
+END_TEST
+
 /* Hands the last peer datagram to B.  */
 struct mailbox
 {
@@ -266,8 +304,9 @@
 main (void)
 {
   const TTest *const tests[]
-      = { test_split, test_hold_down, test_lossy_lending,
-          test_same_events_same_actions, test_loan_ends_by_itself };
+      = { test_split,         test_hold_down,
+          test_lossy_lending, test_same_events_same_actions,
+          test_random_input,  test_loan_ends_by_itself };
 
   return RUN_TESTS ("credit", tests);
 }
