--- a/src/core/key_ring.h
+++ b/src/core/key_ring.h
@@ -7,8 +7,9 @@
 #include "core/board.h"
 
 /* Tickets verified before are remembered, so that the MAC is not computed for
-   every packet (figures in docs/notes/flow-binding.md).  A slot is taken over by the next ticket that falls into
-   it; one entry VM of the target size holds about 10,700 flows.  */
+   every packet (figures in docs/notes/flow-binding.md).  A slot is taken over
+   by the next ticket that falls into it; one entry VM of the target size holds
+   about 10,700 flows.  */
 #define AM_TICKET_CACHE_SLOTS 16384
 
 /* Set up and free B->tickets.  am_key_ring_init returns AM_OK or
