--- a/src/core/board.h
+++ b/src/core/board.h
@@ -31,6 +31,7 @@
 struct am_service;
 struct am_ticket_cache;
 struct am_requests;
+struct am_lending;
 struct am_opens;
 
 /* ---- actions ------------------------------------------------------ */
@@ -93,6 +94,7 @@
   uint32_t borrowed;    /* slots borrowed from peers */
   uint32_t lent;        /* own slots lent to peers */
   uint32_t connections; /* own share of the connections */
+  double share;         /* part of own requests that it should get, 0 to 1 */
 };
 
 /* Last load that the upstream reported, by any packet.  Owner: dispatch. */
@@ -134,7 +136,8 @@
   struct am_upstream_credit credit;
   struct am_upstream_report report;
   struct am_upstream_probe probe;
-  uint64_t choice_mark; /* owner: choice; order of last use */
+  uint64_t choice_mark;  /* owner: choice; order of last use */
+  uint64_t ramp_next_us; /* owner: choice; next request while ramping up */
 };
 
 /* Class of requests of a service.  Owner: snapshot.  */
@@ -183,8 +186,15 @@
 
   void *binding_state;    /* owner: the binding */
   struct am_queue *queue; /* owner: admission */
-  uint32_t choice_next;   /* owner: choice; position of round robin */
+  uint64_t choice_next;   /* owner: choice; mark of the last one chosen */
   double retry_tokens;    /* owner: retry budget */
+
+  /* Home set that the credits are split over, by id.  Owner: credit.  */
+  uint32_t credit_home[AM_HOME_MAX];
+  size_t credit_home_count;
+  uint32_t credit_next[AM_HOME_MAX]; /* set that replaces it */
+  size_t credit_next_count;
+  uint64_t credit_due_us; /* when; 0: nothing pending */
 };
 
 /* ---- entry VMs and keys ------------------------------------------- */
@@ -290,10 +300,9 @@
   bool stopping;
   uint64_t stopping_since_us;
 
-  struct am_requests *requests;    /* owner: request */
-  struct am_lending *lending;      /* owner: credit */
-  struct am_opens *opens;          /* owner: opening */
-  struct am_ticket_cache *tickets; /* owner: key ring */
+  struct am_requests *requests; /* owner: request */
+  struct am_lending *lending;   /* owner: credit */
+  struct am_opens *opens;       /* owner: opening */
 };
 
 /* Sets up an empty board.  */
