--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -47,6 +47,7 @@
 
   HASH_ITER (by_name, c->config.by_name, e, next)
   {
+    /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): false, by uthash */
     HASH_DELETE (by_name, c->config.by_name, e);
     free_parsed (e);
     free (e);
--- a/src/core/control_spread.c
+++ b/src/core/control_spread.c
@@ -230,12 +230,11 @@
   HASH_ITER (by_name, c->spread.wanted, w, next)
   {
     struct am_address other = w->other;
+    bool lacked = am_config_lacks (c, w->name, w->revision, w->write_id);
 
-    if (!am_config_lacks (c, w->name, w->revision, w->write_id))
-      free_wanted (c, w);
-    else if (c->now_us - w->asked_us < PULL_US)
+    if (lacked && c->now_us - w->asked_us < PULL_US)
       continue;
-    else if (other.ip == 0)
+    if (!lacked || other.ip == 0)
       free_wanted (c, w);
     else
       {
--- a/src/core/control_verdicts.c
+++ b/src/core/control_verdicts.c
@@ -23,6 +23,7 @@
 static void
 drop (struct am_control *c, struct am_evidence *e)
 {
+  /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): false, by uthash */
   HASH_DELETE (by_key, c->verdicts.by_key, e);
   am_list_remove (&e->queue);
   free (e);
@@ -339,6 +340,7 @@
 decide (struct am_control *c)
 {
   struct am_verdicts *v = &c->verdicts;
+  /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): false, by uthash */
   size_t room = HASH_CNT (by_key, v->by_key) + 1;
   struct candidate *list = calloc (room, sizeof *list);
   struct am_verdict *ejected = calloc (room, sizeof *ejected);
