Give no entries with a malformed answer of the store

The address sanitizer showed a value without its final NUL that was handed to the callback together with AM_E_FORMAT. A failed call now has no entries; read_failures_are_typed guards it under the sanitizer.

--- a/src/io/store_client.c
+++ b/src/io/store_client.c
@@ -107,7 +107,7 @@
   size_t len = strlen (base64);
   size_t size = len / 4 * 3 + 1;
 
-  e->value = malloc (size);
+  e->value = calloc (1, size);
   if (!e->value)
     return AM_E_MEMORY;
   if (sodium_base642bin (e->value, size - 1, base64, len, NULL, &e->value_len,
@@ -199,6 +199,8 @@
     r->error = AM_E_STORE;
   else
     r->error = decode_list (c, r);
+  if (r->error)
+    am_store_result_free (r);
 }
 
 void
