Lengthen the short forms of balance and overload

Cause: 66 requests a target in the window made the busy time of the fullest target 1.11 of the mean by chance of the service times. Change: 12 s of load, and 7 s of overload. The bounds are unchanged.

--- a/scripts/experiments/balance.py
+++ b/scripts/experiments/balance.py
@@ -42,7 +42,7 @@
 
 
 def run(x):
-    seconds = x.seconds(20, 7)
+    seconds = x.seconds(20, 12)
     flows = x.pick(3000, 900)
     baselines = () if x.small else ("random", "round_robin", "hash")
     found = {}
--- a/scripts/experiments/overload.py
+++ b/scripts/experiments/overload.py
@@ -37,8 +37,8 @@
 
 def phases(x, c, capacity):
     """Normal, overload, normal; returns the times of the three begins."""
-    normal, over = x.pick(8, 3), x.pick(15, 5)
-    after = x.pick(15, 9)
+    normal, over = x.pick(8, 3), x.pick(15, 7)
+    after = x.pick(15, 8)
     begins = []
     callers = []
     for name, shares, seconds in (("before", NORMAL, normal),
@@ -124,7 +124,7 @@
     best = r.best(*window, capacity)
     normal = (before + 1_000_000, over)
     settled = (after + NORMAL_SECONDS * 1_000_000,
-               after + int(x.pick(14, 8) * 1e6))
+               after + int(x.pick(14, 7) * 1e6))
     x.keep(g, "requests", "answered", "not_run", "unknown", "gave_up",
            "refused", "over_limit", "doubled")
     x.figures.update(
