--- a/src/core/board.h
+++ b/src/core/board.h
@@ -294,6 +294,7 @@
   uint64_t members_since_us; /* first snapshot with other members; 0: none */
   struct am_key keys[AM_KEYS_MAX];
   size_t key_count;
+  struct am_ticket_cache *tickets; /* verified; owner: key ring */
 
   /* Owner: lifecycle.  */
   bool stopping;
