Watch the names of the records instead of their text

Cause: test integration_store_older failed: no agent reported a store restored to an older state. A watch with an index above the store's own ends only after its wait time, 60 s. That time was so long because a watch answered with every record, 1.7 MB at 580 services, also when nothing had changed (28 KB/s at a reader; the virtual network of the tests never ended a watch, so the figure was missed). Ruled out: the comparison of revisions, which reports the older store as soon as an answer comes. Change: a watch asks for the names of the keys (Consul KV parameter keys), drops them and takes the index; all records are read after the index has changed.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -51,6 +51,16 @@
   return strncmp (key, AM_RECORD_PREFIX, n) == 0 ? key + n : key;
 }
 
+static void
+on_watch (void *userdata, const struct am_store_result *result)
+{
+  struct am_control_store s
+      = { .error = result->error, .index = result->index, .index_only = true };
+  struct am_control_event e = { .type = AM_CONTROL_STORE, .store = &s };
+
+  am_agent_event (userdata, &e);
+}
+
 static void
 on_store (void *userdata, const struct am_store_result *result)
 {
@@ -83,9 +93,14 @@
 read_store (struct am_agent *a, const struct am_control_action *action)
 {
   static const struct am_store_result failed = { .error = AM_E_STORE };
+  int err;
 
-  if (am_store_read (a->store, AM_RECORD_PREFIX, action->index,
-                     action->wait_ms, on_store, a))
+  if (action->index)
+    err = am_store_watch (a->store, AM_RECORD_PREFIX, action->index,
+                          action->wait_ms, on_watch, a);
+  else
+    err = am_store_read (a->store, AM_RECORD_PREFIX, on_store, a);
+  if (err)
     on_store (a, &failed);
 }
 
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -44,6 +44,7 @@
 {
   int error; /* AM_OK, AM_E_NOT_FOUND or the failure */
   uint64_t index;
+  bool index_only; /* result of a watch: no values */
   const struct am_control_value *values;
   size_t count;
 };
@@ -68,7 +69,8 @@
                                 driver opens if there is none */
   AM_CONTROL_SEND_STREAM,    /* answer on stream STREAM */
   AM_CONTROL_SEND_FORWARDER, /* message on the forwarder's connection */
-  AM_CONTROL_READ_STORE,     /* read all records; a watch if INDEX > 0 */
+  AM_CONTROL_READ_STORE,     /* read all records; if INDEX > 0, a watch that
+                                gives the new index alone */
   AM_CONTROL_LOG,            /* decision line: text without a newline */
   AM_CONTROL_EXIT,           /* graceful stop is complete */
 };
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -201,7 +201,8 @@
 struct am_readers
 {
   bool reader;
-  bool busy; /* a read or watch is under way */
+  bool busy;   /* a read or watch is under way */
+  bool reread; /* a watch saw a change: read all records */
   uint64_t index;
   uint64_t next_us;
   uint64_t backoff_us;
--- a/src/core/control_readers.c
+++ b/src/core/control_readers.c
@@ -136,6 +136,17 @@
   return err;
 }
 
+/* A watch ended: with the same index nothing has changed.  */
+static int
+take_index (struct am_control *c, uint64_t index)
+{
+  struct am_readers *r = &c->readers;
+
+  r->reread = index != r->index;
+  r->next_us = c->now_us + (r->reread ? 0 : READ_INTERVAL_US);
+  return r->error;
+}
+
 int
 am_readers_result (struct am_control *c, const struct am_control_store *s)
 {
@@ -145,6 +156,9 @@
   r->busy = false;
   if (s->error && s->error != AM_E_NOT_FOUND)
     return failed (c, s->error);
+  if (s->index_only && r->index)
+    return take_index (c, s->index);
+  r->reread = false;
   r->backoff_us = 0;
   r->next_us = c->now_us + READ_INTERVAL_US;
   r->answered = true;
@@ -164,7 +178,7 @@
 {
   struct am_control_action a = { .type = AM_CONTROL_READ_STORE };
 
-  a.index = c->readers.reader ? c->readers.index : 0;
+  a.index = c->readers.reader && !c->readers.reread ? c->readers.index : 0;
   a.wait_ms = a.index ? AM_WATCH_MS : 0;
   c->readers.busy = true;
   c->counters.store_reads++;
@@ -194,7 +208,8 @@
     return;
   if (!r->reader && !fresh_needs_read (c))
     return;
-  if (r->reader && r->index == 0 && r->error == AM_OK && am_readers_index (c))
+  if (r->reader && !r->reread && r->index == 0 && r->error == AM_OK
+      && am_readers_index (c))
     {
       r->index = am_readers_index (c);
       r->next_us = c->now_us;
--- a/src/io/store_client.c
+++ b/src/io/store_client.c
@@ -25,7 +25,8 @@
   struct am_store_client *client;
   CURL *easy;
   bool write;
-  uint8_t *body; /* of a write; owned */
+  bool index_only; /* the answer's body is dropped */
+  uint8_t *body;   /* of a write; owned */
   uint8_t *answer;
   size_t answer_len;
   size_t answer_size;
@@ -197,7 +198,7 @@
     r->error = AM_E_NOT_FOUND;
   else if (status != HTTP_OK)
     r->error = AM_E_STORE;
-  else
+  else if (!c->index_only)
     r->error = decode_list (c, r);
   if (r->error)
     am_store_result_free (r);
@@ -255,27 +256,40 @@
 }
 
 static struct call *
-read_call (const char *url, uint32_t timeout_ms, const char *prefix,
-           uint64_t index, uint32_t wait_ms)
+read_call (const char *url, uint32_t timeout_ms, const char *prefix)
 {
   char full[URL_SIZE];
   struct call *c;
   int n;
 
-  if (index)
-    n = snprintf (full, sizeof full,
-                  "%s/v1/kv/%s?recurse&index=%llu&wait=%ums", url, prefix,
-                  (unsigned long long)index, wait_ms);
-  else
-    n = snprintf (full, sizeof full, "%s/v1/kv/%s?recurse", url, prefix);
+  n = snprintf (full, sizeof full, "%s/v1/kv/%s?recurse", url, prefix);
   if (n < 0 || (size_t)n >= sizeof full)
     return NULL;
-  c = call_new (index ? timeout_ms + wait_ms : timeout_ms);
+  c = call_new (timeout_ms);
   if (c)
     curl_easy_setopt (c->easy, CURLOPT_URL, full);
   return c;
 }
 
+static struct call *
+watch_call (const char *url, uint32_t timeout_ms, const char *prefix,
+            uint64_t index, uint32_t wait_ms)
+{
+  char full[URL_SIZE];
+  struct call *c;
+  int n = snprintf (full, sizeof full, "%s/v1/kv/%s?keys&index=%llu&wait=%ums",
+                    url, prefix, (unsigned long long)index, wait_ms);
+
+  if (n < 0 || (size_t)n >= sizeof full)
+    return NULL;
+  c = call_new (timeout_ms + wait_ms);
+  if (!c)
+    return NULL;
+  c->index_only = true;
+  curl_easy_setopt (c->easy, CURLOPT_URL, full);
+  return c;
+}
+
 static struct call *
 write_call (const char *url, uint32_t timeout_ms, const char *key,
             const uint8_t *value, size_t len, uint64_t cas)
@@ -522,10 +536,17 @@
 }
 
 int
-am_store_read (struct am_store_client *s, const char *prefix, uint64_t index,
-               uint32_t wait_ms, am_store_done done, void *userdata)
+am_store_read (struct am_store_client *s, const char *prefix,
+               am_store_done done, void *userdata)
+{
+  return start (s, read_call (s->url, s->timeout_ms, prefix), done, userdata);
+}
+
+int
+am_store_watch (struct am_store_client *s, const char *prefix, uint64_t index,
+                uint32_t wait_ms, am_store_done done, void *userdata)
 {
-  return start (s, read_call (s->url, s->timeout_ms, prefix, index, wait_ms),
+  return start (s, watch_call (s->url, s->timeout_ms, prefix, index, wait_ms),
                 done, userdata);
 }
 
@@ -558,7 +579,7 @@
 am_store_read_now (const char *url, uint32_t timeout_ms, const char *prefix,
                    struct am_store_result *r)
 {
-  return perform (read_call (url, timeout_ms, prefix, 0, 0), r);
+  return perform (read_call (url, timeout_ms, prefix), r);
 }
 
 int
--- a/src/io/store_client.h
+++ b/src/io/store_client.h
@@ -49,12 +49,18 @@
    again.  */
 void am_store_client_free (struct am_store_client *c);
 
-/* Reads all keys that begin with PREFIX.  INDEX > 0 makes it a watch: the
-   answer comes when something changed after INDEX or after WAIT_MS.  DONE is
-   called once, on the loop's thread.  Returns AM_OK or AM_E_MEMORY.  */
+/* Reads all keys that begin with PREFIX.  DONE is called once, on the loop's
+   thread.  Returns AM_OK or AM_E_MEMORY.  */
 int am_store_read (struct am_store_client *c, const char *prefix,
-                   uint64_t index, uint32_t wait_ms, am_store_done done,
-                   void *userdata);
+                   am_store_done done, void *userdata);
+
+/* Waits until a key that begins with PREFIX has changed after INDEX, at most
+   WAIT_MS.  The service answers with the names of all keys, which are
+   dropped: the result holds the index alone.  DONE is called once, on the
+   loop's thread.  Returns AM_OK or AM_E_MEMORY.  */
+int am_store_watch (struct am_store_client *c, const char *prefix,
+                    uint64_t index, uint32_t wait_ms, am_store_done done,
+                    void *userdata);
 
 /* Writes VALUE to KEY if its modify index is still CAS (0: it must not
    exist).  Returns AM_OK or AM_E_MEMORY.  */
--- a/standin/standin_kv.c
+++ b/standin/standin_kv.c
@@ -187,6 +187,18 @@
   return list;
 }
 
+json_t *
+standin_kv_names (struct standin_kv *kv, const char *prefix)
+{
+  json_t *list = json_array ();
+
+  HASH_SORT (kv->entries, by_key);
+  for (struct standin_entry *e = kv->entries; e; e = e->hh.next)
+    if (e->value && matches (e, prefix, false))
+      json_array_append_new (list, json_string (e->key));
+  return list;
+}
+
 static struct standin_entry *
 find (struct standin_kv *kv, const char *key)
 {
--- a/standin/store.c
+++ b/standin/store.c
@@ -65,6 +65,7 @@
   bool too_large;
   char *prefix; /* watch */
   bool exact;
+  bool names; /* list the names of the keys alone */
   uint64_t index;
   uint64_t due_us;
   struct MHD_Response *response;
@@ -427,7 +428,8 @@
 static void
 set_entries (struct store *s, struct call *c)
 {
-  json_t *list = standin_kv_read (&s->kv, c->prefix, c->exact);
+  json_t *list = c->names ? standin_kv_names (&s->kv, c->prefix)
+                          : standin_kv_read (&s->kv, c->prefix, c->exact);
   char index[24];
 
   if (json_array_size (list))
@@ -452,7 +454,8 @@
   c->prefix = strdup (key);
   if (!c->prefix)
     return MHD_NO;
-  c->exact = !has_flag (c, "recurse");
+  c->names = has_flag (c, "keys");
+  c->exact = !c->names && !has_flag (c, "recurse");
   c->index = index ? strtoull (index, NULL, 10) : 0;
   count_call (s, c->index ? KIND_watch : KIND_read);
   if (c->index && standin_kv_index (&s->kv, key) <= c->index)
