Give the settings' name in test_agent its full size

Cause: gcc refuses the sanitizer build: the name of the settings file could be cut. Change: a buffer that holds every number. Conclusion: the sanitizer build compiles.

--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -55,7 +55,7 @@
 static void
 write_settings (int vm, const char *seed, const char *level)
 {
-  char name[16];
+  char name[32];
   char text[1024];
 
   snprintf (name, sizeof name, "vm-%d.yaml", vm);
