Keep control work to the services of which an entry VM is home

Cause: scripts/experiment control, 580 services: an agent used 2.33 % of a core (bound 1.1 %), and the forwarder's ticks 8 to 10 %. perf: the agent unpacked a Report of 5,800 upstreams each second; the forwarder looked at every service and upstream at each tick of 10 ms. The experiment made 7 VMs home to all 580 services, with no upstream answering; at the target a VM is home to 6. Change: the Report holds upstreams of home services or with own work; splits that are due are found by their earliest time; queues are looked at only while a request is in progress. In the experiment 6 services belong to the region of the VMs and have upstreams, the others to another region; the bounds are unchanged.

--- a/scripts/experiments/control.py
+++ b/scripts/experiments/control.py
@@ -12,6 +12,8 @@
 POLICIES = ("gossip",)
 
 TARGET_VMS = 730
+REGION = "lv-central"
+HOME_SERVICES = 6
 BYTES_BOUND = 6000
 PROCESSOR_BOUND = 1.1
 MEMORY_BOUND = 32.0
@@ -84,6 +86,9 @@
             c.start_forwarder(vm)
             c.start_agent(vm)
         wait_until(lambda: all_seen(c), 90, "members", 0.5)
+        names = [n["name"] for n in services[:HOME_SERVICES]]
+        c.start_upstreams(records=[c.upstream_records / f"{n}.yaml"
+                                   for n in names])
         c.configure()
         c.wait_in_force(seconds=90)
         time.sleep(x.pick(5, 2))
@@ -146,9 +151,13 @@
 
 
 def many(x, seconds):
-    """The records of the target size, 580 services, on 7 entry VMs."""
+    """The records of the target size, 580 services, on 7 entry VMs.
+
+    At the target an entry VM is home to 580 x 7 / 730, about 6 services, so
+    the others belong to a region that none of these VMs serves."""
     services = [dict(STIKLSETAS[0])]
     services += [{"name": f"s{i}", "upstreams": 10,
+                  "region": REGION if i < HOME_SERVICES - 1 else "elsewhere",
                   "address": f"127.99.{2 + i // 200}.{1 + i % 200}:8000",
                   "classes": []} for i in range(579)]
     r = one(x, 7, services, seconds)
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -306,7 +306,7 @@
     def _record_text(self, spec, data_centres, real):
         schema = spec.get("schema", 2)
         lines = [f"schema: {schema}", "kind: service",
-                 f"name: {spec['name']}", f"region: {self.region}",
+                 f"name: {spec['name']}", f"region: {spec.get('region', self.region)}",
                  f"address: {spec['address']}"]
         if schema == 1:
             lines += [f"request: {spec.get('request', 'repeatable')}",
--- a/src/core/board.h
+++ b/src/core/board.h
@@ -296,6 +296,8 @@
   size_t key_count;
   struct am_ticket_cache *tickets; /* verified; owner: key ring */
 
+  uint64_t credit_next_us; /* owner: credit; first due split, 0: none */
+
   /* Owner: lifecycle.  */
   bool stopping;
   uint64_t stopping_since_us;
--- a/src/core/credit.c
+++ b/src/core/credit.c
@@ -327,6 +327,15 @@
   s->credit_due_us = 0;
 }
 
+/* Keeps the earliest time at which a split is due: looking at every service at
+   each tick of 10 ms cost 1 % of a core at 580 services.  */
+static void
+note_due (struct am_board *b, const struct am_service *s)
+{
+  if (b->credit_next_us == 0 || s->credit_due_us < b->credit_next_us)
+    b->credit_next_us = s->credit_due_us;
+}
+
 static void
 note_home_set (struct am_board *b, struct am_service *s)
 {
@@ -336,7 +345,10 @@
     next[i] = s->home_set[i]->id;
   qsort (next, s->home_count, sizeof next[0], compare_ids);
   if (!same_set (next, s->home_count, s->credit_next, s->credit_next_count))
-    s->credit_due_us = b->now_us + AM_CREDIT_HOLD_US;
+    {
+      s->credit_due_us = b->now_us + AM_CREDIT_HOLD_US;
+      note_due (b, s);
+    }
   memcpy (s->credit_next, next, sizeof next);
   s->credit_next_count = s->home_count;
   if (!member_vanished (s))
@@ -374,15 +386,28 @@
   return u->use.flows + u->use.opening < u->credit.connections;
 }
 
-void
-am_credit_tick (struct am_board *b)
+static void
+adopt_due (struct am_board *b)
 {
+  b->credit_next_us = 0;
   am_list_each (s, &b->services, struct am_service, node)
   {
-    if (s->credit_due_us == 0 || b->now_us < s->credit_due_us)
+    if (s->credit_due_us == 0)
       continue;
-    adopt (s);
-    split_service (b, s);
+    if (b->now_us >= s->credit_due_us)
+      {
+        adopt (s);
+        split_service (b, s);
+      }
+    else
+      note_due (b, s);
   }
+}
+
+void
+am_credit_tick (struct am_board *b)
+{
+  if (b->credit_next_us && b->now_us >= b->credit_next_us)
+    adopt_due (b);
   am_lending_tick (b);
 }
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -49,6 +49,13 @@
   return l;
 }
 
+/* Outside the home set an upstream has neither load reports nor evidence.  */
+static bool
+has_load (const struct am_upstream *u)
+{
+  return u->service->home || u->use.busy || u->use.flows;
+}
+
 static int
 fill_upstreams (const struct am_board *b, Amaranth__Report *r)
 {
@@ -59,8 +66,11 @@
   {
     am_list_each (u, &s->upstreams, struct am_upstream, node)
     {
-      Amaranth__UpstreamLoad *l = upstream_load (b, u);
+      Amaranth__UpstreamLoad *l = NULL;
 
+      if (!has_load (u))
+        continue;
+      l = upstream_load (b, u);
       if (!l)
         return AM_E_MEMORY;
       r->upstreams[r->n_upstreams++] = l;
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -624,15 +624,25 @@
   }
 }
 
-void
-am_requests_tick (struct am_board *b)
+/* With nothing in progress no queue holds a request; a look at 580 services
+   at each tick cost 0.7 % of a core.  */
+static void
+serve_queues (struct am_board *b)
 {
-  expire_held (b);
+  if (b->requests->in_progress == 0)
+    return;
   am_list_each (s, &b->services, struct am_service, node)
   {
     expire_queued (b, s);
     pump (b, s);
   }
+}
+
+void
+am_requests_tick (struct am_board *b)
+{
+  expire_held (b);
+  serve_queues (b);
   am_table_expire (b);
 }
 
