Report usage errors in one line

Every failure is to be one line.

Change: am_program_parse lets only the first line of argp pass to standard error. All programs, the stand-ins and history-check use it; argp_usage gave way to messages that name the argument.

--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -7,6 +7,7 @@
 
 #include "agent.h"
 #include "base/error.h"
+#include "io/program.h"
 
 #define OPTION_CHECK 'c'
 
@@ -32,7 +33,7 @@
       a->check = true;
       return 0;
     case ARGP_KEY_ARG:
-      argp_usage (state);
+      argp_error (state, "unexpected argument '%s'", arg);
       return 0;
     case ARGP_KEY_END:
       if (!a->settings)
@@ -91,8 +92,7 @@
   struct am_settings *settings;
   int code;
 
-  argp_err_exit_status = AM_EXIT_USAGE;
-  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  am_program_parse (&parser, argc, argv, &arguments);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return AM_EXIT_SOFTWARE;
   code = load (arguments.settings, &settings, key);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -253,7 +253,7 @@
   int err;
 
   am_program_init ("amaranthctl");
-  if (argp_parse (&argp, argc, argv, 0, NULL, &line))
+  if (am_program_parse (&argp, argc, argv, &line))
     return AM_EXIT_USAGE;
   c.result = json_object ();
   if (!c.result || sodium_init () < 0)
--- a/src/forwarder/main.c
+++ b/src/forwarder/main.c
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "forwarder/forwarder.h"
+#include "io/program.h"
 
 const char *argp_program_version = "amaranth-forwarder " AM_VERSION;
 
@@ -48,7 +49,7 @@
       a->record = arg;
       return 0;
     case ARGP_KEY_ARG:
-      argp_usage (state);
+      argp_error (state, "unexpected argument '%s'", arg);
       return 0;
     case ARGP_KEY_END:
       if (!a->settings)
@@ -135,8 +136,7 @@
           .doc = "Routes the datagrams of callers to upstreams." };
   struct arguments a = { 0 };
 
-  argp_err_exit_status = AM_EXIT_USAGE;
-  argp_parse (&argp, argc, argv, 0, NULL, &a);
+  am_program_parse (&argp, argc, argv, &a);
   if (sodium_init () < 0)
     return AM_EXIT_SOFTWARE;
   return run (&a);
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -1,7 +1,11 @@
 #include "io/program.h"
 
 #include <argp.h>
+#include <errno.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "base/error.h"
 
@@ -18,6 +22,42 @@
   argp_err_exit_status = AM_EXIT_USAGE;
 }
 
+/* Passes on the first line that is written to it; argp adds a second one
+   that only names --help.  */
+static ssize_t
+write_first_line (void *cookie, const char *data, size_t len)
+{
+  bool *ended = cookie;
+  const char *newline = memchr (data, '\n', len);
+  size_t n = newline ? (size_t)(newline - data) + 1 : len;
+
+  if (*ended)
+    return (ssize_t)len;
+  *ended = newline != NULL;
+  return write (STDERR_FILENO, data, n) < 0 ? 0 : (ssize_t)len;
+}
+
+int
+am_program_parse (const struct argp *argp, int argc, char **argv, void *input)
+{
+  static bool ended;
+  const cookie_io_functions_t functions = { .write = write_first_line };
+  FILE *whole = stderr;
+  FILE *first = fopencookie (&ended, "w", functions);
+  int err;
+
+  argp_err_exit_status = AM_EXIT_USAGE;
+  if (!first)
+    return ENOMEM;
+  ended = false;
+  setvbuf (first, NULL, _IOLBF, 0);
+  stderr = first;
+  err = argp_parse (argp, argc, argv, 0, NULL, input);
+  stderr = whole;
+  fclose (first);
+  return err;
+}
+
 int
 am_program_exit_code (int error)
 {
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "core/action_digest.h"
 #include "io/event_log.h"
+#include "io/program.h"
 
 const char *argp_program_version = "amaranth-replay " AM_VERSION;
 
@@ -40,12 +41,12 @@
       return 0;
     case ARGP_KEY_ARG:
       if (a->file)
-        argp_usage (state);
+        argp_error (state, "unexpected argument '%s'", arg);
       a->file = arg;
       return 0;
     case ARGP_KEY_END:
       if (!a->file)
-        argp_usage (state);
+        argp_error (state, "FILE is required");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -129,8 +130,7 @@
   struct arguments a = { 0 };
   int err;
 
-  argp_err_exit_status = AM_EXIT_USAGE;
-  argp_parse (&argp, argc, argv, 0, NULL, &a);
+  am_program_parse (&argp, argc, argv, &a);
   err = run_file (&a);
   if (!err)
     return AM_EXIT_OK;
--- a/standin/blast.c
+++ b/standin/blast.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "io/program.h"
 #include "standin_program.h"
 #include "wire/packet.h"
 #include "wire/proxy_header.h"
@@ -482,9 +483,8 @@
                            .payload = 64,
                            .caller = { 0x7f000001, 4000 },
                            .service = { 0x7f000001, 4001 } };
-  argp_err_exit_status = AM_EXIT_USAGE;
   int status = AM_EXIT_USAGE;
-  if (argp_parse (&parser, argc, argv, 0, NULL, &b->o) == 0)
+  if (am_program_parse (&parser, argc, argv, &b->o) == 0)
     status = run (b);
   free (b);
   return status;
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "io/program.h"
 #include "standin_caller.h"
 
 #define US_PER_SECOND 1000000u
@@ -455,7 +456,7 @@
                                                .payload_bytes = 100,
                                                .retransmit_ms = 100,
                                                .deadline_ms = 5000 };
-  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  am_program_parse (&argp, argc, argv, &o);
   err = start (&c, &o);
   if (err)
     return standin_fail ("standin-caller", "start", err, AM_EXIT_UNAVAILABLE);
--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/rng.h"
+#include "io/program.h"
 #include "standin_batch.h"
 #include "standin_control.h"
 #include "standin_program.h"
@@ -358,7 +359,7 @@
   f.services = calloc (SERVICES_MAX, sizeof *f.services);
   if (!f.services)
     return AM_EXIT_SOFTWARE;
-  argp_parse (&argp, argc, argv, 0, NULL, &f);
+  am_program_parse (&argp, argc, argv, &f);
   am_rng_init (&f.rng, f.seed);
   err = start (&f);
   if (err)
--- a/standin/history_check.c
+++ b/standin/history_check.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/error.h"
+#include "io/program.h"
 #include "standin_check.h"
 
 struct options
@@ -98,9 +99,8 @@
   o.files = calloc ((size_t)argc, sizeof *o.files);
   if (!o.files)
     return AM_EXIT_SOFTWARE;
-  argp_err_exit_status = AM_EXIT_USAGE;
   int status = AM_EXIT_USAGE;
-  if (argp_parse (&parser, argc, argv, 0, NULL, &o) == 0)
+  if (am_program_parse (&parser, argc, argv, &o) == 0)
     status = check_files (&o);
   free (o.files);
   return status;
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -9,6 +9,7 @@
 
 #include "base/error.h"
 #include "base/list.h"
+#include "io/program.h"
 #include "io/udp_port.h"
 #include "standin_control.h"
 #include "standin_program.h"
@@ -658,7 +659,7 @@
   r.listens = calloc (LISTENS_MAX, sizeof *r.listens);
   if (!r.listens)
     return AM_EXIT_SOFTWARE;
-  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  am_program_parse (&argp, argc, argv, &o);
   r.faults = o.faults;
   am_rng_init (&r.faults.rng, r.seed);
   err = start (&r);
--- a/standin/store.c
+++ b/standin/store.c
@@ -13,6 +13,7 @@
 
 #include "base/error.h"
 #include "base/list.h"
+#include "io/program.h"
 #include "standin_kv.h"
 #include "standin_program.h"
 
@@ -833,7 +834,7 @@
   struct store s = { 0 };
   int err;
 
-  argp_parse (&argp, argc, argv, 0, NULL, &s);
+  am_program_parse (&argp, argc, argv, &s);
   am_list_init (&s.held);
   standin_kv_init (&s.kv);
   err = standin_program_init (&s.program, NULL, NULL);
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "io/program.h"
 #include "standin_control.h"
 #include "standin_upstream.h"
 
@@ -536,7 +537,7 @@
       = { .seed = 1, .work = { .service_ms = 20, .answer_bytes = 3000 } };
   int err;
 
-  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  am_program_parse (&argp, argc, argv, &o);
   w.work = o.work;
   am_rng_init (&w.rng, o.seed);
   err = standin_program_init (&w.program, NULL, NULL);
