Serve the agent's metrics over HTTP and name its events

The agent's log lines began with a bare word, those of the forwarder with event=NAME. Of two operators who asked the same agent to explain different ids at once, both got the first answer.

Change: the agent opens its metrics port; one table gives name, type, unit and help for both the port and amaranthctl metrics. All lines of the agent begin with event=NAME. An answer to explain goes to those who asked for its id.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -37,8 +37,8 @@
   e->now_us = am_agent_now (a);
   err = am_control_event (a->control, e);
   if (err && e->type != AM_CONTROL_STORE)
-    am_log_line (&a->log, AM_LOG_DEBUG, "refused event=%d error=%s", e->type,
-                 am_error_name (err));
+    am_log_line (&a->log, AM_LOG_DEBUG, "event=refused type=%d error=%s",
+                 e->type, am_error_name (err));
 }
 
 /* ---- store -------------------------------------------------------- */
@@ -160,7 +160,7 @@
   if (am_frame_open (a->peer_key, data, len, &e.data, &e.len, &used) != AM_OK
       || used != len)
     {
-      am_log_line (&a->log, AM_LOG_DEBUG, "datagram refused error=auth");
+      am_log_line (&a->log, AM_LOG_DEBUG, "event=datagram_refused error=auth");
       return;
     }
   am_agent_event (a, &e);
@@ -210,14 +210,14 @@
   if (am_settings_load (&fresh, a->settings_file, &f))
     {
       am_fault_format (&f, a->settings_file, line, sizeof line);
-      am_log_line (&a->log, AM_LOG_ERROR, "settings refused %s", line);
+      am_log_line (&a->log, AM_LOG_ERROR, "event=settings_refused %s", line);
       return;
     }
   am_settings_free (a->settings);
   a->settings = fresh;
   a->log.level = am_settings_log_level (fresh);
   set_seeds (a);
-  am_log_line (&a->log, AM_LOG_NOTICE, "settings reloaded seeds=%u",
+  am_log_line (&a->log, AM_LOG_NOTICE, "event=settings_read seeds=%u",
                fresh->peers.seeds_count);
 }
 
@@ -231,7 +231,7 @@
     reload (a);
   else
     {
-      am_log_line (&a->log, AM_LOG_NOTICE, "stopping signal=%d", number);
+      am_log_line (&a->log, AM_LOG_NOTICE, "event=stopping signal=%d", number);
       am_agent_event (a, &e);
     }
 }
@@ -269,17 +269,32 @@
 
   if (err)
     {
-      am_log_line (&a->log, AM_LOG_ERROR, "gossip port=%u error=%s",
+      am_log_line (&a->log, AM_LOG_ERROR,
+                   "event=port_unavailable port=%u error=%s",
                    a->settings->ports.gossip, am_error_name (err));
       return err;
     }
   err = am_agent_listen (a);
   if (err)
-    am_log_line (&a->log, AM_LOG_ERROR, "agent port=%u error=%s",
+    am_log_line (&a->log, AM_LOG_ERROR,
+                 "event=port_unavailable port=%u error=%s",
                  a->settings->ports.agent, am_error_name (err));
   return err;
 }
 
+/* The agent works without its metrics port.  */
+static void
+open_metrics (struct am_agent *a)
+{
+  uint16_t port = a->settings->ports.agent_metrics;
+
+  if (am_metrics_port_open (&a->metrics, &a->loop,
+                            am_settings_address (a->settings, port),
+                            am_agent_metrics_text, a))
+    am_log_line (&a->log, AM_LOG_WARNING,
+                 "event=metrics_port_unavailable port=%u", port);
+}
+
 static void
 start_timers (struct am_agent *a)
 {
@@ -319,10 +334,11 @@
     return AM_EXIT_SOFTWARE;
   if (open_ports (a))
     return AM_EXIT_UNAVAILABLE;
+  open_metrics (a);
   set_seeds (a);
   start_timers (a);
   am_log_line (&a->log, AM_LOG_NOTICE,
-               "started id=%u name=%s data_centre=%s version=%s",
+               "event=started id=%u name=%s data_centre=%s version=%s",
                settings->vm.id, settings->vm.name, settings->vm.data_centre,
                AM_VERSION);
   return AM_EXIT_OK;
@@ -333,6 +349,7 @@
 {
   am_udp_close (&a->gossip);
   am_listener_close (&a->listener);
+  am_metrics_port_close (&a->metrics);
   am_agent_close_streams (a);
   if (a->forwarder)
     am_stream_close (a->forwarder);
@@ -352,6 +369,6 @@
   uv_run (&a->loop, UV_RUN_DEFAULT);
   uv_loop_close (&a->loop);
   am_control_free (a->control);
-  am_log_line (&a->log, AM_LOG_NOTICE, "stopped");
+  am_log_line (&a->log, AM_LOG_NOTICE, "event=stopped");
   am_settings_free (a->settings);
 }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -9,6 +9,7 @@
 #include "base/list.h"
 #include "base/log.h"
 #include "core/control.h"
+#include "io/metrics_port.h"
 #include "io/settings.h"
 #include "io/store_client.h"
 #include "io/stream.h"
@@ -23,6 +24,7 @@
   struct am_address to; /* outgoing; ip 0: incoming */
   uint64_t used_us;     /* last message */
   bool explains;        /* waits for an Explain of the forwarder */
+  uint64_t explain_id;  /* about this id */
 };
 
 struct am_agent
@@ -38,6 +40,7 @@
   struct am_control *control;
   struct am_udp_port gossip;
   struct am_listener listener;
+  struct am_metrics_port metrics;
   struct am_list streams; /* struct am_agent_stream */
   uint64_t stream_numbers;
   struct am_stream *forwarder; /* NULL: not connected */
@@ -76,8 +79,10 @@
 void am_agent_expire_streams (struct am_agent *a, uint64_t now_us);
 void am_agent_close_streams (struct am_agent *a);
 
-/* Hands the forwarder's Explain answer to the operators that asked.  */
-void am_agent_explained (struct am_agent *a, const uint8_t *data, size_t len);
+/* Hands the forwarder's Explain answer about ID to the operators that asked
+   for it.  */
+void am_agent_explained (struct am_agent *a, uint64_t id, const uint8_t *data,
+                         size_t len);
 
 /* The forwarder's control port.  */
 void am_agent_connect_forwarder (struct am_agent *a);
@@ -88,4 +93,7 @@
    AM_E_MEMORY.  */
 int am_agent_metrics (struct am_agent *a, uint8_t **data, size_t *len);
 
+/* Renders the same metrics for the metrics port; USERDATA is the agent.  */
+void am_agent_metrics_text (void *userdata, struct am_metrics_text *t);
+
 #endif
--- a/src/agent/streams.c
+++ b/src/agent/streams.c
@@ -83,7 +83,7 @@
   if (am_log_level_parse (&level, m->level) != AM_OK)
     return;
   a->log.level = level;
-  am_log_line (&a->log, AM_LOG_NOTICE, "log level=%s", m->level);
+  am_log_line (&a->log, AM_LOG_NOTICE, "event=log_level level=%s", m->level);
 }
 
 /* Handles the operators' messages that are not the engine's.  Returns false
@@ -105,6 +105,7 @@
       if (!a->forwarder_up)
         fail (a, n->stream, AM_E_CONNECTION, "forwarder is not connected");
       n->explains = a->forwarder_up;
+      n->explain_id = e->explain->id;
       am_agent_send_forwarder (a, data, len);
       return true;
     case AMARANTH__ENVELOPE__BODY_FAILURE:
@@ -238,11 +239,12 @@
 }
 
 void
-am_agent_explained (struct am_agent *a, const uint8_t *data, size_t len)
+am_agent_explained (struct am_agent *a, uint64_t id, const uint8_t *data,
+                    size_t len)
 {
   am_list_each (n, &a->streams, struct am_agent_stream, node)
   {
-    if (!n->explains)
+    if (!n->explains || n->explain_id != id)
       continue;
     n->explains = false;
     if (am_stream_send (n->stream, data, len) == AM_OK)
@@ -270,7 +272,7 @@
   engine = e->body_case == AMARANTH__ENVELOPE__BODY_REPORT
            || e->body_case == AMARANTH__ENVELOPE__BODY_SNAPSHOT;
   if (e->body_case == AMARANTH__ENVELOPE__BODY_EXPLAIN)
-    am_agent_explained (a, data, len);
+    am_agent_explained (a, e->explain->id, data, len);
   amaranth__envelope__free_unpacked (e, NULL);
   if (engine)
     am_agent_event (a, &event);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "base/address.h"
+#include "base/metrics.h"
 #include "wire/amaranth.pb-c.h"
 
 /* Interval of AM_CONTROL_TICK in microseconds.  */
@@ -147,10 +148,13 @@
 int am_control_status (const struct am_control *c, uint8_t **data,
                        size_t *len);
 
-/* Calls EACH for every counter.  */
-void am_control_metrics (const struct am_control *c,
-                         void (*each) (void *userdata, const char *name,
-                                       double value),
+/* Takes one metric; INFO is valid for the time of the process.  */
+typedef void (*am_metric_each) (void *userdata,
+                                const struct am_metric_info *info,
+                                double value);
+
+/* Calls EACH for every counter and gauge.  */
+void am_control_metrics (const struct am_control *c, am_metric_each each,
                          void *userdata);
 
 #endif
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -120,10 +120,10 @@
   strcpy (r->write_id, write_id);
   r->revision = revision;
   c->counters.records_refused++;
-  am_control_log (c, AM_LOG_WARNING,
-                  "config_refused record=%s revision=%llu error=%s field=%s",
-                  name, (unsigned long long)revision, am_error_name (f->error),
-                  f->field);
+  am_control_log (
+      c, AM_LOG_WARNING,
+      "event=config_refused record=%s revision=%llu error=%s field=%s", name,
+      (unsigned long long)revision, am_error_name (f->error), f->field);
 }
 
 static int
@@ -139,7 +139,7 @@
     {
       c->counters.store_older++;
       am_control_log (c, AM_LOG_WARNING,
-                      "config_refused record=%s revision=%llu held=%llu "
+                      "event=config_refused record=%s revision=%llu held=%llu "
                       "error=store_old",
                       e->name, (unsigned long long)revision,
                       (unsigned long long)e->revision);
@@ -171,7 +171,7 @@
 {
   c->counters.records_equal_revision++;
   am_control_log (c, AM_LOG_WARNING,
-                  "config_conflict record=%s revision=%llu write_id=%s "
+                  "event=config_conflict record=%s revision=%llu write_id=%s "
                   "held_write_id=%s",
                   e->name, (unsigned long long)e->revision, write_id,
                   e->write_id);
@@ -226,7 +226,7 @@
   c->verdicts.stale = true;
   c->counters.records_accepted++;
   am_control_log (c, AM_LOG_INFO,
-                  "config_accepted record=%s revision=%llu write_id=%s",
+                  "event=config_accepted record=%s revision=%llu write_id=%s",
                   e->name, (unsigned long long)e->revision, e->write_id);
 }
 
--- a/src/core/control_link.c
+++ b/src/core/control_link.c
@@ -56,7 +56,7 @@
   c->link.last_digest = 0;
   c->link.dirty = true;
   forget_told (c);
-  am_control_log (c, AM_LOG_INFO, "forwarder connected=1");
+  am_control_log (c, AM_LOG_INFO, "event=forwarder connected=1");
   ask_snapshot (c);
 }
 
@@ -67,7 +67,7 @@
     return;
   c->link.up = false;
   c->link.down_us = c->now_us;
-  am_control_log (c, AM_LOG_NOTICE, "forwarder connected=0");
+  am_control_log (c, AM_LOG_NOTICE, "event=forwarder connected=0");
 }
 
 /* ---- messages of the forwarder ------------------------------------ */
@@ -245,7 +245,7 @@
         snap->services[kept++] = s;
       else
         am_control_log (c, AM_LOG_ERROR,
-                        "config_left_out record=%s error=address_in_use",
+                        "event=config_left_out record=%s error=address_in_use",
                         s->name);
     }
   snap->n_services = kept;
@@ -457,12 +457,12 @@
   c->counters.snapshots++;
   remember (c, b->snapshot.digest);
   am_control_emit (c, AM_CONTROL_SEND_FORWARDER, none, 0, &e);
-  am_control_log (c, AM_LOG_INFO,
-                  "snapshot digest=%016llx services=%zu members=%zu keys=%zu "
-                  "verdicts=%zu",
-                  (unsigned long long)b->snapshot.digest,
-                  b->snapshot.n_services, b->snapshot.n_members,
-                  b->snapshot.n_keys, b->snapshot.n_verdicts);
+  am_control_log (
+      c, AM_LOG_INFO,
+      "event=snapshot_sent digest=%016llx services=%zu members=%zu "
+      "keys=%zu verdicts=%zu",
+      (unsigned long long)b->snapshot.digest, b->snapshot.n_services,
+      b->snapshot.n_members, b->snapshot.n_keys, b->snapshot.n_verdicts);
 }
 
 static void
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -217,7 +217,7 @@
   c->counters.member_changes++;
   c->link.dirty = true;
   am_control_log (c, AM_LOG_INFO,
-                  "member id=%u name=%s state=%s incarnation=%llu "
+                  "event=member id=%u name=%s state=%s incarnation=%llu "
                   "boot_id=%016llx reason=%s",
                   v->id, v->name ? v->name : "", state_names[state],
                   (unsigned long long)v->incarnation,
@@ -290,7 +290,7 @@
     return AM_OK;
   c->self.incarnation = m->incarnation + 1;
   c->counters.refutations++;
-  am_control_log (c, AM_LOG_NOTICE, "refuted state=%s incarnation=%llu",
+  am_control_log (c, AM_LOG_NOTICE, "event=refuted state=%s incarnation=%llu",
                   state_names[state], (unsigned long long)c->self.incarnation);
   am_members_queue (c, &c->self);
   return AM_OK;
@@ -375,7 +375,7 @@
   c->link.dirty = true;
   am_members_queue (c, &c->self);
   am_control_log (c, AM_LOG_NOTICE,
-                  "self state=%s boot_id=%016llx incarnation=%llu",
+                  "event=self state=%s boot_id=%016llx incarnation=%llu",
                   state_names[state], (unsigned long long)boot_id,
                   (unsigned long long)c->self.incarnation);
 }
--- a/src/core/control_readers.c
+++ b/src/core/control_readers.c
@@ -78,8 +78,8 @@
   c->readers.next_us = c->now_us;
   if (c->config.count && c->readers.error == AM_OK)
     c->readers.next_us += INDEX_WAIT_US;
-  am_control_log (c, AM_LOG_INFO, "reader chosen=%d data_centre=%s", reader,
-                  c->self.data_centre);
+  am_control_log (c, AM_LOG_INFO, "event=reader chosen=%d data_centre=%s",
+                  reader, c->self.data_centre);
 }
 
 static void
@@ -100,7 +100,7 @@
 {
   c->counters.store_failures++;
   if (c->readers.error != error)
-    am_control_log (c, AM_LOG_WARNING, "store error=%s",
+    am_control_log (c, AM_LOG_WARNING, "event=store error=%s",
                     am_error_name (error));
   c->readers.error = error;
   c->readers.index = 0;
@@ -153,8 +153,8 @@
   r->known.digest = c->config.digest;
   r->known.index = s->index;
   if (r->error != err)
-    am_control_log (c, err ? AM_LOG_WARNING : AM_LOG_INFO, "store error=%s",
-                    am_error_name (err));
+    am_control_log (c, err ? AM_LOG_WARNING : AM_LOG_INFO,
+                    "event=store error=%s", am_error_name (err));
   r->error = err;
   return err;
 }
--- a/src/core/control_spread.c
+++ b/src/core/control_spread.c
@@ -469,7 +469,7 @@
     return;
   c->spread.joined = true;
   c->link.dirty = true;
-  am_control_log (c, AM_LOG_INFO, "joined members=%zu records=%zu",
+  am_control_log (c, AM_LOG_INFO, "event=joined members=%zu records=%zu",
                   c->vms.live, c->config.count);
 }
 
@@ -589,7 +589,8 @@
     {
       s->joined = true;
       c->link.dirty = true;
-      am_control_log (c, AM_LOG_NOTICE, "join_timeout members=%zu records=%zu",
+      am_control_log (c, AM_LOG_NOTICE,
+                      "event=join_timeout members=%zu records=%zu",
                       c->vms.live, c->config.count);
       return;
     }
--- a/src/core/control_status.c
+++ b/src/core/control_status.c
@@ -178,17 +178,28 @@
 }
 
 void
-am_control_metrics (const struct am_control *c,
-                    void (*each) (void *userdata, const char *name,
-                                  double value),
+am_control_metrics (const struct am_control *c, am_metric_each each,
                     void *userdata)
 {
-#define EACH_COUNTER(name, help) \
-  each (userdata, #name, (double)c->counters.name);
-  AM_CONTROL_COUNTER_LIST (EACH_COUNTER)
-#undef EACH_COUNTER
-  each (userdata, "members_live", (double)c->vms.live);
-  each (userdata, "members_known", (double)c->vms.count);
-  each (userdata, "records_held", (double)c->config.count);
-  each (userdata, "ejected", (double)c->verdicts.ejected_count);
+#define COUNTER_INFO(name, help) { #name, AM_METRIC_COUNTER, "", help },
+  static const struct am_metric_info counters[]
+      = { AM_CONTROL_COUNTER_LIST (COUNTER_INFO) };
+#undef COUNTER_INFO
+#define COUNTER_VALUE(name, help) (double)c->counters.name,
+  const double values[] = { AM_CONTROL_COUNTER_LIST (COUNTER_VALUE) };
+#undef COUNTER_VALUE
+  static const struct am_metric_info gauges[]
+      = { { "members_live", AM_METRIC_GAUGE, "", "members alive or suspect" },
+          { "members_known", AM_METRIC_GAUGE, "",
+            "members, also left and dead ones" },
+          { "records_held", AM_METRIC_GAUGE, "",
+            "records held, also retired ones" },
+          { "ejected", AM_METRIC_GAUGE, "", "upstreams ejected for all" } };
+
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    each (userdata, &counters[i], values[i]);
+  each (userdata, &gauges[0], (double)c->vms.live);
+  each (userdata, &gauges[1], (double)c->vms.count);
+  each (userdata, &gauges[2], (double)c->config.count);
+  each (userdata, &gauges[3], (double)c->verdicts.ejected_count);
 }
--- a/src/core/control_verdicts.c
+++ b/src/core/control_verdicts.c
@@ -97,9 +97,10 @@
       && (!l->avoided || c->now_us - e->at_us < AM_EVIDENCE_REPEAT_US))
     return;
   if (e->failing != l->avoided)
-    am_control_log (c, AM_LOG_INFO,
-                    "evidence service=%u upstream=%u failing=%d failures=%u",
-                    l->service_id, l->upstream_id, l->avoided, l->failures);
+    am_control_log (
+        c, AM_LOG_INFO,
+        "event=evidence service=%u upstream=%u failing=%d failures=%u",
+        l->service_id, l->upstream_id, l->avoided, l->failures);
   set (c, e, l->avoided, ++c->verdicts.serial);
 }
 
@@ -330,7 +331,7 @@
       c->counters.ejections += ejected;
       c->link.dirty = true;
       am_control_log (c, AM_LOG_NOTICE,
-                      "verdict service=%u upstream=%u ejected=%d",
+                      "event=verdict service=%u upstream=%u ejected=%d",
                       to[i].service_id, to[i].upstream_id, ejected);
     }
 }
--- a/test/test_control_config.c
+++ b/test/test_control_config.c
@@ -21,11 +21,11 @@
 };
 
 static void
-pick (void *userdata, const char *name, double value)
+pick (void *userdata, const struct am_metric_info *info, double value)
 {
   struct wanted_metric *w = userdata;
 
-  if (strcmp (name, w->name) == 0)
+  if (strcmp (info->name, w->name) == 0)
     w->value = value;
 }
 
