--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -117,17 +117,21 @@
 {
   uint64_t bound = FIRST_BOUND_NS;
   uint64_t below = 0;
+  const char *comma = labels ? "," : "";
 
+  if (!labels)
+    labels = "";
   for (int i = 0; i < AM_HISTOGRAM_BUCKETS; i++)
     {
       below += h->counts[i];
       append_name (t, m);
-      append (t, "_bucket{%s,le=\"%g\"} %" PRIu64 "\n", labels,
+      append (t, "_bucket{%s%sle=\"%g\"} %" PRIu64 "\n", labels, comma,
               (double)bound / NANOSECONDS, below);
       bound *= 2;
     }
   append_name (t, m);
-  append (t, "_bucket{%s,le=\"+Inf\"} %" PRIu64 "\n", labels, h->total);
+  append (t, "_bucket{%s%sle=\"+Inf\"} %" PRIu64 "\n", labels, comma,
+          h->total);
   append_name (t, m);
   append (t, "_sum{%s} %.9g\n", labels, (double)h->sum_ns / NANOSECONDS);
   append_name (t, m);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -45,8 +45,9 @@
                        const struct am_metric_info *m, const char *labels,
                        double value);
 
-/* Durations in buckets that double from 1 microsecond.  */
-#define AM_HISTOGRAM_BUCKETS 20
+/* Durations in buckets that double from 1 microsecond; the last bound, 8.4 s,
+   is above the default deadline of a request, 5 s.  */
+#define AM_HISTOGRAM_BUCKETS 24
 
 struct am_histogram
 {
@@ -58,7 +59,8 @@
 /* Counts one duration in nanoseconds.  */
 void am_histogram_add (struct am_histogram *h, uint64_t ns);
 
-/* Appends the histogram H of M, whose unit is seconds, under LABELS.  */
+/* Appends the histogram H of M, whose unit is seconds, under LABELS, which
+   may be NULL.  */
 void am_metrics_histogram (struct am_metrics_text *t,
                            const struct am_metric_info *m, const char *labels,
                            const struct am_histogram *h);
--- a/src/core/board.h
+++ b/src/core/board.h
@@ -16,6 +16,7 @@
 
 #include "base/address.h"
 #include "base/list.h"
+#include "base/metrics.h"
 #include "base/rng.h"
 #include "wire/amaranth.pb-c.h"
 #include "wire/packet.h"
@@ -74,6 +75,7 @@
   uint64_t backoff_us;     /* present back-off after a refusal */
   uint64_t answer_us;      /* smoothed time to answer, 0: none yet */
   bool ejected;            /* verdict of the agents (owner: snapshot) */
+  bool was_ejected;        /* before the present snapshot (owner: snapshot) */
 };
 
 /* Work of this forwarder at the upstream.  Owner: request (busy) and the
@@ -282,6 +284,7 @@
   bool via_peer; /* the present datagram came through the peer port */
   bool log_decisions;
   struct am_counters counters;
+  struct am_histogram queue_wait; /* owner: request */
 
   /* Owner: snapshot.  */
   uint64_t snapshot_digest;
--- a/src/core/opening.c
+++ b/src/core/opening.c
@@ -150,9 +150,9 @@
   return c;
 }
 
-int
-am_opens_admit (struct am_board *b, const struct am_service *s,
-                struct am_address caller)
+static int
+take_token (struct am_board *b, const struct am_service *s,
+            struct am_address caller)
 {
   struct am_opens *t = b->opens;
   double burst = s->open_rate * BURST_SECONDS;
@@ -172,6 +172,17 @@
   return AM_OK;
 }
 
+int
+am_opens_admit (struct am_board *b, const struct am_service *s,
+                struct am_address caller)
+{
+  int err = take_token (b, s, caller);
+
+  if (err)
+    b->counters.opens_limited++;
+  return err;
+}
+
 /* ---- answers to the caller ---------------------------------------- */
 
 static void
@@ -188,8 +199,6 @@
   am_reason_body_encode (&reason, body);
   b->counters.opens_refused++;
   b->counters.resets++;
-  if (error == AM_E_RATE)
-    b->counters.opens_limited++;
   am_board_decision (
       b, connection_id,
       "event=open_refused flow=%llu service=%s reason=%s revision=%llu",
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -12,6 +12,7 @@
 
 /* Refusals by upstreams after which a request is refused.  Each costs a
    back-off; more of them means that no upstream has a place.  */
+#define NS_PER_US 1000u
 #define MOVES_MAX 8u
 
 int
@@ -80,7 +81,6 @@
                            .issued_ms = b->now_us / 1000 };
   b->requests->last_issue_us = b->now_us;
   b->requests->issued = true;
-  b->counters.tickets_minted++;
   return AM_OK;
 }
 
@@ -125,9 +125,12 @@
   r->error = error;
   count_final (b, r);
   am_board_decision (b, r->connection_id,
-                     "request-end request=%llu service=%s state=%s reason=%s",
-                     (unsigned long long)r->serial, r->service->name,
-                     am_request_state_name (state), am_error_name (error));
+                     "event=request_ended request=%llu flow=%llu service=%s "
+                     "state=%s reason=%s revision=%llu",
+                     (unsigned long long)r->serial,
+                     (unsigned long long)r->connection_id, r->service->name,
+                     am_request_state_name (state), am_error_name (error),
+                     (unsigned long long)r->service->revision);
   if (state != AM_REQUEST_ANSWERED)
     am_reply_final (b, r, 0);
   am_table_retain (b, r);
@@ -140,6 +143,7 @@
 {
   if (!step (b, r, event, AM_OK))
     return;
+  r->queued_us = b->now_us;
   am_admission_push (r->service, r, true);
   if (r->cancelled)
     step (b, r, AM_REQUEST_ON_CANCEL, AM_E_CANCELLED);
@@ -168,6 +172,13 @@
     }
   b->counters.retries++;
   r->may_have_run = true;
+  am_board_decision (b, r->connection_id,
+                     "event=request_retried request=%llu flow=%llu service=%s "
+                     "reason=%s revision=%llu",
+                     (unsigned long long)r->serial,
+                     (unsigned long long)r->connection_id, r->service->name,
+                     am_error_name (error),
+                     (unsigned long long)r->service->revision);
   queue_again (b, r, AM_REQUEST_ON_RETRY);
 }
 
@@ -175,13 +186,17 @@
 hand_over (struct am_board *b, struct am_request *r, struct am_upstream *u)
 {
   step (b, r, AM_REQUEST_ON_SEND, AM_OK);
+  am_histogram_add (&b->queue_wait, (b->now_us - r->queued_us) * NS_PER_US);
   am_table_hold_slot (b, r, u);
   am_board_decision (b, r->connection_id,
-                     "request-sent request=%llu service=%s upstream=%s "
-                     "policy=%s moves=%u waited_us=%llu",
-                     (unsigned long long)r->serial, r->service->name, u->name,
-                     r->service->choice->name, r->moves,
-                     (unsigned long long)(b->now_us - r->arrived_us));
+                     "event=request_sent request=%llu flow=%llu service=%s "
+                     "upstream=%s policy=%s moves=%u waited_us=%llu "
+                     "revision=%llu",
+                     (unsigned long long)r->serial,
+                     (unsigned long long)r->connection_id, r->service->name,
+                     u->name, r->service->choice->name, r->moves,
+                     (unsigned long long)(b->now_us - r->arrived_us),
+                     (unsigned long long)r->service->revision);
   am_reply_run (b, r);
 }
 
@@ -298,6 +313,7 @@
   r->caller = a->caller;
   r->connection_id = a->connection_id;
   r->arrived_us = b->now_us;
+  r->queued_us = b->now_us;
   error = admit (b, r, a);
   if (error)
     {
@@ -441,10 +457,12 @@
   r->moves++;
   b->counters.moved++;
   am_board_decision (b, r->connection_id,
-                     "request-refused request=%llu service=%s upstream=%s "
-                     "reason=%s moves=%u",
-                     (unsigned long long)r->serial, r->service->name, u->name,
-                     am_error_name (error), r->moves);
+                     "event=request_refused request=%llu flow=%llu service=%s "
+                     "upstream=%s reason=%s moves=%u revision=%llu",
+                     (unsigned long long)r->serial,
+                     (unsigned long long)r->connection_id, r->service->name,
+                     u->name, am_error_name (error), r->moves,
+                     (unsigned long long)r->service->revision);
   queue_again (b, r, AM_REQUEST_ON_SHED);
   if (r->state == AM_REQUEST_QUEUED && r->moves >= MOVES_MAX)
     step (b, r, AM_REQUEST_ON_REFUSE, AM_E_SHED);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -44,6 +44,7 @@
   uint32_t priority;
 
   uint64_t arrived_us;
+  uint64_t queued_us; /* last put into the queue */
   uint64_t deadline_us;
   bool cancelled;
   bool may_have_run; /* an upstream that had it was lost */
--- a/src/core/snapshot.c
+++ b/src/core/snapshot.c
@@ -110,10 +110,29 @@
 }
 
 static void
-update_upstream (const struct am_board *b, struct am_upstream *u,
+log_state (struct am_board *b, const struct am_upstream *u)
+{
+  const char *state = "unknown";
+
+  if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE)
+    state = "active";
+  else if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING)
+    state = "leaving";
+  else if (u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED)
+    state = "retired";
+  am_board_decision (
+      b, 0,
+      "event=upstream_state service=%s upstream=%s state=%s revision=%llu",
+      u->service->name, u->name, state,
+      (unsigned long long)u->service->revision);
+}
+
+static void
+update_upstream (struct am_board *b, struct am_upstream *u,
                  const Amaranth__Upstream *in, bool ramp)
 {
   bool was_active = u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE;
+  bool changed = u->state != in->state;
 
   copy_name (u->name, in->name);
   copy_name (u->data_centre, in->data_centre);
@@ -121,6 +140,8 @@
   u->slots = in->slots;
   u->connections = in->connections;
   u->weight = or_default (in->weight, WEIGHT_DEFAULT);
+  if (changed)
+    log_state (b, u);
   if (!was_active && ramp
       && in->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE)
     u->joined_us = b->now_us;
@@ -454,6 +475,24 @@
     }
 }
 
+static void
+log_ejections (struct am_board *b)
+{
+  am_list_each (s, &b->services, struct am_service, node)
+  {
+    am_list_each (u, &s->upstreams, struct am_upstream, node)
+    {
+      if (u->health.ejected == u->health.was_ejected)
+        continue;
+      am_board_decision (
+          b, 0,
+          "event=ejection service=%s upstream=%s ejected=%d revision=%llu",
+          s->name, u->name, u->health.ejected,
+          (unsigned long long)s->revision);
+    }
+  }
+}
+
 static void
 apply_verdicts (struct am_board *b, const Amaranth__Snapshot *snap)
 {
@@ -461,6 +500,7 @@
   {
     am_list_each (u, &s->upstreams, struct am_upstream, node)
     {
+      u->health.was_ejected = u->health.ejected;
       u->health.ejected = false;
     }
   }
@@ -474,6 +514,7 @@
       if (u)
         u->health.ejected = v->ejected;
     }
+  log_ejections (b);
 }
 
 /* ---- whole -------------------------------------------------------- */
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -103,9 +103,7 @@
 
   if (!b->via_peer)
     err = am_opens_admit (b, a->service, a->caller);
-  if (err)
-    b->counters.opens_limited++;
-  else
+  if (!err)
     err = am_requests_issue (b, a->service, request_class, &t);
   if (!err)
     err = am_key_ring_mint (b, &t, &scope, ticket);
@@ -113,11 +111,12 @@
     return reset (b, a, err);
   b->counters.tickets_minted++;
   am_board_decision (b, a->packet.connection_id,
-                     "event=issued request=%llu serial=%llu service=%s "
+                     "event=issued request=%llu flow=%llu service=%s "
                      "class=%u revision=%llu",
+                     (unsigned long long)t.serial,
                      (unsigned long long)a->packet.connection_id,
-                     (unsigned long long)t.serial, a->service->name,
-                     request_class, (unsigned long long)a->service->revision);
+                     a->service->name, request_class,
+                     (unsigned long long)a->service->revision);
   am_board_send_caller (b, a->service->address, a->caller, &p);
   return AM_OK;
 }
@@ -305,7 +304,7 @@
   am_outcome_body_encode (&outcome, body);
   b->counters.unknown++;
   am_board_decision (b, a->packet.connection_id,
-                     "event=outcome request=%llu service=%s outcome=UNKNOWN "
+                     "event=outcome flow=%llu service=%s outcome=UNKNOWN "
                      "reason=%s revision=%llu",
                      (unsigned long long)a->packet.connection_id,
                      a->service->name, am_error_name (error),
--- a/src/forwarder/decision_log.c
+++ b/src/forwarder/decision_log.c
@@ -8,7 +8,7 @@
 
 #define KIND_PREFIX "event="
 #define SECOND_US 1000000u
-#define SERIAL_SIZE 32
+#define REQUEST_SIZE 40
 
 int
 am_decision_log_init (struct am_decision_log *d, struct am_log *log,
@@ -95,10 +95,10 @@
 }
 
 static bool
-is_about (const struct am_decision_line *l, uint64_t id, const char *serial)
+is_about (const struct am_decision_line *l, uint64_t id, const char *request)
 {
-  const char *at = strstr (l->text, serial);
-  char end = at ? at[strlen (serial)] : 'x';
+  const char *at = strstr (l->text, request);
+  char end = at ? at[strlen (request)] : 'x';
 
   return l->tag == id || end == ' ' || end == '\0';
 }
@@ -108,16 +108,16 @@
                       const char **lines, size_t max)
 {
   size_t first = d->count < AM_DECISION_RING_SIZE ? 0 : d->next;
-  char serial[SERIAL_SIZE];
+  char request[REQUEST_SIZE];
   size_t n = 0;
 
-  snprintf (serial, sizeof serial, "serial=%llu", (unsigned long long)id);
+  snprintf (request, sizeof request, " request=%llu", (unsigned long long)id);
   for (size_t i = 0; i < d->count && n < max; i++)
     {
       const struct am_decision_line *l
           = &d->ring[(first + i) % AM_DECISION_RING_SIZE];
 
-      if (is_about (l, id, serial))
+      if (is_about (l, id, request))
         lines[n++] = l->text;
     }
   return n;
--- a/src/forwarder/decision_log.h
+++ b/src/forwarder/decision_log.h
@@ -55,9 +55,9 @@
    reported.  Called once a second.  */
 void am_decision_log_tick (struct am_decision_log *d, uint64_t now_us);
 
-/* Fills LINES with up to MAX lines about the connection id or request serial
-   ID, oldest first.  They stay valid
-   until the next line is added.  Returns their number.  */
+/* Fills LINES with up to MAX lines about the connection or request ID, oldest
+   first.  They stay valid until the next line is added.  Returns their number.
+   */
 size_t am_decision_log_find (const struct am_decision_log *d, uint64_t id,
                              const char **lines, size_t max);
 
--- a/src/forwarder/forwarder_metrics.c
+++ b/src/forwarder/forwarder_metrics.c
@@ -12,6 +12,11 @@
     = { "decision", AM_METRIC_HISTOGRAM, "seconds",
         "time to handle one event in the core" };
 
+static const struct am_metric_info queue_wait
+    = { "queue_wait", AM_METRIC_HISTOGRAM, "seconds",
+        "time from the arrival of a request, or from its return to the queue, "
+        "to its sending" };
+
 static void
 put_counters (struct am_metrics_text *t, const struct am_counters *c)
 {
@@ -130,4 +135,6 @@
              (double)(f->data.send_drops + f->peer.send_drops));
   put_upstreams (t, b);
   put_durations (t, f);
+  am_metrics_head (t, &queue_wait);
+  am_metrics_histogram (t, &queue_wait, NULL, &b->queue_wait);
 }
--- a/test/test_opening.c
+++ b/test/test_opening.c
@@ -121,6 +121,7 @@
       net.kept_count = 0;
     }
   ck_assert_uint_eq (refused, 10);
+  ck_assert_uint_eq (net.nodes[0].board.counters.opens_limited, 10);
   net.now_us += SECOND;
   refused = 0;
   for (uint64_t id = 101; id <= 130; id++)
@@ -130,6 +131,7 @@
       net.kept_count = 0;
     }
   ck_assert_uint_eq (refused, 20);
+  ck_assert_uint_eq (net.nodes[0].board.counters.opens_limited, 30);
   net_finish (&net);
 }
 END_TEST
--- a/test/test_request_states.c
+++ b/test/test_request_states.c
@@ -325,6 +325,28 @@
 }
 END_TEST
 
+/* Guards against a queue wait that is not measured, or that holds the time at
+   an upstream that refused.  */
+START_TEST (test_queue_wait)
+{
+  const struct am_histogram *h;
+  struct issuer x;
+
+  issuer_init (&x, true);
+  h = &x.board.queue_wait;
+  apply (&x, REQUEST);
+  ck_assert_uint_eq (h->total, 1);
+  pass (&x, 400000);
+  apply (&x, REFUSED);
+  while (h->total == 1 && x.board.now_us < 3000000)
+    pass (&x, 10000);
+  ck_assert_uint_eq (h->total, 2);
+  ck_assert_uint_gt (h->sum_ns, 0);
+  ck_assert_uint_lt (h->sum_ns, 400000000);
+  board_free (&x.board);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -333,7 +355,8 @@
                                  test_segments_are_sent_again,
                                  test_answer_cache_is_bounded,
                                  test_serials,
-                                 test_stop_waits };
+                                 test_stop_waits,
+                                 test_queue_wait };
 
   return RUN_TESTS ("request_states", tests);
 }
--- a/test/test_ticket_binding.c
+++ b/test/test_ticket_binding.c
@@ -316,6 +316,31 @@
   memcpy (ticket, p.ticket, AM_TICKET_SIZE);
 }
 
+/* Guards against one event that is counted in two places: a request ticket,
+   and an open over the bound of its caller.  */
+START_TEST (test_counted_once)
+{
+  const struct am_counters *c = &net.nodes[0].board.counters;
+  uint8_t ticket[AM_TICKET_SIZE];
+  uint64_t burst;
+
+  begin (1, 1);
+  config.service.open_rate = 2;
+  ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+  burst = 2 * config.service.open_rate;
+  for (uint64_t id = 1; id <= burst; id++)
+    issue (id, ticket);
+  ck_assert_uint_eq (c->tickets_minted, burst);
+  ck_assert_uint_eq (c->opens_limited, 0);
+  ck_assert_int_eq (net_open (&net, 0, 8, AM_OPEN_REQUEST), AM_E_RATE);
+  ck_assert_uint_eq (c->opens_limited, 1);
+  ck_assert_int_eq (net_open (&net, 0, 9, AM_OPEN_FLOW), AM_E_RATE);
+  ck_assert_uint_eq (c->opens_limited, 2);
+  ck_assert_uint_eq (c->tickets_minted, burst);
+  net_finish (&net);
+}
+END_TEST
+
 static int
 outcome_reason (void)
 {
@@ -416,4 +441,4 @@
            test_stale_vm_passes_to_issuer, test_fresh_vm_without_keys,
            test_one_hop_only, test_silent_flow, test_close_reaches_issuer,
            test_count_follows_restart, test_replies, test_request_issuer,
-           test_unknown_issuer, test_kinds_are_apart)
+           test_unknown_issuer, test_kinds_are_apart, test_counted_once)
