--- a/src/core/board.h
+++ b/src/core/board.h
@@ -24,7 +24,10 @@
 #include "wire/ticket.h"
 
 #define AM_NAME_SIZE 64
-#define AM_CLASSES_MAX 8
+
+/* As many as a record may have: more classes there than here would make every
+   entry VM refuse the whole snapshot.  */
+#define AM_CLASSES_MAX 16
 
 /* Number of entry VMs in the home set of a service.  */
 #define AM_HOME_MAX 7
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -283,9 +283,33 @@
 }
 END_TEST
 
+/* Guards against a record that validation accepts and that makes every entry
+   VM refuse its whole configuration: a record may have 16 classes.  */
+START_TEST (test_most_classes)
+{
+  Amaranth__RequestClass classes[16];
+  Amaranth__RequestClass *list[16];
+
+  begin (1);
+  for (size_t i = 0; i < 16; i++)
+    {
+      classes[i] = *config.classes[0];
+      classes[i].id = (uint32_t)i;
+      list[i] = &classes[i];
+    }
+  config.service.classes = list;
+  config.service.n_classes = 16;
+  config.service.revision = 2;
+  ck_assert_int_eq (net_apply (&net, 0, &config), AM_OK);
+  ck_assert_uint_eq (service ()->revision, 2);
+  ck_assert_uint_eq (service ()->class_count, 16);
+  net_finish (&net);
+}
+END_TEST
+
 RUN_TESTS ("snapshot", test_never_reverts, test_keeps_state_of_what_stays,
            test_malformed_is_refused_whole,
            test_services_leave_only_when_retired,
            test_address_of_newer_service_stays,
            test_missing_members_are_kept_a_while, test_home_set_by_state,
-           test_pack_in_force, test_verdicts)
+           test_pack_in_force, test_verdicts, test_most_classes)
