--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -6,12 +6,6 @@
 #include "base/error.h"
 #include "ctl/records.h"
 
-static int
-out_of_memory (struct ctl *c)
-{
-  return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
-}
-
 void
 ctl_change_free (struct ctl_change *change)
 {
@@ -41,7 +35,7 @@
       || copy_record (&change->base, &entry->record))
     {
       ctl_change_free (change);
-      return out_of_memory (c);
+      return ctl_no_memory (c);
     }
   change->base_known = true;
   change->source = "";
@@ -264,7 +258,7 @@
   if (change->base_known && !is_version (base, old))
     change->was_merged = true;
   if (keep_retired_at (old, &change->mine))
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   err = am_record_merge (base, &change->mine, old, &change->merged, &f);
   if (err)
     return ctl_fail_fault (
@@ -302,14 +296,14 @@
   else
     {
       change->outcome = CTL_CREATED;
-      err = copy_record (&change->merged, &change->mine) ? out_of_memory (c)
+      err = copy_record (&change->merged, &change->mine) ? ctl_no_memory (c)
                                                          : AM_OK;
       change->merged.revision = 0;
     }
   if (err)
     return err;
   if (stamp_retired (&change->merged) || fix_base (change, entry))
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   if (entry && entry->index && same_content (&change->merged, &entry->record))
     change->outcome = CTL_UNCHANGED;
   return AM_OK;
@@ -335,7 +329,7 @@
   int err;
 
   if (!all)
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   for (size_t i = 0; i < set->count; i++)
     if (set->entries[i].record.root
         && !find_change (changes, n, set->entries[i].name))
--- a/src/ctl/cmd_keys.c
+++ b/src/ctl/cmd_keys.c
@@ -142,7 +142,7 @@
   key = json_pack ("{s:I, s:s, s:s}", "id", next_id (root), "secret", secret,
                    "state", "standby");
   if (!key || json_array_append_new (json_object_get (root, "keys"), key))
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   return ctl_change_reread (c, change);
 }
 
@@ -159,7 +159,7 @@
       || json_object_set_new (old, "verify_since",
                               json_integer ((json_int_t)time (NULL)))
       || json_object_set_new (fresh, "state", json_string ("active")))
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   return ctl_change_reread (c, change);
 }
 
--- a/src/ctl/cmd_upstream.c
+++ b/src/ctl/cmd_upstream.c
@@ -27,7 +27,7 @@
 set_state (struct ctl *c, json_t *u, const char *state)
 {
   if (json_object_set_new (u, "state", json_string (state)))
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   return AM_OK;
 }
 
--- a/src/ctl/config.c
+++ b/src/ctl/config.c
@@ -198,6 +198,12 @@
   return error;
 }
 
+int
+ctl_no_memory (struct ctl *c)
+{
+  return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+}
+
 int
 ctl_fail_fault (struct ctl *c, const char *file, const struct am_fault *f)
 {
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -62,6 +62,9 @@
 int ctl_fail (struct ctl *c, int error, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/* Same, for AM_E_MEMORY.  */
+int ctl_no_memory (struct ctl *c);
+
 /* Same, for a fault in FILE.  */
 int ctl_fail_fault (struct ctl *c, const char *file, const struct am_fault *f);
 
--- a/src/ctl/exchange.c
+++ b/src/ctl/exchange.c
@@ -19,8 +19,8 @@
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
-static uint64_t
-now_ms (void)
+uint64_t
+ctl_now_ms (void)
 {
   struct timespec t;
 
@@ -262,14 +262,14 @@
 run_batch (struct ctl_exchange *list, size_t n, const uint8_t *key,
            uint32_t timeout_ms)
 {
-  uint64_t deadline = now_ms () + timeout_ms;
+  uint64_t deadline = ctl_now_ms () + timeout_ms;
   struct pollfd polls[AT_ONCE];
 
   for (size_t i = 0; i < n; i++)
     begin (&list[i], key);
   while (fill_polls (list, n, polls) > 0)
     {
-      uint64_t now = now_ms ();
+      uint64_t now = ctl_now_ms ();
 
       if (now >= deadline)
         break;
@@ -409,7 +409,7 @@
   if (!*list)
     {
       free (vms);
-      return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+      return ctl_no_memory (c);
     }
   for (size_t i = 0; i < *n; i++)
     {
--- a/src/ctl/exchange.h
+++ b/src/ctl/exchange.h
@@ -70,4 +70,7 @@
                  struct ctl_exchange **list, size_t *n);
 void ctl_exchange_list_free (struct ctl_exchange *list, size_t n);
 
+/* Returns milliseconds of CLOCK_MONOTONIC.  */
+uint64_t ctl_now_ms (void);
+
 #endif
--- a/src/ctl/records.c
+++ b/src/ctl/records.c
@@ -11,12 +11,6 @@
 #include "io/store_client.h"
 #include "io/yaml_file.h"
 
-static int
-out_of_memory (struct ctl *c)
-{
-  return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
-}
-
 static struct ctl_entry *
 add_entry (struct ctl_set *set, const char *name)
 {
@@ -192,10 +186,10 @@
   else if (err)
     err = ctl_fail (c, err, "%s: %s", c->store_url, am_error_text (err));
   else if (take_entries (set, &r))
-    err = out_of_memory (c);
+    err = ctl_no_memory (c);
   am_store_result_free (&r);
   if (!err && c->agent_count && c->key_file && refresh (c, set))
-    err = out_of_memory (c);
+    err = ctl_no_memory (c);
   return err;
 }
 
@@ -226,7 +220,7 @@
   memset (file, 0, sizeof *file);
   file->path = strdup (path);
   if (!file->path)
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   err = am_file_read (path, &file->text, &file->len, &f);
   if (!err)
     err = am_record_parse_yaml (&file->record, file->text, file->len, &f);
@@ -274,7 +268,7 @@
   int err;
 
   if (!set)
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   for (size_t i = 0; i < n; i++)
     set[i] = &files[i].record;
   err = am_record_validate_set (set, n, &f);
@@ -291,7 +285,7 @@
   *n = 0;
   *files = calloc (path_count + 1, sizeof **files);
   if (!*files)
-    return out_of_memory (c);
+    return ctl_no_memory (c);
   for (size_t i = 0; i < path_count; i++)
     {
       int err = read_file (c, paths[i], &(*files)[(*n)++]);
@@ -341,7 +335,7 @@
     }
   free (found);
   if (!paths || err)
-    err = out_of_memory (c);
+    err = ctl_no_memory (c);
   else if (count == 0)
     err = ctl_fail (c, AM_E_NOT_FOUND, "%s: no *.yaml file", folder);
   else
--- a/src/ctl/records.h
+++ b/src/ctl/records.h
@@ -117,4 +117,10 @@
 /* Replaces secrets in the record ROOT, for output.  */
 void ctl_hide_secrets (json_t *root);
 
+/* Reads the file or folder that is the command's argument, turns it into
+   changes and calls ACT with them.  Returns the error that was reported.  */
+int ctl_run_on_files (struct ctl *c,
+                      int (*act) (struct ctl *c, struct ctl_change *changes,
+                                  size_t n));
+
 #endif
--- a/src/ctl/wait.c
+++ b/src/ctl/wait.c
@@ -23,15 +23,6 @@
   json_t *behind;
 };
 
-static uint64_t
-now_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_MONOTONIC, &t);
-  return (uint64_t)t.tv_sec * MS_PER_S + (uint64_t)t.tv_nsec / NS_PER_MS;
-}
-
 static const Amaranth__RecordVersion *
 find_version (const Amaranth__StatusReply *s, const char *name)
 {
@@ -167,19 +158,19 @@
 {
   struct wait w = { .ctl = c, .versions = versions, .version_count = n };
   const struct timespec pause = { 0, POLL_PAUSE_MS * NS_PER_MS };
-  uint64_t deadline = now_ms () + c->timeout_ms;
+  uint64_t deadline = ctl_now_ms () + c->timeout_ms;
   int err;
 
   w.behind = json_array ();
   if (!w.behind)
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   for (;;)
     {
       err = look (&w, CTL_AGENT_TIMEOUT_MS);
       if (err == AM_E_MEMORY)
         break;
       show (&w);
-      if ((!err && w.in_force == w.live) || now_ms () >= deadline)
+      if ((!err && w.in_force == w.live) || ctl_now_ms () >= deadline)
         break;
       nanosleep (&pause, NULL);
     }
--- a/src/ctl/write.c
+++ b/src/ctl/write.c
@@ -57,7 +57,7 @@
   r->revision++;
   *text = am_record_to_json (r);
   if (!*text)
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   if (strlen (*text) <= AM_RECORD_TEXT_MAX)
     return AM_OK;
   free (*text);
@@ -242,8 +242,7 @@
       json_decref (*list);
       *list = json_array ();
     }
-  return *list ? AM_OK
-               : ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+  return *list ? AM_OK : ctl_no_memory (c);
 }
 
 static json_t *
@@ -486,7 +485,7 @@
   int err;
 
   if (!versions)
-    return ctl_fail (c, AM_E_MEMORY, "%s", am_error_text (AM_E_MEMORY));
+    return ctl_no_memory (c);
   for (size_t i = 0; i < n; i++)
     versions[i] = &changes[i].merged;
   err = ctl_wait_in_force (c, versions, n);
