--- a/test/integration/decisions.py
+++ b/test/integration/decisions.py
@@ -8,6 +8,7 @@
 import re
 import signal
 import time
+import urllib.request
 
 import common
 from cluster import wait_until
@@ -99,6 +100,32 @@
     t.expect(status == os.EX_DATAERR, f"unknown id: {status}")
 
 
+def counter(vm, name):
+    """The value of one metric of a forwarder."""
+    url = f"http://{vm.address}:7003/metrics"
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        text = answer.read().decode()
+    return int(float(re.search(rf"^{name} (\S+)$", text, re.M)[1]))
+
+
+def check_held_back(t, c):
+    """More opens a second than lines are written: the lines and those that
+    are said to be held back are as many as the flows."""
+    storm = c.start_caller("storm", ["--flows", "dispatch:1800", "--open-rate",
+                                     1800, "--seconds", 3])
+    storm.wait(30)
+    time.sleep(2.5)
+    for vm in c.vms:
+        log = vm.forwarder.log()
+        written = log.count("event=opened ")
+        held = sum(int(n) for n in re.findall(
+            r"event=held_back kind=opened lines=(\d+)", log))
+        opens = counter(vm, "amaranth_opens_total")
+        t.expect(held > 0, f"{vm.name}: nothing held back of {opens}")
+        t.expect(written + held == opens, f"{vm.name}: {written} lines and "
+                 f"{held} held back of {opens}")
+
+
 def change_level(t, c):
     """log-level and SIGHUP change what is written, without a restart."""
     vm = c.vms[0]
@@ -127,6 +154,7 @@
 def body(t):
     c = t.cluster(blocks=BLOCKS, services=[*common.SERVICES, LIMITED])
     c.start()
+    check_held_back(t, c)
     load = c.start_caller("load", [
         "--flows", "dispatch:20", "--open-rate", 40,
         "--requests", "dispatch:0:one_time:30", "--seconds", 14])
