--- a/src/core/board.h
+++ b/src/core/board.h
@@ -16,6 +16,7 @@
 
 #include "base/address.h"
 #include "base/list.h"
+#include "base/metrics.h"
 #include "base/rng.h"
 #include "wire/amaranth.pb-c.h"
 #include "wire/packet.h"
@@ -23,7 +24,10 @@
 #include "wire/ticket.h"
 
 #define AM_NAME_SIZE 64
-#define AM_CLASSES_MAX 8
+
+/* As many as a record may have: more classes there than here would make every
+   entry VM refuse the whole snapshot.  */
+#define AM_CLASSES_MAX 16
 
 /* Number of entry VMs in the home set of a service.  */
 #define AM_HOME_MAX 7
@@ -75,6 +79,7 @@
   uint64_t backoff_us;     /* present back-off after a refusal */
   uint64_t answer_us;      /* smoothed time to answer, 0: none yet */
   bool ejected;            /* verdict of the agents (owner: snapshot) */
+  bool was_ejected;        /* before the present snapshot (owner: snapshot) */
 };
 
 /* Work of this forwarder at the upstream.  Owner: request (busy) and the
@@ -283,6 +288,7 @@
   bool via_peer; /* the present datagram came through the peer port */
   bool log_decisions;
   struct am_counters counters;
+  struct am_histogram queue_wait; /* owner: request */
 
   /* Owner: snapshot.  */
   uint64_t snapshot_digest;
