Note a kill after the process has ended

Cause: integration_kill_forwarder failed in 1 of 4 runs: "1 UNKNOWN without a failure in their time". Trace: the request began 159 us after the note and before SIGKILL took effect, with a ticket of the killed process, so it was in progress there when the process died. Change: the note is written once the process is gone; every request that the process can have held began before it. The check itself is unchanged. Conclusion: the verdict no longer depends on the time between note and kill.

--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -552,8 +552,8 @@
 
     def kill_vm(self, vm, notice=True):
         """SIGKILL of both programs; notice: the fabric removes it."""
-        self.note("kill", vm=vm.name)
         vm.forwarder.kill()
+        self.note("kill", vm=vm.name)
         vm.agent.kill()
         if notice:
             time.sleep(FABRIC_LAG_SECONDS)
--- a/test/integration/kill_forwarder.py
+++ b/test/integration/kill_forwarder.py
@@ -15,8 +15,8 @@
         "--requests", "dispatch:0:one_time:40", "--seconds", 9])
     time.sleep(3)
     vm = c.vms[0]
-    c.note("kill", vm=vm.name)
     vm.forwarder.kill()
+    c.note("kill", vm=vm.name)
     time.sleep(0.2)
     c.fabric_command(f"forwarder remove {vm.data}")
     time.sleep(2)
