Send the forwarder's datagrams in batches

Change: datagrams of the data port are gathered while the loop handles input and sent by one sendmmsg before it polls again (at most 64).

--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -28,10 +28,11 @@
   switch (a->type)
     {
     case AM_ACTION_CALLER:
-      (void)am_udp_send (&f->data, f->return_address, a->data, a->len);
+      (void)am_udp_batch_add (&f->data_out, f->return_address, a->data,
+                              a->len);
       return;
     case AM_ACTION_UPSTREAM:
-      (void)am_udp_send (&f->data, a->to, a->data, a->len);
+      (void)am_udp_batch_add (&f->data_out, a->to, a->data, a->len);
       return;
     case AM_ACTION_STREAM:
       am_pool_send (&f->pool, key, a->to, now_us, a->data, a->len);
@@ -132,6 +133,7 @@
   uv_close ((uv_handle_t *)&f->sighup, NULL);
   am_control_close (f);
   am_metrics_port_close (&f->metrics);
+  am_udp_batch_finish (&f->data_out);
   am_udp_close (&f->data);
   am_udp_close (&f->peer);
   am_pool_finish (&f->pool);
@@ -257,6 +259,8 @@
       if (err)
         am_udp_close (&f->peer);
     }
+  if (!err)
+    err = am_udp_batch_init (&f->data_out, &f->loop, &f->data);
   if (err)
     am_udp_close (&f->data);
   return err;
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -15,6 +15,7 @@
 #include "io/metrics_port.h"
 #include "io/settings.h"
 #include "io/stream.h"
+#include "io/udp_batch.h"
 #include "io/udp_port.h"
 
 #define AM_FORWARDER_EVENT_TYPES (AM_EVENT_STOP + 1)
@@ -31,6 +32,7 @@
   struct am_dispatch dispatch;
   struct am_address return_address;
   struct am_udp_port data;
+  struct am_udp_batch data_out; /* what DATA is to send */
   struct am_udp_port peer;
   struct am_pool pool;
   struct am_listener control;
--- /dev/null
+++ b/src/io/udp_batch.c
@@ -0,0 +1,88 @@
+#include "io/udp_batch.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/error.h"
+
+static void
+on_prepare (uv_prepare_t *handle)
+{
+  am_udp_batch_flush (handle->data);
+}
+
+int
+am_udp_batch_init (struct am_udp_batch *b, uv_loop_t *loop,
+                   struct am_udp_port *port)
+{
+  b->port = port;
+  b->count = 0;
+  if (uv_prepare_init (loop, &b->prepare) != 0)
+    return AM_E_IO;
+  b->prepare.data = b;
+  uv_prepare_start (&b->prepare, on_prepare);
+  return AM_OK;
+}
+
+int
+am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
+                  const void *data, size_t len)
+{
+  struct sockaddr_in *sa;
+
+  if (len > AM_UDP_BATCH_DATAGRAM)
+    return AM_E_TOO_LARGE;
+  if (b->count == AM_UDP_BATCH)
+    am_udp_batch_flush (b);
+  sa = &b->to[b->count];
+  memset (sa, 0, sizeof *sa);
+  sa->sin_family = AF_INET;
+  sa->sin_port = htons (to.port);
+  sa->sin_addr.s_addr = htonl (to.ip);
+  memcpy (b->data[b->count], data, len);
+  b->sizes[b->count] = len;
+  b->count++;
+  return AM_OK;
+}
+
+void
+am_udp_batch_flush (struct am_udp_batch *b)
+{
+  struct mmsghdr messages[AM_UDP_BATCH];
+  struct iovec vectors[AM_UDP_BATCH];
+  size_t done = 0;
+
+  memset (messages, 0, b->count * sizeof messages[0]);
+  for (size_t i = 0; i < b->count; i++)
+    {
+      vectors[i].iov_base = b->data[i];
+      vectors[i].iov_len = b->sizes[i];
+      messages[i].msg_hdr.msg_iov = &vectors[i];
+      messages[i].msg_hdr.msg_iovlen = 1;
+      messages[i].msg_hdr.msg_name = &b->to[i];
+      messages[i].msg_hdr.msg_namelen = sizeof b->to[i];
+    }
+  while (done < b->count)
+    {
+      int n = sendmmsg (b->port->fd, messages + done,
+                        (unsigned)(b->count - done), MSG_DONTWAIT);
+
+      if (n > 0)
+        {
+          done += (size_t)n;
+          continue;
+        }
+      b->port->send_drops++;
+      done++;
+    }
+  b->count = 0;
+}
+
+void
+am_udp_batch_finish (struct am_udp_batch *b)
+{
+  am_udp_batch_flush (b);
+  uv_prepare_stop (&b->prepare);
+  uv_close ((uv_handle_t *)&b->prepare, NULL);
+}
