--- a/scripts/experiments/control.py
+++ b/scripts/experiments/control.py
@@ -14,6 +14,9 @@
 TARGET_VMS = 730
 REGION = "lv-central"
 HOME_SERVICES = 6
+CHANGES_A_DAY = 370
+CHANGE_SECONDS = 10
+FLOW_SIZES = (2000, 8000, 16000)
 BYTES_BOUND = 6000
 PROCESSOR_BOUND = 1.1
 MEMORY_BOUND = 32.0
@@ -58,25 +61,37 @@
 
 
 def measure(c, seconds):
-    """Medians over the agents in a window with one change of a record."""
+    """Medians over the agents: a quiet window, then one with one change.  The
+    change counts as often as at the target, 370 times a day."""
     first = sample(c)
     begin = time.monotonic()
-    time.sleep(seconds / 2)
-    c.apply("dispatch", weights={"dispatch-1": 70})
-    time.sleep(seconds / 2)
+    time.sleep(seconds)
     second = sample(c)
     took = time.monotonic() - begin
-    rows = list(zip(first, second))
+    c.apply("dispatch", weights={"dispatch-1": 70})
+    time.sleep(CHANGE_SECONDS)
+    third = sample(c)
+    changed = time.monotonic() - begin - took
+
+    def quiet(key):
+        return median([(b[key] - a[key]) / took
+                       for a, b in zip(first, second)])
+
+    def change(key):
+        return max(0, median([b[key] - a[key] for a, b in zip(second, third)])
+                   - quiet(key) * changed)
 
     def rate(key):
-        return median([(b[key] - a[key]) / took for a, b in rows])
+        return quiet(key) + change(key) * CHANGES_A_DAY / 86400
 
     headers = rate("datagrams") * DATAGRAM_HEADERS
     return {"sent_bytes": round(rate("sent") + headers / 2),
             "received_bytes": round(rate("received") + headers / 2),
+            "change_sent_bytes": round(change("sent")),
+            "change_processor_ms": round(1000 * change("processor"), 1),
             "processor_percent": round(100 * rate("processor"), 3),
-            "memory_mb": round(median([b["memory"] for b in second]), 2),
-            "memory_max_mb": round(max(b["memory"] for b in second), 2)}
+            "memory_mb": round(median([b["memory"] for b in third]), 2),
+            "memory_max_mb": round(max(b["memory"] for b in third), 2)}
 
 
 def one(x, size, services, seconds):
@@ -126,6 +141,7 @@
     judge(x, rows)
     if not x.small and not x.size:
         many(x, seconds)
+        flows(x)
         plot.lines("control", "bytes a second sent, for each entry VM",
                    "entry VMs",
                    {"measured": [(n, r["sent_bytes"])
@@ -166,3 +182,30 @@
     x.bound("records580_memory_mb", "<=", MEMORY_BOUND)
     x.bound("records580_processor_percent", "<=", PROCESSOR_BOUND)
     x.bound("records580_sent_bytes", "<=", BYTES_BOUND)
+
+
+def flows(x):
+    """Processor time and memory of a forwarder for each open flow, from three
+    sizes on 7 entry VMs; each flow sends a ping a second."""
+    rows = []
+    for size in FLOW_SIZES:
+        x.say(f"{size} flows")
+        with x.cluster(services=[dict(STIKLSETAS[0], open_rate=5000)], vms=7,
+                       log_level="error") as c:
+            c.start()
+            caller = c.start_caller("feeds", ["--flows", f"dispatch:{size}",
+                                              "--open-rate", 4000,
+                                              "--seconds", 16])
+            time.sleep(8)
+            first = [usage(vm.forwarder.pid) for vm in c.vms]
+            time.sleep(6)
+            second = [usage(vm.forwarder.pid) for vm in c.vms]
+            caller.wait(30)
+        rows.append((size / 7, median([m for _, m in second]),
+                     median([(b[0] - a[0]) / 6 * 100
+                             for a, b in zip(first, second)])))
+    for name, column in (("memory_mb", 1), ("processor_percent", 2)):
+        slope, _ = line([(r[0], r[column]) for r in rows])
+        x.figures[f"flow_{name}_each_1000"] = round(1000 * slope, 4)
+        for size, r in zip(FLOW_SIZES, rows):
+            x.figures[f"flows{size}_{name}"] = round(r[column], 3)
--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -30,7 +30,7 @@
 # Address blocks 127.N.0.0/16 of experiments and of integration tests.  Each
 # run takes a free one, so that runs of several worktrees do not meet.
 EXPERIMENT_BLOCKS = range(95, 100)
-TEST_BLOCKS = range(90, 95)
+TEST_BLOCKS = range(84, 95)
 
 # Longest time until a fresh cluster has its first configuration in force.
 READY_SECONDS = 30
