Let the store client make sessions and take locks

Cause: a lease on a key of the store needs a session and the acquire and release forms of a write; the client spoke compare-and-swap only. Change: calls to make, renew and end a session, to acquire and release a key; entries show the lock index and whether a session holds the key. An id that is not hexadecimal digits and hyphens is refused, because it becomes part of a path.

--- a/src/io/store_client.c
+++ b/src/io/store_client.c
@@ -19,12 +19,20 @@
 #define HTTP_NOT_FOUND 404
 #define HTTP_CLIENT_ERROR 400
 
+enum call_kind
+{
+  CALL_READ,
+  CALL_WRITE,   /* answers true or false */
+  CALL_CREATE,  /* of a session; answers its id */
+  CALL_SESSION, /* renew or destroy */
+};
+
 struct call
 {
   struct am_list node; /* in am_store_client.calls */
   struct am_store_client *client;
   CURL *easy;
-  bool write;
+  enum call_kind kind;
   uint8_t *body; /* of a write; owned */
   uint8_t *answer;
   size_t answer_len;
@@ -127,6 +135,9 @@
   if (!key || !json_is_integer (index))
     return AM_E_FORMAT;
   e->modify_index = (uint64_t)json_integer_value (index);
+  e->lock_index
+      = (uint64_t)json_integer_value (json_object_get (o, "LockIndex"));
+  e->locked = json_is_string (json_object_get (o, "Session"));
   e->key = strdup (key);
   if (!e->key)
     return AM_E_MEMORY;
@@ -170,12 +181,45 @@
   return AM_E_STORE_UNSURE;
 }
 
+/* An id consists of hexadecimal digits and hyphens: it becomes part of a
+   path.  */
+static bool
+is_session (const char *id)
+{
+  size_t len = strlen (id);
+
+  return len > 0 && len < AM_STORE_SESSION_SIZE
+         && strspn (id, "0123456789abcdefABCDEF-") == len;
+}
+
+static int
+session_result (const struct call *c, long status, struct am_store_result *r)
+{
+  json_t *root;
+  const char *id;
+
+  if (status == HTTP_NOT_FOUND)
+    return AM_E_NOT_FOUND;
+  if (status >= HTTP_CLIENT_ERROR && status < 500)
+    return AM_E_STORE;
+  if (status != HTTP_OK)
+    return AM_E_STORE_UNSURE;
+  if (c->kind == CALL_SESSION)
+    return AM_OK;
+  root = json_loadb ((const char *)c->answer, c->answer_len, 0, NULL);
+  id = json_string_value (json_object_get (root, "ID"));
+  if (id && is_session (id))
+    snprintf (r->session, sizeof r->session, "%s", id);
+  json_decref (root);
+  return r->session[0] ? AM_OK : AM_E_FORMAT;
+}
+
 /* The transfer failed.  A write may have taken effect unless the connection
    was never made.  */
 static int
 transfer_error (const struct call *c, CURLcode code)
 {
-  if (!c->write || code == CURLE_COULDNT_CONNECT
+  if (c->kind == CALL_READ || code == CURLE_COULDNT_CONNECT
       || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
     return AM_E_STORE;
   return AM_E_STORE_UNSURE;
@@ -191,8 +235,10 @@
   r->index = c->index;
   if (code != CURLE_OK)
     r->error = transfer_error (c, code);
-  else if (c->write)
+  else if (c->kind == CALL_WRITE)
     r->error = write_result (c, status);
+  else if (c->kind != CALL_READ)
+    r->error = session_result (c, status, r);
   else if (status == HTTP_NOT_FOUND)
     r->error = AM_E_NOT_FOUND;
   else if (status != HTTP_OK)
@@ -274,21 +320,21 @@
   return c;
 }
 
+/* Returns a PUT of VALUE to URL followed by the text of PATH, or NULL.  */
 static struct call *
-write_call (const char *url, uint32_t timeout_ms, const char *key,
-            const uint8_t *value, size_t len, uint64_t cas)
+put_call (const char *url, uint32_t timeout_ms, enum call_kind kind,
+          const char *path, const uint8_t *value, size_t len)
 {
   char full[URL_SIZE];
   struct call *c;
-  int n = snprintf (full, sizeof full, "%s/v1/kv/%s?cas=%llu", url, key,
-                    (unsigned long long)cas);
+  int n = snprintf (full, sizeof full, "%s/v1/%s", url, path);
 
   if (n < 0 || (size_t)n >= sizeof full)
     return NULL;
   c = call_new (timeout_ms);
   if (!c)
     return NULL;
-  c->write = true;
+  c->kind = kind;
   c->body = malloc (len + 1);
   if (!c->body)
     {
@@ -304,6 +350,19 @@
   return c;
 }
 
+static struct call *
+write_call (const char *url, uint32_t timeout_ms, const char *key,
+            const uint8_t *value, size_t len, uint64_t cas)
+{
+  char path[URL_SIZE];
+  int n = snprintf (path, sizeof path, "kv/%s?cas=%llu", key,
+                    (unsigned long long)cas);
+
+  if (n < 0 || (size_t)n >= sizeof path)
+    return NULL;
+  return put_call (url, timeout_ms, CALL_WRITE, path, value, len);
+}
+
 /* ---- loop --------------------------------------------------------- */
 
 static void
@@ -536,6 +595,86 @@
                 done, userdata);
 }
 
+/* ---- sessions ----------------------------------------------------- */
+
+int
+am_store_session_create (struct am_store_client *s, uint32_t ttl_s,
+                         am_store_done done, void *userdata)
+{
+  char body[128];
+  int n = snprintf (body, sizeof body,
+                    "{\"TTL\":\"%us\",\"Behavior\":\"release\","
+                    "\"LockDelay\":\"0s\"}",
+                    ttl_s);
+
+  return start (s,
+                put_call (s->url, s->timeout_ms, CALL_CREATE, "session/create",
+                          (const uint8_t *)body, (size_t)n),
+                done, userdata);
+}
+
+static int
+change_session (struct am_store_client *s, const char *verb,
+                const char *session, am_store_done done, void *userdata)
+{
+  char path[URL_SIZE];
+
+  if (!is_session (session))
+    return AM_E_ARGUMENT;
+  snprintf (path, sizeof path, "session/%s/%s", verb, session);
+  return start (s,
+                put_call (s->url, s->timeout_ms, CALL_SESSION, path, NULL, 0),
+                done, userdata);
+}
+
+int
+am_store_session_renew (struct am_store_client *s, const char *session,
+                        am_store_done done, void *userdata)
+{
+  return change_session (s, "renew", session, done, userdata);
+}
+
+int
+am_store_session_destroy (struct am_store_client *s, const char *session,
+                          am_store_done done, void *userdata)
+{
+  return change_session (s, "destroy", session, done, userdata);
+}
+
+static int
+change_lock (struct am_store_client *s, const char *key, const char *verb,
+             const char *session, const uint8_t *value, size_t len,
+             am_store_done done, void *userdata)
+{
+  char path[URL_SIZE];
+  int n;
+
+  if (!is_session (session))
+    return AM_E_ARGUMENT;
+  n = snprintf (path, sizeof path, "kv/%s?%s=%s", key, verb, session);
+  if (n < 0 || (size_t)n >= sizeof path)
+    return AM_E_ARGUMENT;
+  return start (s,
+                put_call (s->url, s->timeout_ms, CALL_WRITE, path, value, len),
+                done, userdata);
+}
+
+int
+am_store_acquire (struct am_store_client *s, const char *key,
+                  const char *session, const uint8_t *value, size_t len,
+                  am_store_done done, void *userdata)
+{
+  return change_lock (s, key, "acquire", session, value, len, done, userdata);
+}
+
+int
+am_store_release (struct am_store_client *s, const char *key,
+                  const char *session, const uint8_t *value, size_t len,
+                  am_store_done done, void *userdata)
+{
+  return change_lock (s, key, "release", session, value, len, done, userdata);
+}
+
 /* ---- blocking forms ----------------------------------------------- */
 
 static int
--- a/src/io/store_client.h
+++ b/src/io/store_client.h
@@ -21,8 +21,13 @@
   uint8_t *value; /* NUL-terminated after VALUE_LEN bytes */
   size_t value_len;
   uint64_t modify_index;
+  uint64_t lock_index; /* raised by each acquisition of the key */
+  bool locked;         /* a session holds the key */
 };
 
+/* Length of a session id with its NUL.  */
+#define AM_STORE_SESSION_SIZE 64
+
 struct am_store_result
 {
   int error;      /* AM_OK; AM_E_STORE: the service did not take the call;
@@ -32,6 +37,7 @@
   uint64_t index; /* index of the answer, for the next watch */
   struct am_store_entry *entries;
   size_t entry_count;
+  char session[AM_STORE_SESSION_SIZE]; /* of am_store_session_create */
 };
 
 typedef void (*am_store_done) (void *userdata,
@@ -62,6 +68,30 @@
                     const uint8_t *value, size_t len, uint64_t cas,
                     am_store_done done, void *userdata);
 
+/* Makes a session that ends TTL_S seconds after its last renewal at the
+   earliest.  When it ends its keys are released and keep their values.  The
+   result holds its id.  Returns AM_OK or AM_E_MEMORY.  */
+int am_store_session_create (struct am_store_client *c, uint32_t ttl_s,
+                             am_store_done done, void *userdata);
+
+/* Renew or end a session.  The result is AM_E_NOT_FOUND if the store does not
+   know it.  Return AM_OK, AM_E_MEMORY or AM_E_ARGUMENT (SESSION is no id).  */
+int am_store_session_renew (struct am_store_client *c, const char *session,
+                            am_store_done done, void *userdata);
+int am_store_session_destroy (struct am_store_client *c, const char *session,
+                              am_store_done done, void *userdata);
+
+/* Write VALUE to KEY and give the key to SESSION, or release it from SESSION.
+   The result is AM_E_CONFLICT if another session holds the key (acquire) or
+   SESSION does not (release).  Return AM_OK, AM_E_MEMORY or AM_E_ARGUMENT
+   (SESSION is no id).  */
+int am_store_acquire (struct am_store_client *c, const char *key,
+                      const char *session, const uint8_t *value, size_t len,
+                      am_store_done done, void *userdata);
+int am_store_release (struct am_store_client *c, const char *key,
+                      const char *session, const uint8_t *value, size_t len,
+                      am_store_done done, void *userdata);
+
 /* Blocking forms, for the operators' command.  The caller frees R with
    am_store_result_free.  Return R->error.  */
 int am_store_read_now (const char *url, uint32_t timeout_ms,
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -126,6 +126,9 @@
   size_t count;
   char first[128];
   char value[128];
+  char session[AM_STORE_SESSION_SIZE];
+  uint64_t lock_index;
+  bool locked;
 };
 
 static void
@@ -137,6 +140,9 @@
   s->error = r->error;
   s->index = r->index;
   s->count = r->entry_count;
+  snprintf (s->session, sizeof s->session, "%s", r->session);
+  s->lock_index = r->entry_count ? r->entries[0].lock_index : 0;
+  s->locked = r->entry_count && r->entries[0].locked;
   if (r->entry_count)
     {
       snprintf (s->first, sizeof s->first, "%s", r->entries[0].key);
@@ -281,6 +287,92 @@
 }
 END_TEST
 
+#define SESSION "00000000-0000-4000-8000-000000000001"
+
+/* Runs the loop until the call that returned STARTED has ended.  */
+static void
+finish_call (uv_loop_t *loop, struct seen *s, int started)
+{
+  unsigned calls = s->calls;
+
+  ck_assert_int_eq (started, AM_OK);
+  while (s->calls == calls)
+    uv_run (loop, UV_RUN_ONCE);
+}
+
+/* Guards against session calls on the wrong path, an id that is not read and
+   a lost or ended session taken for a live one.  */
+START_TEST (session_calls)
+{
+  struct am_store_client *c;
+  struct seen s = { 0 };
+  uv_loop_t loop;
+
+  uv_loop_init (&loop);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  server.body = "{\"ID\":\"" SESSION "\"}";
+  finish_call (&loop, &s, am_store_session_create (c, 20, done, &s));
+  ck_assert_int_eq (s.error, AM_OK);
+  ck_assert_str_eq (s.session, SESSION);
+  ck_assert_str_eq (server.url, "/v1/session/create");
+  ck_assert_ptr_nonnull (strstr (server.received, "\"TTL\":\"20s\""));
+  server.body = "{\"ID\":\"../kv\"}";
+  finish_call (&loop, &s, am_store_session_create (c, 20, done, &s));
+  ck_assert_int_eq (s.error, AM_E_FORMAT);
+  server.body = "[]";
+  finish_call (&loop, &s, am_store_session_renew (c, SESSION, done, &s));
+  ck_assert_int_eq (s.error, AM_OK);
+  ck_assert_str_eq (server.url, "/v1/session/renew/" SESSION);
+  server.status = 404;
+  finish_call (&loop, &s, am_store_session_renew (c, SESSION, done, &s));
+  ck_assert_int_eq (s.error, AM_E_NOT_FOUND);
+  server.status = 500;
+  finish_call (&loop, &s, am_store_session_destroy (c, SESSION, done, &s));
+  ck_assert_int_eq (s.error, AM_E_STORE_UNSURE);
+  ck_assert_str_eq (server.url, "/v1/session/destroy/" SESSION);
+  ck_assert_int_eq (am_store_session_renew (c, "a/b", done, &s),
+                    AM_E_ARGUMENT);
+  am_store_client_free (c);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
+END_TEST
+
+/* Guards against a lock that is taken for held when the store refused it, and
+   against a lost lock index, which shows acquisitions in between.  */
+START_TEST (lock_calls)
+{
+  struct am_store_client *c;
+  struct seen s = { 0 };
+  uv_loop_t loop;
+
+  uv_loop_init (&loop);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  server.body = "true";
+  finish_call (
+      &loop, &s,
+      am_store_acquire (c, "k/a", SESSION, (const uint8_t *)"v", 1, done, &s));
+  ck_assert_int_eq (s.error, AM_OK);
+  ck_assert_str_eq (server.url, "/v1/kv/k/a");
+  ck_assert_str_eq (server.query, "acquire=" SESSION ";");
+  ck_assert_str_eq (server.received, "v");
+  server.body = "false";
+  finish_call (
+      &loop, &s,
+      am_store_release (c, "k/a", SESSION, (const uint8_t *)"v", 1, done, &s));
+  ck_assert_int_eq (s.error, AM_E_CONFLICT);
+  ck_assert_str_eq (server.query, "release=" SESSION ";");
+  server.body = "[{\"Key\":\"k/a\",\"Value\":\"dg==\",\"ModifyIndex\":4,"
+                "\"LockIndex\":3,\"Session\":\"" SESSION "\"}]";
+  finish_call (&loop, &s, am_store_read (c, "k/a", 0, 0, done, &s));
+  ck_assert_uint_eq (s.lock_index, 3);
+  ck_assert (s.locked);
+  am_store_client_free (c);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
+END_TEST
+
 /* Guards against a callback after the client was freed, and against handles
    that stay open.  */
 START_TEST (free_ends_calls)
@@ -319,6 +411,8 @@
   tcase_add_test (t, read_failures_are_typed);
   tcase_add_test (t, calls_time_out);
   tcase_add_test (t, write_results_are_typed);
+  tcase_add_test (t, session_calls);
+  tcase_add_test (t, lock_calls);
   tcase_add_test (t, free_ends_calls);
   suite_add_tcase (s, t);
   r = srunner_create (s);
