Test every event in every state of the owner's lease and gate

Cause: the exploration reaches rare orders only by chance. Change: unit tests of both controllers; a result that the state does not wait for no longer uses up the awaited call; the exploration has four entry VMs with differing home sets and sessions that end exactly at their TTL.

--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -26,11 +26,14 @@
   emit (l, type);
 }
 
+/* Takes the result of CALL if the state, one of the bits STATES, waits for it.
+ */
 static bool
-take_result (struct am_lease *l, uint64_t now_us, uint64_t call)
+take_result (struct am_lease *l, uint64_t now_us, uint64_t call,
+             unsigned states)
 {
   l->now_us = now_us;
-  if (!l->call || l->call != call)
+  if (!l->call || l->call != call || !(1u << l->state & states))
     return false;
   l->call = 0;
   return true;
@@ -274,7 +277,9 @@
 am_lease_read_done (struct am_lease *l, uint64_t now_us, uint64_t call,
                     const struct am_lease_entry *e)
 {
-  if (!take_result (l, now_us, call))
+  if (!take_result (l, now_us, call,
+                    1u << AM_LEASE_CHECKING | 1u << AM_LEASE_READING
+                        | 1u << AM_LEASE_VERIFYING))
     return;
   if (l->state == AM_LEASE_CHECKING)
     checked (l, e);
@@ -288,7 +293,7 @@
 am_lease_created (struct am_lease *l, uint64_t now_us, uint64_t call,
                   int error, const char *session)
 {
-  if (!take_result (l, now_us, call) || l->state != AM_LEASE_CREATING)
+  if (!take_result (l, now_us, call, 1u << AM_LEASE_CREATING))
     return;
   if (error)
     {
@@ -357,7 +362,9 @@
 am_lease_call_done (struct am_lease *l, uint64_t now_us, uint64_t call,
                     int error)
 {
-  if (!take_result (l, now_us, call))
+  if (!take_result (l, now_us, call,
+                    1u << AM_LEASE_ACQUIRING | 1u << AM_LEASE_HOLDING
+                        | 1u << AM_LEASE_RELEASING | 1u << AM_LEASE_ENDING))
     return;
   if (l->state == AM_LEASE_ACQUIRING)
     acquired (l, error);
--- a/test/test_explore_owner.c
+++ b/test/test_explore_owner.c
@@ -1,6 +1,7 @@
 /* Owners of ticketless requests under seeded schedules of faults.
 
-   Three entry VMs, each with an agent (lease) and a forwarder (gate), a model
+   Four entry VMs, of which three are home VMs in the view of each agent, each
+   with an agent (lease) and a forwarder (gate), a model
    of the store with Consul's sessions, and a model of upstreams.  Faults:
    processes paused or restarted, VMs cut off from the store, store outages,
    calls that take effect after they failed, lost promises, copies of requests
@@ -15,7 +16,8 @@
 #include "base/rng.h"
 #include "core/owner.h"
 
-#define NODES 3
+#define NODES 4
+#define HOME 3
 #define IDS 400
 #define SESSIONS_MAX 4096
 #define SCHEDULES 300u
@@ -179,7 +181,8 @@
 static uint64_t
 session_end (void)
 {
-  return world->now_us + AM_LEASE_TTL_US + below (AM_LEASE_TTL_US);
+  return world->now_us + AM_LEASE_TTL_US
+         + (one_in (2) ? 0 : below (AM_LEASE_TTL_US));
 }
 
 static int
@@ -315,15 +318,25 @@
     }
 }
 
+/* Views of the home set may differ.  */
+static void
+set_home (struct node *n, unsigned first)
+{
+  uint32_t home[HOME];
+
+  for (unsigned i = 0; i < HOME; i++)
+    home[i] = 1 + (first + i) % NODES;
+  am_lease_home (&n->lease, home, HOME);
+}
+
 static void
 start_agent (struct node *n)
 {
-  static const uint32_t home[NODES] = { 1, 2, 3 };
   struct am_lease_sink sink = { on_action, n };
 
   n->agent = ++world->processes;
   am_lease_init (&n->lease, n->index + 1, world->now_us, &sink);
-  am_lease_home (&n->lease, home, NODES);
+  set_home (n, 0);
   push ((struct event){ .kind = EV_BOOT, .node = n->index },
         world->now_us + below (SECOND));
   push ((struct event){ .kind = EV_AGENT_TICK,
@@ -565,7 +578,7 @@
   uint64_t until = w->now_us + below (40 * SECOND);
 
   push (e, w->now_us + below (2 * w->faults * SECOND));
-  switch (below (7))
+  switch (below (8))
     {
     case 0:
       if (n->gate_paused_us < until) /* what waits is read at its end */
@@ -588,6 +601,9 @@
     case 5:
       start_agent (n);
       break;
+    case 6:
+      set_home (n, (unsigned)below (NODES));
+      break;
     default:
       am_lease_stop (&n->lease, w->now_us);
       break;
--- /dev/null
+++ b/test/test_owner.c
@@ -0,0 +1,382 @@
+/* Lease of the owner and gate of the forwarder: every event in every state. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "core/owner.h"
+
+#define SECOND 1000000u
+#define NOW_US (100u * SECOND)
+#define BOOT 7u
+
+static struct am_lease lease;
+static unsigned seen[AM_LEASE_TELL + 1]; /* actions of each type */
+
+static void
+count (void *userdata, const struct am_lease_action *a)
+{
+  (void)userdata;
+  seen[a->type]++;
+}
+
+static struct am_lease_entry
+entry (bool locked, uint64_t epoch, uint32_t owner)
+{
+  return (struct am_lease_entry){ .locked = locked,
+                                  .lock_index = epoch,
+                                  .value = { .owner_id = owner,
+                                             .boot_id = BOOT,
+                                             .epoch = epoch,
+                                             .eligible = { 1, 2, 3 },
+                                             .eligible_count = 3 } };
+}
+
+/* Brings the lease into STATE; in HOLDING a renewal is on its way.  */
+static void
+reach (enum am_lease_state state)
+{
+  static const uint32_t home[] = { 1, 2, 3 };
+  struct am_lease_sink sink = { count, NULL };
+  struct am_lease_entry e = entry (false, 4, 2);
+  struct am_lease *l = &lease;
+
+  am_lease_init (l, 1, 1, &sink);
+  am_lease_home (l, home, 3);
+  am_lease_forwarder (l, NOW_US, BOOT);
+  if (state >= AM_LEASE_CHECKING)
+    am_lease_tick (l, NOW_US);
+  if (state >= AM_LEASE_CREATING)
+    am_lease_read_done (l, NOW_US, l->call, &e);
+  if (state >= AM_LEASE_READING)
+    am_lease_created (l, NOW_US, l->call, AM_OK, "1");
+  if (state >= AM_LEASE_ACQUIRING)
+    am_lease_read_done (l, NOW_US, l->call, &e);
+  if (state >= AM_LEASE_VERIFYING)
+    am_lease_call_done (l, NOW_US, l->call, AM_OK);
+  e = entry (true, 5, 1);
+  if (state >= AM_LEASE_HOLDING)
+    am_lease_read_done (l, NOW_US, l->call, &e);
+  if (state >= AM_LEASE_HOLDING)
+    am_lease_tick (l, NOW_US + AM_LEASE_RENEW_US);
+  if (state >= AM_LEASE_LEAVING)
+    am_lease_forwarder (l, NOW_US + AM_LEASE_RENEW_US, BOOT + 1);
+  if (state >= AM_LEASE_RELEASING)
+    am_lease_given_up (l, NOW_US + AM_LEASE_RENEW_US, 0);
+  if (state >= AM_LEASE_ENDING)
+    am_lease_call_done (l, NOW_US + AM_LEASE_RENEW_US, l->call, AM_OK);
+  ck_assert_int_eq (l->state, state);
+  memset (seen, 0, sizeof seen);
+}
+
+enum event
+{
+  READ_FREE,
+  READ_LOCKED,
+  READ_OWN,
+  READ_FAILED,
+  MADE,
+  MADE_FAILED,
+  DONE,
+  DONE_CONFLICT,
+  DONE_UNSURE,
+  DONE_NOT_FOUND,
+  GIVEN_UP,
+  STOP,
+  NEW_BOOT,
+  ASKED,
+  PROMISED,
+  TICK,
+  EVENTS,
+};
+
+static void
+apply (enum event event)
+{
+  struct am_lease *l = &lease;
+  uint64_t now = l->now_us;
+  struct am_lease_entry e = entry (event != READ_FREE, 4, 2);
+
+  if (event == READ_OWN)
+    e = entry (true, 5, 1);
+  if (event == READ_FAILED)
+    e.error = AM_E_STORE;
+  if (event <= READ_FAILED)
+    am_lease_read_done (l, now, l->call, &e);
+  else if (event <= MADE_FAILED)
+    am_lease_created (l, now, l->call, event == MADE ? AM_OK : AM_E_STORE,
+                      "2");
+  else if (event <= DONE_NOT_FOUND)
+    am_lease_call_done (l, now, l->call,
+                        event == DONE            ? AM_OK
+                        : event == DONE_CONFLICT ? AM_E_CONFLICT
+                        : event == DONE_UNSURE   ? AM_E_STORE_UNSURE
+                                                 : AM_E_NOT_FOUND);
+  else if (event == GIVEN_UP)
+    am_lease_given_up (l, now, 2);
+  else if (event == STOP)
+    am_lease_stop (l, now);
+  else if (event == NEW_BOOT)
+    am_lease_forwarder (l, now, BOOT + 2);
+  else if (event == ASKED)
+    am_lease_asked (l, now, 2, 1, 9);
+  else if (event == PROMISED)
+    am_lease_promised (l, now, 2, 1);
+  else
+    am_lease_tick (l, now + 20 * SECOND);
+}
+
+/* Guards against an event that is taken in a state in which it means nothing,
+   a lost call after which the lease waits for ever, a grant outside HOLDING
+   and a promise while an acquisition may be on its way.  */
+START_TEST (lease_states)
+{
+  /* One letter a state, in order of enum am_lease_state.  */
+  static const char letters[] = "icrdavhlxe";
+  static const char *const next[EVENTS] = {
+    [READ_FREE] = "irraaehlxe",   [READ_LOCKED] = "iireaehlxe",
+    [READ_OWN] = "iireahhlxe",    [READ_FAILED] = "iireaehlxe",
+    [MADE] = "icddavhlxe",        [MADE_FAILED] = "icidavhlxe",
+    [DONE] = "icrdvvhlei",        [DONE_CONFLICT] = "icrdevhlee",
+    [DONE_UNSURE] = "icrdevhlee", [DONE_NOT_FOUND] = "icrdevilei",
+    [GIVEN_UP] = "icrdavhxxe",    [STOP] = "icrdavllxe",
+    [NEW_BOOT] = "icrdavllxe",    [ASKED] = "icrdavhlxe",
+    [PROMISED] = "icrdavhlxe",    [TICK] = "ccrdavhxxe",
+  };
+
+  for (int event = 0; event < EVENTS; event++)
+    for (int state = AM_LEASE_IDLE; state <= AM_LEASE_ENDING; state++)
+      {
+        reach ((enum am_lease_state)state);
+        apply ((enum event)event);
+        ck_assert_msg (letters[lease.state] == next[event][state],
+                       "event=%d state=%s became %s", event,
+                       am_lease_state_name ((enum am_lease_state)state),
+                       am_lease_state_name (lease.state));
+        if (lease.state != AM_LEASE_HOLDING)
+          ck_assert_uint_eq (lease.grant.until_us, 0);
+        if (event == ASKED)
+          ck_assert_uint_eq (seen[AM_LEASE_PROMISE],
+                             state <= AM_LEASE_READING);
+      }
+}
+END_TEST
+
+/* Guards against a grant that outlasts the session in the store.  */
+START_TEST (validity_counts_from_sending)
+{
+  uint64_t call;
+
+  reach (AM_LEASE_HOLDING);
+  call = lease.call;
+  ck_assert_uint_eq (lease.grant.until_us,
+                     NOW_US + AM_LEASE_TTL_US - AM_LEASE_MARGIN_US);
+  am_lease_call_done (&lease, NOW_US + 12 * SECOND, call, AM_OK);
+  ck_assert_uint_eq (lease.grant.until_us, NOW_US + AM_LEASE_RENEW_US
+                                               + AM_LEASE_TTL_US
+                                               - AM_LEASE_MARGIN_US);
+}
+END_TEST
+
+static void
+fail_renewal (void)
+{
+  reach (AM_LEASE_HOLDING);
+  am_lease_call_done (&lease, lease.now_us, lease.call, AM_E_STORE);
+  am_lease_tick (&lease, lease.now_us);
+  ck_assert_uint_eq (seen[AM_LEASE_ASK], 2);
+}
+
+/* Guards against ownership by the promise of some successors only, and by a
+   promise that answers an older question.  */
+START_TEST (promises_of_all)
+{
+  uint64_t asked;
+  uint64_t before;
+
+  fail_renewal ();
+  asked = lease.now_us;
+  before = lease.grant.until_us;
+  am_lease_promised (&lease, asked + SECOND, 2, lease.promises[1].question);
+  ck_assert_uint_eq (lease.grant.until_us, before);
+  am_lease_promised (&lease, asked + SECOND, 3, 999);
+  am_lease_promised (&lease, asked + SECOND, 4, lease.promises[2].question);
+  ck_assert_uint_eq (lease.grant.until_us, before);
+  am_lease_promised (&lease, asked + SECOND, 3, lease.promises[2].question);
+  ck_assert_uint_eq (lease.grant.until_us,
+                     asked + AM_LEASE_PROMISE_US - AM_LEASE_MARGIN_US);
+}
+END_TEST
+
+/* Guards against a successor that breaks its promise, an agent that acquires
+   or promises before it can know what the process before it did, a store
+   older than its past, and a key whose list of successors is lost.  */
+START_TEST (refused_acquisitions)
+{
+  struct am_lease_entry e = entry (false, 4, 2);
+
+  reach (AM_LEASE_IDLE);
+  am_lease_asked (&lease, NOW_US, 2, 1, 4);
+  am_lease_tick (&lease, NOW_US + SECOND);
+  am_lease_read_done (&lease, NOW_US + SECOND, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+
+  reach (AM_LEASE_CHECKING);
+  lease.started_us = NOW_US - AM_LEASE_PROMISE_US + 1;
+  am_lease_asked (&lease, NOW_US, 2, 1, 4);
+  ck_assert_uint_eq (seen[AM_LEASE_PROMISE], 0);
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+
+  reach (AM_LEASE_CHECKING);
+  lease.highest_epoch = 5;
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+
+  reach (AM_LEASE_CHECKING);
+  e.value.epoch = 3;
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+  am_lease_tick (&lease, NOW_US + AM_LEASE_OUTAGE_MAX_US + 3 * SECOND);
+  am_lease_read_done (&lease, lease.now_us, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_CREATING);
+}
+END_TEST
+
+/* ---- gate --------------------------------------------------------- */
+
+static enum am_owner_verdict
+arrive (struct am_owner *o, uint64_t now_us, uint64_t id)
+{
+  struct am_owner_key key = { id, 1 };
+  const struct am_owner_id *found;
+
+  return am_owner_arrive (o, now_us, &key, &found);
+}
+
+static struct am_lease_grant
+grant (uint64_t epoch, uint64_t until_us)
+{
+  return (struct am_lease_grant){ .boot_id = BOOT,
+                                  .epoch = epoch,
+                                  .until_us = until_us };
+}
+
+/* Guards against running what an owner before may have run, what is known, or
+   anything without validity.  */
+START_TEST (gate_verdicts)
+{
+  struct am_owner o;
+  struct am_lease_grant g = grant (4, NOW_US + 18 * SECOND);
+  uint64_t now = NOW_US;
+
+  am_owner_init (&o, now, BOOT);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_PASS);
+  ck_assert_int_eq (am_owner_grant (&o, now, &g), AM_OK);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_UNKNOWN);
+  for (; now < NOW_US + AM_OWNER_KEEP_US; now += SECOND / 10)
+    am_owner_tick (&o, now);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_RUN);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_REPEAT);
+  ck_assert_uint_eq (am_owner_not_after (&o, now), g.until_us);
+  now += 2 * SECOND; /* a pause */
+  ck_assert (!am_owner_may_pass (&o, now));
+  ck_assert_int_eq (arrive (&o, now, 2), AM_OWNER_UNKNOWN);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_REPEAT);
+  ck_assert_int_eq (arrive (&o, g.until_us, 1), AM_OWNER_PASS);
+  ck_assert_uint_eq (am_owner_not_after (&o, g.until_us), 0);
+  am_owner_finish (&o);
+}
+END_TEST
+
+/* Guards against a grant for another process or of an older epoch, and against
+   a grace left out although the table is not whole.  */
+START_TEST (gate_grants)
+{
+  struct am_owner o;
+  struct am_lease_grant g = grant (4, NOW_US + 18 * SECOND);
+  struct am_owner_key key = { 3, 1 };
+
+  am_owner_init (&o, NOW_US, BOOT + 1);
+  ck_assert_int_eq (am_owner_grant (&o, NOW_US, &g), AM_E_ISSUER_GONE);
+  am_owner_init (&o, NOW_US, BOOT);
+  g.same = true; /* but not in this gate's memory */
+  ck_assert_int_eq (am_owner_grant (&o, NOW_US, &g), AM_OK);
+  ck_assert_int_eq (arrive (&o, NOW_US, 1), AM_OWNER_UNKNOWN);
+  g.epoch = 3;
+  ck_assert_int_eq (am_owner_grant (&o, NOW_US, &g), AM_E_REVISION);
+
+  am_owner_init (&o, NOW_US, BOOT);
+  ck_assert_int_eq (am_owner_import (&o, NOW_US, &key, AM_OWNER_OPEN, AM_OK),
+                    AM_OK);
+  am_owner_imported (&o, NOW_US, 3, SECOND / 2);
+  g = grant (4, NOW_US + 18 * SECOND);
+  g.handed = true;
+  ck_assert_int_eq (am_owner_grant (&o, NOW_US, &g), AM_OK);
+  ck_assert_int_eq (arrive (&o, NOW_US, 3), AM_OWNER_REPEAT);
+  ck_assert_int_eq (o.ids->outcome, AM_OWNER_LOST);
+  ck_assert_int_eq (arrive (&o, NOW_US, 1), AM_OWNER_UNKNOWN);
+  ck_assert_int_eq (arrive (&o, NOW_US + SECOND / 2, 1), AM_OWNER_RUN);
+  am_owner_finish (&o);
+
+  am_owner_init (&o, NOW_US, BOOT);
+  am_owner_imported (&o, NOW_US, 2, 0); /* not the epoch before */
+  ck_assert_int_eq (am_owner_grant (&o, NOW_US, &g), AM_OK);
+  ck_assert_int_eq (arrive (&o, NOW_US, 1), AM_OWNER_UNKNOWN);
+}
+END_TEST
+
+/* Guards against a forgotten id that is still running, and against a NOT-RUN
+   that a full table cannot remember.  */
+START_TEST (gate_memory)
+{
+  struct am_owner o;
+  struct am_lease_grant g = grant (1, NOW_US + 100 * SECOND);
+  struct am_owner_key key = { 1, 1 };
+  uint64_t now = NOW_US;
+
+  g.first = true;
+  am_owner_init (&o, now, BOOT);
+  am_owner_grant (&o, now, &g);
+  for (uint64_t i = 0; i < AM_OWNER_IDS_MAX; i++)
+    ck_assert_int_eq (arrive (&o, now, i), AM_OWNER_RUN);
+  ck_assert_int_eq (arrive (&o, now, AM_OWNER_IDS_MAX), AM_OWNER_UNKNOWN);
+  for (uint64_t i = 0; i < AM_OWNER_IDS_MAX; i++)
+    {
+      key.connection_id = i;
+      if (i != 1)
+        am_owner_end (&o, &key, AM_OWNER_NOT_RUN, AM_E_SHED);
+    }
+  for (; now < NOW_US + AM_OWNER_KEEP_US; now += SECOND / 10)
+    am_owner_tick (&o, now);
+  ck_assert_uint_eq (HASH_COUNT (o.ids), AM_OWNER_IDS_MAX);
+  am_owner_tick (&o, now);
+  ck_assert_uint_eq (HASH_COUNT (o.ids), 1);
+  ck_assert_int_eq (arrive (&o, now, 1), AM_OWNER_REPEAT);
+  am_owner_finish (&o);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("owner");
+  TCase *t = tcase_create ("owner");
+  SRunner *r;
+  int failed;
+
+  tcase_add_test (t, lease_states);
+  tcase_add_test (t, validity_counts_from_sending);
+  tcase_add_test (t, promises_of_all);
+  tcase_add_test (t, refused_acquisitions);
+  tcase_add_test (t, gate_verdicts);
+  tcase_add_test (t, gate_grants);
+  tcase_add_test (t, gate_memory);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
