--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -139,6 +139,9 @@
     case AM_CONTROL_LOG:
       log_action (a, action);
       break;
+    case AM_CONTROL_OWNER_CALL:
+      am_agent_owner_call (a, action->owner_call);
+      break;
     case AM_CONTROL_EXIT:
       a->stopping = true;
       uv_stop (&a->loop);
@@ -308,6 +311,7 @@
   a->settings = settings;
   memcpy (a->peer_key, peer_key, sizeof a->peer_key);
   am_list_init (&a->streams);
+  am_list_init (&a->owner_calls);
   am_log_init (&a->log, stderr, "amaranth-agent",
                am_settings_log_level (settings));
   signal (SIGPIPE, SIG_IGN);
@@ -337,6 +341,7 @@
   if (a->forwarder)
     am_stream_close (a->forwarder);
   am_store_client_free (a->store);
+  am_agent_end_owner_calls (a);
   uv_close ((uv_handle_t *)&a->tick, NULL);
   uv_close ((uv_handle_t *)&a->reconnect, NULL);
   for (size_t i = 0; i < sizeof a->signals / sizeof a->signals[0]; i++)
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -43,6 +43,7 @@
   struct am_stream *forwarder; /* NULL: not connected */
   bool forwarder_up;
   struct am_store_client *store;
+  struct am_list owner_calls; /* that wait for the store */
   bool stopping;
   uint64_t sent_bytes; /* with frame headers; gossip, peers, forwarder */
   uint64_t received_bytes;
@@ -67,6 +68,11 @@
 /* Carries out an action of the engine (its sink).  */
 void am_agent_action (void *userdata, const struct am_control_action *action);
 
+/* Store calls for the owners of requests.  */
+void am_agent_owner_call (struct am_agent *a,
+                          const struct am_control_owner_call *call);
+void am_agent_end_owner_calls (struct am_agent *a);
+
 /* Streams of peers and operators.  */
 int am_agent_listen (struct am_agent *a);
 void am_agent_send_stream (struct am_agent *a, uint64_t number,
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -59,7 +59,9 @@
   X (AM_E_PERMISSIONS, -45, "permissions", "file may be read by others")      \
   X (AM_E_STATE, -46, "state", "not allowed in this state")                   \
   X (AM_E_QUARANTINE, -47, "quarantine", "address is in quarantine")          \
-  X (AM_E_INTERNAL, -48, "internal", "internal error")
+  X (AM_E_INTERNAL, -48, "internal", "internal error")                        \
+  X (AM_E_NO_OWNER, -49, "no_owner",                                          \
+     "no entry VM is known to own the requests of the service")
 
 enum am_error
 {
--- a/src/core/board.h
+++ b/src/core/board.h
@@ -32,6 +32,7 @@
 struct am_requests;
 struct am_lending;
 struct am_opens;
+struct am_owned;
 
 /* ---- actions ------------------------------------------------------ */
 
@@ -44,6 +45,7 @@
   AM_ACTION_PEER,     /* datagram to a peer forwarder's peer port */
   AM_ACTION_LOG,      /* decision line: data is text without a newline */
   AM_ACTION_EXIT,     /* graceful stop is complete */
+  AM_ACTION_CONTROL,  /* packed Amaranth__Envelope to the agent */
 };
 
 struct am_action
@@ -275,7 +277,8 @@
 {
   /* Owner: dispatch.  */
   struct am_self self;
-  uint64_t now_us; /* time of the present event, monotonic */
+  uint64_t now_us;  /* time of the present event, monotonic */
+  uint64_t wall_ms; /* the same on the wall clock; 0: unknown */
   struct am_rng rng;
   struct am_sink sink;
   const uint8_t *peer_key; /* AM_PEER_KEY_SIZE bytes, not owned */
@@ -301,6 +304,7 @@
   struct am_requests *requests; /* owner: request */
   struct am_lending *lending;   /* owner: credit */
   struct am_opens *opens;       /* owner: opening */
+  struct am_owned *owned;       /* owner: owned; by service id */
 };
 
 /* Sets up an empty board.  */
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -8,6 +8,7 @@
 #include "core/control_config.h"
 #include "core/control_link.h"
 #include "core/control_members.h"
+#include "core/control_owners.h"
 #include "core/control_probe.h"
 #include "core/control_readers.h"
 #include "core/control_spread.h"
@@ -18,6 +19,9 @@
 #define STOP_NOTICE_US (3 * AM_SECOND_US / 2)
 #define STOP_LIMIT_US (60 * AM_SECOND_US)
 
+/* Time to release the leases for requests; without it they lapse.  */
+#define OWNERS_LIMIT_US (3 * AM_SECOND_US)
+
 /* Time for the last word to leave, sent twice.  */
 #define LEAVE_US (3 * AM_SECOND_US / 10)
 
@@ -52,6 +56,7 @@
 {
   if (!c)
     return;
+  am_owners_finish (c);
   am_members_finish (c);
   am_config_finish (c);
   am_spread_finish (c);
@@ -101,6 +106,8 @@
 {
   uint64_t waited = c->now_us - c->stopping_us;
 
+  if (!am_owners_may_exit (c) && waited < OWNERS_LIMIT_US)
+    return false;
   if (!c->link.up)
     return true;
   if (forwarder_goes_on (c))
@@ -154,6 +161,8 @@
   c->counters.received_bytes_gossip += e->len;
   if (m->body_case == AMARANTH__ENVELOPE__BODY_GOSSIP)
     return am_swim_gossip (c, e->from, m->gossip);
+  if (m->body_case == AMARANTH__ENVELOPE__BODY_OWNER_PROMISE)
+    return am_owners_promise (c, m->owner_promise);
   if (m->body_case != AMARANTH__ENVELOPE__BODY_ANNOUNCE)
     return AM_E_FORMAT;
   am_spread_announced (c, e->from, m->announce);
@@ -221,6 +230,7 @@
   am_spread_tick (c);
   am_readers_tick (c);
   am_verdicts_tick (c);
+  am_owners_tick (c);
   stop_tick (c);
 }
 
@@ -246,6 +256,8 @@
     case AM_CONTROL_TICK:
       tick (c);
       return AM_OK;
+    case AM_CONTROL_OWNER:
+      return am_owners_result (c, e->owner);
     case AM_CONTROL_STOP:
       stop (c);
       return AM_OK;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -30,6 +30,7 @@
   AM_CONTROL_SEEDS,          /* seed addresses, at start and when changed */
   AM_CONTROL_TICK,           /* every AM_CONTROL_TICK_US */
   AM_CONTROL_STOP,           /* begin the graceful stop */
+  AM_CONTROL_OWNER,          /* result of AM_CONTROL_OWNER_CALL */
 };
 
 /* One record as the store holds it.  */
@@ -48,6 +49,32 @@
   size_t count;
 };
 
+/* Call for the key that names the owner of a service's ticketless requests:
+   amaranth/owners/NAME.  */
+struct am_control_owner_call
+{
+  uint32_t service_id;
+  const char *name;
+  int type;      /* enum am_lease_action_type, READ to DESTROY */
+  uint64_t call; /* to be handed back */
+  const char *session;
+  const char *value; /* ACQUIRE, RELEASE */
+  size_t len;
+};
+
+struct am_control_owner_result
+{
+  uint32_t service_id;
+  int type;
+  uint64_t call;
+  int error;
+  const char *session; /* CREATE */
+  bool locked;         /* READ, and below */
+  uint64_t lock_index;
+  const uint8_t *value;
+  size_t len;
+};
+
 struct am_control_event
 {
   enum am_control_event_type type;
@@ -59,6 +86,7 @@
   const struct am_control_store *store; /* STORE */
   const struct am_address *seeds;       /* SEEDS: gossip ports */
   size_t seed_count;
+  const struct am_control_owner_result *owner; /* OWNER */
 };
 
 enum am_control_action_type
@@ -71,6 +99,7 @@
   AM_CONTROL_READ_STORE,     /* read all records; a watch if INDEX > 0 */
   AM_CONTROL_LOG,            /* decision line: text without a newline */
   AM_CONTROL_EXIT,           /* graceful stop is complete */
+  AM_CONTROL_OWNER_CALL,     /* store call OWNER_CALL */
 };
 
 struct am_control_action
@@ -84,6 +113,7 @@
   const uint8_t *data; /* packed Amaranth__Envelope, or the line; valid during
                           the call only */
   size_t len;
+  const struct am_control_owner_call *owner_call; /* OWNER_CALL */
 };
 
 /* Takes the actions out.  EMIT must not call back into the core.  */
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -13,6 +13,8 @@
 #include "core/control.h"
 #include "record/record.h"
 
+struct am_owners;
+
 #define AM_SEEDS_MAX 64
 
 /* Peers that an announcement or an urgent update goes to at once.  */
@@ -42,6 +44,7 @@
   X (syncs, "exchanges of the whole digest begun")                    \
   X (store_reads, "reads and watches of the store begun")             \
   X (store_failures, "reads and watches that failed")                 \
+  X (owner_calls, "store calls for owners of requests")               \
   X (snapshots, "snapshots sent to the forwarder")                    \
   X (snapshots_held, "snapshots held back as older or empty")         \
   X (ejections, "upstreams ejected for all")                          \
@@ -312,6 +315,7 @@
   struct am_readers readers;
   struct am_verdicts verdicts;
   struct am_link link;
+  struct am_owners *owners; /* owner: owners; by service id */
 };
 
 /* Packs E and emits it as an action of TYPE.  Memory failure drops it, as a
--- a/src/core/control_link.c
+++ b/src/core/control_link.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "core/control_config.h"
 #include "core/control_members.h"
+#include "core/control_owners.h"
 #include "core/control_verdicts.h"
 
 #define KEYS_RECORD "ticket-keys"
@@ -167,6 +168,8 @@
       return take_report (c, e->report);
     case AMARANTH__ENVELOPE__BODY_SNAPSHOT:
       return take_snapshot (c, e->snapshot);
+    case AMARANTH__ENVELOPE__BODY_OWNER_GIVEN_UP:
+      return am_owners_given_up (c, e->owner_given_up);
     default:
       return AM_E_FORMAT;
     }
--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -376,7 +376,8 @@
     session_ended (l, error);
 }
 
-/* Ends the grant; the key is released once the forwarder has given up.  */
+/* The forwarder takes nothing new and finishes what it has under the grant;
+   the key is released once it has given up.  */
 static void
 leave (struct am_lease *l)
 {
@@ -385,7 +386,7 @@
   l->state = AM_LEASE_LEAVING;
   l->call = 0;
   l->poll_us = l->grant.until_us;
-  clear_grant (l);
+  emit (l, AM_LEASE_TELL);
 }
 
 void
@@ -394,6 +395,7 @@
   l->now_us = now_us;
   if (l->state != AM_LEASE_LEAVING)
     return;
+  clear_grant (l);
   l->value.handed_to = handed_to;
   l->state = AM_LEASE_RELEASING;
   send_call (l, AM_LEASE_RELEASE);
@@ -406,10 +408,10 @@
   if (boot_id == l->boot_id)
     return;
   l->boot_id = boot_id;
-  if (l->state == AM_LEASE_HOLDING)
-    leave (l);
-  else
-    clear_grant (l);
+  l->stopping = false;
+  clear_grant (l);
+  leave (l);
+  am_lease_given_up (l, now_us, 0);
 }
 
 void
@@ -420,6 +422,12 @@
   leave (l);
 }
 
+void
+am_lease_resume (struct am_lease *l)
+{
+  l->stopping = false;
+}
+
 bool
 am_lease_may_exit (const struct am_lease *l)
 {
@@ -554,6 +562,8 @@
       = count < AM_LEASE_ELIGIBLE_MAX ? count : AM_LEASE_ELIGIBLE_MAX;
   memset (l->home, 0, sizeof l->home);
   memcpy (l->home, ids, l->home_count * sizeof ids[0]);
+  if (l->state == AM_LEASE_IDLE && l->poll_us > l->now_us + poll_interval (l))
+    l->poll_us = l->now_us + poll_interval (l);
 }
 
 const char *
--- a/src/core/control_owner.h
+++ b/src/core/control_owner.h
@@ -13,7 +13,8 @@
      ACQUIRING  taken                              VERIFYING; else ENDING
      VERIFYING  lock index is the epoch written    HOLDING; else ENDING
      HOLDING    session unknown to the store       IDLE
-     HOLDING    stop or new forwarder process      LEAVING
+     HOLDING    stop                               LEAVING
+     HOLDING    new forwarder process              RELEASING
      LEAVING    forwarder has given up             RELEASING
      RELEASING  any result                         ENDING
      ENDING     session ended                      IDLE
@@ -56,7 +57,7 @@
 /* A free key is taken by the first home VM at once, by each further one after
    this time more.  */
 #define AM_LEASE_RANK_US 500000u
-#define AM_LEASE_POLL_US 5000000u
+#define AM_LEASE_POLL_US 2000000u
 #define AM_LEASE_POLL_FAR_US 30000000u
 
 #define AM_LEASE_ELIGIBLE_MAX 7
@@ -185,7 +186,8 @@
    AM_LEASE_ELIGIBLE_MAX the first are used.  */
 void am_lease_home (struct am_lease *l, const uint32_t *ids, size_t count);
 
-/* The forwarder's boot id is known or has changed.  */
+/* The forwarder's boot id is known or has changed: the process before is gone,
+   because it held the same port.  */
 void am_lease_forwarder (struct am_lease *l, uint64_t now_us,
                          uint64_t boot_id);
 
@@ -211,6 +213,9 @@
                         uint64_t question);
 
 void am_lease_stop (struct am_lease *l, uint64_t now_us);
+
+/* Lets a lease that was stopped be acquired again.  */
+void am_lease_resume (struct am_lease *l);
 void am_lease_tick (struct am_lease *l, uint64_t now_us);
 
 /* Returns true if a stopping agent need not wait for the lease.  */
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -9,6 +9,7 @@
 #include "core/forward.h"
 #include "core/lifecycle.h"
 #include "core/opening.h"
+#include "core/owned.h"
 #include "core/probe.h"
 #include "core/request.h"
 #include "core/snapshot.h"
@@ -46,6 +47,7 @@
   am_requests_finish (b);
   am_snapshot_finish (b);
   am_opens_finish (b);
+  am_owned_finish (b);
   am_board_finish (b);
 }
 
@@ -112,6 +114,8 @@
     return from_caller (b, body, len);
   if (h.type == AM_PEER_CREDIT)
     return am_credit_peer (b, h.sender_id, body, len);
+  if (h.type == AM_PEER_OWNER)
+    return am_owned_peer (b, h.sender_id, h.service_id, body, len);
   s = am_board_service (b, h.service_id);
   if (!s)
     return AM_E_SERVICE_UNKNOWN;
@@ -149,6 +153,7 @@
   d->next_slow_tick_us = b->now_us + SLOW_TICK_US;
   am_snapshot_tick (b);
   am_probe_tick (b);
+  am_owned_tick (b);
   am_list_each (s, &b->services, struct am_service, node)
   {
     s->binding->tick (b, s);
@@ -173,6 +178,7 @@
   struct am_board *b = &d->board;
 
   b->now_us = e->now_us;
+  b->wall_ms = e->wall_ms;
   b->via_peer = e->type == AM_EVENT_PEER;
   switch (e->type)
     {
@@ -195,6 +201,8 @@
     case AM_EVENT_TICK:
       tick (d);
       return AM_OK;
+    case AM_EVENT_GRANT:
+      return am_owned_grant (b, e->data, e->len);
     case AM_EVENT_STOP:
       am_lifecycle_stop (d);
       return AM_OK;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -20,6 +20,7 @@
   AM_EVENT_SNAPSHOT,    /* packed Amaranth__Snapshot */
   AM_EVENT_TICK,        /* every AM_TICK_US */
   AM_EVENT_STOP,        /* begin the graceful stop */
+  AM_EVENT_GRANT,       /* packed Amaranth__OwnerGrant */
 };
 
 /* Interval of AM_EVENT_TICK in microseconds.  */
@@ -29,6 +30,7 @@
 {
   enum am_event_type type;
   uint64_t now_us;        /* monotonic; never decreases */
+  uint64_t wall_ms;       /* wall clock, read before NOW_US; 0: unknown */
   struct am_address from; /* source address of a datagram */
   uint32_t service_id;    /* STREAM and STREAM_LOST */
   uint32_t upstream_id;   /* STREAM and STREAM_LOST */
--- a/src/core/lifecycle.c
+++ b/src/core/lifecycle.c
@@ -2,6 +2,7 @@
 
 #include "core/binding.h"
 #include "core/opening.h"
+#include "core/owned.h"
 #include "core/request.h"
 
 void
@@ -39,7 +40,7 @@
   if (b->now_us - b->stopping_since_us < AM_STOP_MINIMUM_US)
     return;
   if (am_opens_pending (b) > 0 || !bindings_may_exit (b)
-      || !am_requests_may_exit (b))
+      || !am_requests_may_exit (b) || !am_owned_may_exit (b))
     return;
   d->exit_emitted = true;
   am_board_decision (b, 0, "event=stopped after_us=%llu",
--- /dev/null
+++ b/src/core/owned.c
@@ -0,0 +1,426 @@
+#include "core/owned.h"
+
+#include <stdlib.h>
+
+#include "base/error.h"
+#include "core/forward.h"
+#include "core/request.h"
+#include "core/request_reply.h"
+#include "core/request_table.h"
+#include "wire/bytes.h"
+
+#define CLAIM_SIZE 9
+#define CLAIM_INTERVAL_US 1000000u
+
+static struct am_owned *
+find (const struct am_board *b, uint32_t service_id)
+{
+  struct am_owned *o;
+
+  HASH_FIND (hh, b->owned, &service_id, sizeof service_id, o);
+  return o;
+}
+
+static struct am_owned *
+find_or_add (struct am_board *b, uint32_t service_id)
+{
+  struct am_owned *o = find (b, service_id);
+
+  if (o)
+    return o;
+  o = calloc (1, sizeof *o);
+  if (!o)
+    return NULL;
+  o->service_id = service_id;
+  am_owner_init (&o->gate, b->now_us, b->self.boot_id);
+  HASH_ADD (hh, b->owned, service_id, sizeof o->service_id, o);
+  return o;
+}
+
+void
+am_owned_finish (struct am_board *b)
+{
+  struct am_owned *o = b->owned;
+
+  HASH_CLEAR (hh, b->owned);
+  while (o)
+    {
+      struct am_owned *next = o->hh.next;
+
+      am_owner_finish (&o->gate);
+      free (o);
+      o = next;
+    }
+}
+
+/* ---- packets ------------------------------------------------------ */
+
+bool
+am_owned_is_request (const struct am_service *s, const uint8_t *data,
+                     size_t len)
+{
+  struct am_packet p;
+
+  return s->class_count > 0 && am_packet_decode (&p, data, len) == AM_OK
+         && !p.ticket
+         && (p.type == AM_PACKET_REQUEST || p.type == AM_PACKET_CANCEL);
+}
+
+static struct am_owner_key
+key_of (struct am_address caller, uint64_t connection_id)
+{
+  return (struct am_owner_key){ .connection_id = connection_id,
+                                .ip = caller.ip };
+}
+
+static int
+tell (struct am_board *b, const struct am_service *s, struct am_address caller,
+      const struct am_packet *p, enum am_outcome outcome, int error)
+{
+  if (outcome == AM_OUTCOME_NOT_RUN)
+    b->counters.not_run++;
+  else
+    b->counters.unknown++;
+  am_reply_outcome (b, s, caller, p->connection_id, p->sequence, outcome,
+                    error);
+  return error;
+}
+
+/* Returns the member to pass a request to, or NULL.  */
+static const struct am_member *
+owner_of (struct am_board *b, struct am_service *s, const struct am_owned *o)
+{
+  const struct am_member *m = am_board_member (b, o->owner_id);
+
+  if (m && m->id != b->self.id
+      && m->state != AMARANTH__MEMBER_STATE__MEMBER_DEAD
+      && m->state != AMARANTH__MEMBER_STATE__MEMBER_LEFT)
+    return m;
+  return o->owner_id ? NULL : am_forward_home (b, s);
+}
+
+/* Without an owner the id may have been run by an owner before: UNKNOWN.  */
+static int
+pass_on (struct am_board *b, struct am_service *s, struct am_owned *o,
+         struct am_address caller, const struct am_packet *p,
+         const uint8_t *data, size_t len)
+{
+  const struct am_member *m = owner_of (b, s, o);
+
+  if (b->via_peer || !m || !am_owner_may_pass (&o->gate, b->now_us))
+    return tell (b, s, caller, p, AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  am_board_decision (b, p->connection_id,
+                     "event=forward request=%llu service=%s to=%s "
+                     "reason=owner revision=%llu",
+                     (unsigned long long)p->connection_id, s->name, m->name,
+                     (unsigned long long)s->revision);
+  am_forward (b, s, m, caller, data, len);
+  return AM_OK;
+}
+
+/* ---- at the owner ------------------------------------------------- */
+
+static int
+run (struct am_board *b, struct am_service *s, struct am_owned *o,
+     struct am_owner_id *id, struct am_request_arrival *a, uint8_t class_id)
+{
+  uint32_t left_ms = (uint32_t)((o->gate.until_us - b->now_us) / 1000);
+  struct am_owner_key key = id->key;
+  int err;
+
+  if (!a->body.deadline_ms || a->body.deadline_ms > left_ms)
+    a->body.deadline_ms = left_ms ? left_ms : 1;
+  am_requests_assign (b, s, class_id, &a->ticket);
+  id->serial = a->ticket.serial;
+  err = am_requests_arrive (b, a);
+  if (!am_requests_known (b, a->ticket.serial))
+    am_owner_end (&o->gate, &key, AM_OWNER_NOT_RUN, err);
+  return err;
+}
+
+static int
+repeat (struct am_board *b, const struct am_owner_id *id,
+        struct am_request_arrival *a, const struct am_packet *p)
+{
+  a->ticket = (struct am_ticket){ .kind = AM_OPEN_REQUEST,
+                                  .service_id = a->service->id,
+                                  .serial = id->serial };
+  if (id->serial && am_requests_known (b, id->serial))
+    {
+      if (p->type == AM_PACKET_REQUEST)
+        return am_requests_arrive (b, a);
+      am_requests_cancel (b, a->service, a->caller, a->connection_id,
+                          &a->ticket);
+      return AM_OK;
+    }
+  if (id->outcome == AM_OWNER_NOT_RUN)
+    return tell (b, a->service, a->caller, p, AM_OUTCOME_NOT_RUN, id->error);
+  return tell (b, a->service, a->caller, p, AM_OUTCOME_UNKNOWN,
+               AM_E_FORGOTTEN);
+}
+
+static int
+judge (struct am_board *b, struct am_owned *o, struct am_request_arrival *a,
+       const struct am_packet *p, const uint8_t *data, size_t len)
+{
+  struct am_owner_key key = key_of (a->caller, a->connection_id);
+  struct am_owner_id *id;
+
+  switch (am_owner_arrive (&o->gate, b->now_us, &key, &id))
+    {
+    case AM_OWNER_PASS:
+      return pass_on (b, a->service, o, a->caller, p, data, len);
+    case AM_OWNER_UNKNOWN:
+      return tell (b, a->service, a->caller, p, AM_OUTCOME_UNKNOWN,
+                   AM_E_ISSUER_GONE);
+    case AM_OWNER_REPEAT:
+      return repeat (b, id, a, p);
+    case AM_OWNER_RUN:
+      break;
+    }
+  if (p->type == AM_PACKET_REQUEST && !o->leaving && !b->stopping
+      && p->sequence <= UINT8_MAX)
+    return run (b, a->service, o, id, a, (uint8_t)p->sequence);
+  id->error = p->type == AM_PACKET_CANCEL ? AM_E_CANCELLED
+              : p->sequence > UINT8_MAX   ? AM_E_FIELD_VALUE
+                                          : AM_E_STOPPING;
+  id->outcome = AM_OWNER_NOT_RUN;
+  return tell (b, a->service, a->caller, p, AM_OUTCOME_NOT_RUN, id->error);
+}
+
+int
+am_owned_from_caller (struct am_board *b, struct am_service *s,
+                      struct am_address caller, const uint8_t *data,
+                      size_t len)
+{
+  struct am_request_arrival a
+      = { .service = s, .caller = caller, .owned = true };
+  struct am_owned *o = find_or_add (b, s->id);
+  struct am_packet p;
+  int err = am_packet_decode (&p, data, len);
+
+  if (!o)
+    return AM_E_MEMORY;
+  if (!err && p.type == AM_PACKET_REQUEST)
+    err = am_request_body_decode (&a.body, p.body, p.body_len);
+  if (err)
+    {
+      b->counters.malformed++;
+      return err;
+    }
+  a.connection_id = p.connection_id;
+  if (p.type == AM_PACKET_REQUEST)
+    {
+      a.payload = p.body + AM_REQUEST_BODY_SIZE;
+      a.payload_len = p.body_len - AM_REQUEST_BODY_SIZE;
+    }
+  return judge (b, o, &a, &p, data, len);
+}
+
+void
+am_owned_ended (struct am_board *b, const struct am_request *r)
+{
+  struct am_owner_key key = key_of (r->caller, r->connection_id);
+  struct am_owned *o = find (b, r->service->id);
+  enum am_owner_outcome outcome = AM_OWNER_LOST;
+
+  if (r->state == AM_REQUEST_ANSWERED)
+    outcome = AM_OWNER_ANSWERED;
+  else if (r->state == AM_REQUEST_NOT_RUN)
+    outcome = AM_OWNER_NOT_RUN;
+  if (o)
+    am_owner_end (&o->gate, &key, outcome, r->error);
+}
+
+uint64_t
+am_owned_not_after_us (const struct am_board *b, uint32_t service_id)
+{
+  const struct am_owned *o = find (b, service_id);
+
+  return o ? am_owner_not_after (&o->gate, b->now_us) : 0;
+}
+
+/* ---- grants and claims -------------------------------------------- */
+
+static int
+take_grant (struct am_board *b, struct am_owned *o,
+            const struct am_lease_grant *g)
+{
+  if (!o)
+    return AM_E_MEMORY;
+  if (g->epoch <= o->left_epoch)
+    return AM_E_REVISION;
+  return am_owner_grant (&o->gate, b->now_us, g);
+}
+
+int
+am_owned_grant (struct am_board *b, const uint8_t *data, size_t len)
+{
+  Amaranth__OwnerGrant *in = amaranth__owner_grant__unpack (NULL, len, data);
+  struct am_lease_grant g;
+  struct am_owned *o;
+  int err;
+
+  if (!in)
+    return AM_E_FORMAT;
+  g = (struct am_lease_grant){ .boot_id = in->boot_id,
+                               .epoch = in->epoch,
+                               .until_us = in->until_us,
+                               .first = in->first,
+                               .same = in->same,
+                               .handed = in->handed };
+  o = find_or_add (b, in->service_id);
+  err = take_grant (b, o, &g);
+  if (!err)
+    o->leaving = in->leaving && g.until_us;
+  am_board_decision (b, 0,
+                     "event=grant service=%u epoch=%llu left_us=%lld "
+                     "leaving=%d result=%s",
+                     in->service_id, (unsigned long long)in->epoch,
+                     (long long)(in->until_us - b->now_us), in->leaving,
+                     am_error_name (err));
+  amaranth__owner_grant__free_unpacked (in, NULL);
+  return err;
+}
+
+static int
+take_claim (struct am_owned *o, uint32_t sender_id, const uint8_t *body,
+            size_t len)
+{
+  uint64_t epoch;
+
+  if (len != CLAIM_SIZE)
+    return AM_E_FORMAT;
+  epoch = am_get_u64 (body + 1);
+  if (epoch < o->owner_epoch)
+    return AM_OK;
+  o->owner_epoch = epoch;
+  o->owner_id = sender_id;
+  return AM_OK;
+}
+
+int
+am_owned_peer (struct am_board *b, uint32_t sender_id, uint32_t service_id,
+               const uint8_t *body, size_t len)
+{
+  struct am_owned *o;
+
+  if (len == 0 || !am_board_service (b, service_id))
+    return AM_E_FORMAT;
+  o = find_or_add (b, service_id);
+  if (!o)
+    return AM_E_MEMORY;
+  switch (body[0])
+    {
+    case AM_OWNED_CLAIM:
+      return take_claim (o, sender_id, body, len);
+    case AM_OWNED_TABLE:
+      return am_owned_table_take (b, o, sender_id, body, len);
+    case AM_OWNED_ACK:
+      return am_owned_table_ack (o, sender_id, body, len);
+    default:
+      return AM_E_FORMAT;
+    }
+}
+
+static void
+claim (struct am_board *b, struct am_owned *o)
+{
+  struct am_service *s = am_board_service (b, o->service_id);
+  uint8_t body[CLAIM_SIZE] = { AM_OWNED_CLAIM };
+
+  if (!s || b->now_us >= o->gate.until_us || b->now_us < o->claim_us)
+    return;
+  o->claim_us = b->now_us + CLAIM_INTERVAL_US;
+  am_put_u64 (body + 1, o->gate.epoch);
+  for (size_t i = 0; i < s->home_count; i++)
+    if (s->home_set[i]->id != b->self.id)
+      am_board_send_peer (b, s->home_set[i], AM_PEER_OWNER, s->id, body,
+                          sizeof body);
+}
+
+static bool
+has_open (const struct am_owned *o)
+{
+  am_list_each (i, &o->gate.by_age, struct am_owner_id, node)
+  {
+    if (i->outcome == AM_OWNER_OPEN)
+      return true;
+  }
+  return false;
+}
+
+/* Tells the agent that nothing is run under the grant any more.  */
+static void
+give_up (struct am_board *b, struct am_owned *o, uint32_t handed_to)
+{
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  Amaranth__OwnerGivenUp g = AMARANTH__OWNER_GIVEN_UP__INIT;
+  uint8_t buf[64];
+  struct am_action a = { .type = AM_ACTION_CONTROL, .data = buf };
+
+  am_board_decision (b, 0, "event=given_up service=%u epoch=%llu to=%u",
+                     o->service_id, (unsigned long long)o->gate.epoch,
+                     handed_to);
+  g.handed_to = handed_to;
+  g.service_id = o->service_id;
+  g.epoch = o->gate.epoch;
+  e.body_case = AMARANTH__ENVELOPE__BODY_OWNER_GIVEN_UP;
+  e.owner_given_up = &g;
+  a.len = amaranth__envelope__pack (&e, buf);
+  am_board_emit (b, &a);
+}
+
+/* After the last request has ended, withdraws the grant and hands the table
+   over.  */
+static void
+leave (struct am_board *b, struct am_owned *o)
+{
+  if (has_open (o))
+    return;
+  o->leaving = false;
+  o->left_epoch = o->gate.epoch;
+  o->gate.until_us = 0;
+  if (!am_owned_table_begin (b, o))
+    give_up (b, o, 0);
+}
+
+static void
+tick_one (struct am_board *b, struct am_owned *o)
+{
+  uint32_t handed_to;
+
+  if (o->to.epoch)
+    {
+      if (am_owned_table_end (b, o, &handed_to))
+        give_up (b, o, handed_to);
+      return;
+    }
+  am_owner_tick (&o->gate, b->now_us);
+  claim (b, o);
+  if (o->leaving)
+    leave (b, o);
+}
+
+void
+am_owned_tick (struct am_board *b)
+{
+  struct am_owned *o;
+  struct am_owned *next;
+
+  HASH_ITER (hh, b->owned, o, next) { tick_one (b, o); }
+}
+
+bool
+am_owned_may_exit (const struct am_board *b)
+{
+  const struct am_owned *o;
+  const struct am_owned *next;
+
+  HASH_ITER (hh, b->owned, o, next)
+  {
+    if (o->gate.until_us > b->now_us || o->to.epoch)
+      return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/core/owned_table.c
@@ -0,0 +1,218 @@
+#include "core/owned_table.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "core/owned.h"
+#include "wire/bytes.h"
+
+#define HEADER_SIZE 17u
+#define ID_SIZE 17u
+#define ACK_SIZE 11u
+
+/* A successor that does not acknowledge everything in this time does not have
+   the table; the key is released all the same.  */
+#define LIMIT_US 1500000u
+#define RESEND_US 200000u
+
+static const struct am_member *
+successor (const struct am_board *b, const struct am_service *s)
+{
+  for (size_t i = 0; i < s->home_count; i++)
+    {
+      const struct am_member *m = s->home_set[i];
+
+      if (m->id != b->self.id
+          && m->state == AMARANTH__MEMBER_STATE__MEMBER_ALIVE)
+        return m;
+    }
+  return NULL;
+}
+
+static void
+put_id (uint8_t *p, const struct am_owner_id *i)
+{
+  am_put_u64 (p, i->key.connection_id);
+  am_put_u32 (p + 8, (uint32_t)i->key.ip);
+  p[12] = (uint8_t)i->outcome;
+  am_put_u32 (p + 13, (uint32_t)i->error);
+}
+
+static void
+put_header (const struct am_board *b, const struct am_owned *o, uint8_t *p,
+            uint16_t index)
+{
+  const struct am_owner *g = &o->gate;
+  uint64_t until = g->grace_until_us > g->drain_until_us ? g->grace_until_us
+                                                         : g->drain_until_us;
+  uint64_t left_us = until > b->now_us ? until - b->now_us : 0;
+
+  p[0] = AM_OWNED_TABLE;
+  am_put_u64 (p + 1, o->to.epoch);
+  am_put_u16 (p + 9, index);
+  am_put_u16 (p + 11, o->to.total);
+  am_put_u32 (p + 13, (uint32_t)(left_us / 1000) + (left_us > 0));
+}
+
+static void
+send_part (struct am_board *b, const struct am_owned *o,
+           const struct am_member *m, uint16_t index, const uint8_t *ids,
+           size_t count)
+{
+  uint8_t body[HEADER_SIZE + AM_OWNED_PART_IDS * ID_SIZE];
+
+  put_header (b, o, body, index);
+  memcpy (body + HEADER_SIZE, ids, count * ID_SIZE);
+  am_board_send_peer (b, m, AM_PEER_OWNER, o->service_id, body,
+                      HEADER_SIZE + count * ID_SIZE);
+}
+
+/* Sends every part that is not acknowledged.  */
+static void
+send_parts (struct am_board *b, struct am_owned *o)
+{
+  const struct am_member *m = am_board_member (b, o->to.peer_id);
+  uint8_t ids[AM_OWNED_PART_IDS * ID_SIZE];
+  uint16_t index = 0;
+  size_t n = 0;
+
+  o->to.sent_us = b->now_us;
+  if (!m)
+    return;
+  am_list_each (i, &o->gate.by_age, struct am_owner_id, node)
+  {
+    put_id (ids + n++ * ID_SIZE, i);
+    if (n < AM_OWNED_PART_IDS)
+      continue;
+    if (!o->to.seen[index])
+      send_part (b, o, m, index, ids, n);
+    index++;
+    n = 0;
+  }
+  if (index < o->to.total && !o->to.seen[index])
+    send_part (b, o, m, index, ids, n);
+}
+
+bool
+am_owned_table_begin (struct am_board *b, struct am_owned *o)
+{
+  const struct am_service *s = am_board_service (b, o->service_id);
+  const struct am_member *m = s ? successor (b, s) : NULL;
+  size_t parts = HASH_COUNT (o->gate.ids) / AM_OWNED_PART_IDS + 1;
+
+  if (!m || parts > AM_OWNED_PARTS_MAX)
+    return false;
+  memset (&o->to, 0, sizeof o->to);
+  o->to.epoch = o->gate.epoch;
+  o->to.peer_id = m->id;
+  o->to.since_us = b->now_us;
+  o->to.total = (uint16_t)parts;
+  send_parts (b, o);
+  return true;
+}
+
+bool
+am_owned_table_end (struct am_board *b, struct am_owned *o, uint32_t *to)
+{
+  *to = o->to.count == o->to.total ? o->to.peer_id : 0;
+  if (*to || b->now_us - o->to.since_us >= LIMIT_US)
+    {
+      o->to.epoch = 0;
+      return true;
+    }
+  if (b->now_us - o->to.sent_us >= RESEND_US)
+    send_parts (b, o);
+  return false;
+}
+
+static bool
+mark (struct am_owned_parts *p, uint16_t index)
+{
+  if (p->seen[index])
+    return false;
+  p->seen[index] = true;
+  p->count++;
+  return true;
+}
+
+static int
+import (struct am_board *b, struct am_owned *o, const uint8_t *body,
+        size_t len)
+{
+  for (size_t at = HEADER_SIZE; at < len; at += ID_SIZE)
+    {
+      struct am_owner_key key = { .connection_id = am_get_u64 (body + at),
+                                  .ip = am_get_u32 (body + at + 8) };
+      int err;
+
+      if (body[at + 12] > AM_OWNER_LOST)
+        return AM_E_FORMAT;
+      err = am_owner_import (&o->gate, b->now_us, &key,
+                             (enum am_owner_outcome)body[at + 12],
+                             (int32_t)am_get_u32 (body + at + 13));
+      if (err)
+        return err;
+    }
+  return AM_OK;
+}
+
+static void
+acknowledge (struct am_board *b, const struct am_owned *o, uint32_t sender_id,
+             const uint8_t *part)
+{
+  const struct am_member *m = am_board_member (b, sender_id);
+  uint8_t body[ACK_SIZE];
+
+  if (!m)
+    return;
+  memcpy (body, part, sizeof body);
+  body[0] = AM_OWNED_ACK;
+  am_board_send_peer (b, m, AM_PEER_OWNER, o->service_id, body, sizeof body);
+}
+
+int
+am_owned_table_take (struct am_board *b, struct am_owned *o,
+                     uint32_t sender_id, const uint8_t *body, size_t len)
+{
+  struct am_owned_parts *p = &o->from;
+  uint64_t epoch;
+  uint16_t index;
+  uint16_t total;
+  int err;
+
+  if (len < HEADER_SIZE || (len - HEADER_SIZE) % ID_SIZE)
+    return AM_E_FORMAT;
+  epoch = am_get_u64 (body + 1);
+  index = am_get_u16 (body + 9);
+  total = am_get_u16 (body + 11);
+  if (!epoch || total > AM_OWNED_PARTS_MAX || index >= total)
+    return AM_E_FORMAT;
+  if (p->epoch != epoch || p->peer_id != sender_id || p->total != total)
+    *p = (struct am_owned_parts){ .epoch = epoch,
+                                  .peer_id = sender_id,
+                                  .total = total };
+  err = p->seen[index] ? AM_OK : import (b, o, body, len);
+  if (err)
+    return err;
+  if (mark (p, index) && p->count == total)
+    am_owner_imported (&o->gate, b->now_us, epoch,
+                       am_get_u32 (body + 13) * (uint64_t)1000);
+  acknowledge (b, o, sender_id, body);
+  return AM_OK;
+}
+
+int
+am_owned_table_ack (struct am_owned *o, uint32_t sender_id,
+                    const uint8_t *body, size_t len)
+{
+  uint16_t index;
+
+  if (len != ACK_SIZE)
+    return AM_E_FORMAT;
+  index = am_get_u16 (body + 9);
+  if (!o->to.epoch || o->to.epoch != am_get_u64 (body + 1)
+      || o->to.peer_id != sender_id || index >= o->to.total)
+    return AM_E_FORMAT;
+  mark (&o->to, index);
+  return AM_OK;
+}
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -110,7 +110,7 @@
 
 enum am_owner_verdict
 am_owner_arrive (struct am_owner *o, uint64_t now_us,
-                 const struct am_owner_key *key, const struct am_owner_id **id)
+                 const struct am_owner_key *key, struct am_owner_id **id)
 {
   struct am_owner_id *i = find (o, key);
 
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -59,6 +59,7 @@
   uint64_t arrived_us;
   enum am_owner_outcome outcome;
   int error;
+  uint64_t serial; /* of the request; 0: none */
 };
 
 struct am_owner
@@ -88,7 +89,7 @@
    else NULL.  A copy of what was passed on before is judged again.  */
 enum am_owner_verdict am_owner_arrive (struct am_owner *o, uint64_t now_us,
                                        const struct am_owner_key *key,
-                                       const struct am_owner_id **id);
+                                       struct am_owner_id **id);
 
 /* Returns the time before which an upstream may begin work sent now, or 0 if
    nothing may be sent.  */
--- /dev/null
+++ b/src/core/owner_value.h
@@ -0,0 +1,21 @@
+/* Text of the key that names the owner of a service's ticketless requests:
+
+   {"owner": 1, "boot": "4f2a...", "epoch": 3, "handed_to": 0,
+    "eligible": [1, 2, 3]}  */
+
+#ifndef AM_CORE_OWNER_VALUE_H
+#define AM_CORE_OWNER_VALUE_H
+
+#include "core/control_owner.h"
+
+#define AM_OWNER_VALUE_SIZE 512
+
+/* Writes V as text with its NUL to BUF.  Returns the length.  */
+size_t am_owner_value_write (const struct am_lease_value *v,
+                             char buf[AM_OWNER_VALUE_SIZE]);
+
+/* Reads V.  Returns AM_OK or AM_E_FORMAT.  */
+int am_owner_value_read (struct am_lease_value *v, const uint8_t *text,
+                         size_t len);
+
+#endif
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -6,6 +6,7 @@
 #include "core/admission.h"
 #include "core/choice.h"
 #include "core/credit.h"
+#include "core/owned.h"
 #include "core/request_reply.h"
 #include "core/request_table.h"
 #include "core/retry_budget.h"
@@ -84,6 +85,25 @@
   return AM_OK;
 }
 
+void
+am_requests_assign (struct am_board *b, const struct am_service *s,
+                    uint8_t request_class, struct am_ticket *t)
+{
+  *t = (struct am_ticket){ .kind = AM_OPEN_REQUEST,
+                           .request_class = request_class,
+                           .service_id = s->id,
+                           .issuer_id = b->self.id,
+                           .issuer_boot_id = b->self.boot_id,
+                           .serial = am_serial_issue (&b->requests->serials),
+                           .issued_ms = b->now_us / 1000 };
+}
+
+bool
+am_requests_known (const struct am_board *b, uint64_t serial)
+{
+  return am_table_find (b->requests, serial) != NULL;
+}
+
 /* ---- steps of the state table ------------------------------------- */
 
 static bool
@@ -124,6 +144,8 @@
     return true;
   r->error = error;
   count_final (b, r);
+  if (r->owned)
+    am_owned_ended (b, r);
   am_board_decision (b, r->connection_id,
                      "request-end request=%llu service=%s state=%s reason=%s",
                      (unsigned long long)r->serial, r->service->name,
@@ -195,6 +217,8 @@
 
   if (b->now_us >= r->deadline_us)
     return step (b, r, AM_REQUEST_ON_DEADLINE, AM_E_DEADLINE);
+  if (r->owned && !am_owned_not_after_us (b, s->id))
+    return step (b, r, AM_REQUEST_ON_DEADLINE, AM_E_NO_OWNER);
   if (!am_admission_worthwhile (b, s, r))
     return step (b, r, AM_REQUEST_ON_REFUSE, AM_E_DEADLINE);
   if (r->last_upstream_id)
@@ -298,6 +322,7 @@
   r->caller = a->caller;
   r->connection_id = a->connection_id;
   r->arrived_us = b->now_us;
+  r->owned = a->owned;
   error = admit (b, r, a);
   if (error)
     {
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -26,6 +26,7 @@
   struct am_request_body body;
   const uint8_t *payload;
   size_t payload_len;
+  bool owned; /* without a ticket; TICKET holds class, service and serial */
 };
 
 /* Sets up B->requests.  Returns AM_OK or AM_E_MEMORY.  */
@@ -44,6 +45,14 @@
 int am_requests_arrive (struct am_board *b,
                         const struct am_request_arrival *a);
 
+/* Fills T for a ticketless REQUEST of CLASS, admitted by the owner, under a
+   serial of its own.  */
+void am_requests_assign (struct am_board *b, const struct am_service *s,
+                         uint8_t request_class, struct am_ticket *t);
+
+/* Returns true if the request of SERIAL is known still.  */
+bool am_requests_known (const struct am_board *b, uint64_t serial);
+
 /* Handles a CANCEL for the request of ticket T.  */
 void am_requests_cancel (struct am_board *b, struct am_service *s,
                          struct am_address caller, uint64_t connection_id,
--- a/src/core/request_reply.c
+++ b/src/core/request_reply.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "core/owned.h"
 
 #define RUN_SIZE_MAX \
   (AM_PACKET_HEADER_SIZE + AM_RUN_BODY_SIZE + AM_REQUEST_SIZE_MAX)
@@ -110,6 +111,12 @@
                          .body = body,
                          .body_len = AM_RUN_BODY_SIZE + r->payload_len };
 
+  if (r->owned)
+    {
+      uint64_t until_us = am_owned_not_after_us (b, r->service->id);
+
+      run.not_after_ms = b->wall_ms + (until_us - b->now_us) / 1000;
+    }
   am_run_body_encode (&run, body);
   if (r->payload_len)
     memcpy (body + AM_RUN_BODY_SIZE, r->payload, r->payload_len);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -40,6 +40,7 @@
   /* Class, copied when the request arrived.  */
   uint32_t class_id;
   bool one_time;
+  bool owned; /* without a ticket: may be sent under the owner's grant only */
   uint32_t weight;
   uint32_t priority;
 
--- a/src/core/snapshot_check.c
+++ b/src/core/snapshot_check.c
@@ -91,7 +91,7 @@
       if (!name_fits (c->name) || c->kind > AMARANTH__REQUEST_KIND__ONE_TIME)
         return AM_E_FIELD_VALUE;
       if (c->kind == AMARANTH__REQUEST_KIND__ONE_TIME
-          && s->binding != AMARANTH__BINDING__BINDING_TICKET)
+          && s->binding == AMARANTH__BINDING__BINDING_HASH)
         return AM_E_FIELD_VALUE;
       keys[i] = c->id;
     }
--- a/src/core/tracked_binding.c
+++ b/src/core/tracked_binding.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "core/binding.h"
 #include "core/forward.h"
+#include "core/owned.h"
 #include "core/tracked.h"
 #include "wire/bytes.h"
 
@@ -386,6 +387,8 @@
 
   if (s->retired)
     return AM_E_SERVICE_UNKNOWN;
+  if (am_owned_is_request (s, data, len))
+    return am_owned_from_caller (b, s, caller, data, len);
   if (am_tracked_is_owner (b, k))
     return serve_as_owner (b, s, NULL, &in);
   f = am_tracked_find (t, caller);
--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -96,6 +96,22 @@
   send_report (f, s);
 }
 
+static void
+take_grant (struct am_forwarder *f, const Amaranth__OwnerGrant *grant)
+{
+  struct am_event e = { .type = AM_EVENT_GRANT };
+  uint8_t *data;
+
+  e.len = amaranth__owner_grant__get_packed_size (grant);
+  data = malloc (e.len ? e.len : 1);
+  if (!data)
+    return;
+  amaranth__owner_grant__pack (grant, data);
+  e.data = data;
+  (void)am_forwarder_event (f, &e);
+  free (data);
+}
+
 static void
 take_explain (struct am_forwarder *f, struct am_stream *s, uint64_t id)
 {
@@ -147,6 +163,9 @@
     case AMARANTH__ENVELOPE__BODY_SNAPSHOT:
       take_snapshot (f, s, e->snapshot);
       return;
+    case AMARANTH__ENVELOPE__BODY_OWNER_GRANT:
+      take_grant (f, e->owner_grant);
+      return;
     case AMARANTH__ENVELOPE__BODY_STATUS_REQUEST:
       send_snapshot (f, s);
       send_report (f, s);
@@ -235,6 +254,15 @@
   }
 }
 
+void
+am_control_send (struct am_forwarder *f, const uint8_t *data, size_t len)
+{
+  am_list_each (s, &f->control_streams, struct am_stream, node)
+  {
+    (void)am_stream_send (s, data, len);
+  }
+}
+
 void
 am_control_report (struct am_forwarder *f)
 {
--- a/src/forwarder/control.h
+++ b/src/forwarder/control.h
@@ -19,4 +19,7 @@
 /* Sends a Report to every connected agent.  */
 void am_control_report (struct am_forwarder *f);
 
+/* Sends a packed Envelope to every agent that is connected.  */
+void am_control_send (struct am_forwarder *f, const uint8_t *data, size_t len);
+
 #endif
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -46,6 +46,9 @@
     case AM_ACTION_EXIT:
       f->exiting = true;
       return;
+    case AM_ACTION_CONTROL:
+      am_control_send (f, a->data, a->len);
+      return;
     }
 }
 
@@ -58,12 +61,25 @@
   f->recording = false;
 }
 
+static uint64_t
+wall_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (uint64_t)t.tv_sec * 1000u + (uint64_t)t.tv_nsec / 1000000u;
+}
+
 int
 am_forwarder_event (struct am_forwarder *f, struct am_event *e)
 {
-  uint64_t start_ns = uv_hrtime ();
+  uint64_t start_ns;
   int err;
 
+  /* First, so that a pause here makes times on the wall clock early.  */
+  e->wall_ms = wall_ms ();
+  start_ns = uv_hrtime ();
+
   e->now_us = start_ns / NANOSECONDS_PER_US;
   record (f, e);
   err = am_dispatch_event (&f->dispatch, e);
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -17,7 +17,7 @@
 #include "io/stream.h"
 #include "io/udp_port.h"
 
-#define AM_FORWARDER_EVENT_TYPES (AM_EVENT_STOP + 1)
+#define AM_FORWARDER_EVENT_TYPES (AM_EVENT_GRANT + 1)
 
 struct am_forwarder
 {
--- a/src/io/event_log.c
+++ b/src/io/event_log.c
@@ -9,7 +9,7 @@
 #include "wire/bytes.h"
 
 #define MAGIC 0x414d4556u /* "AMEV" */
-#define VERSION 1u
+#define VERSION 2u
 #define OWNER_ONLY 0600
 
 /* magic, version, log_decisions, id, boot id, seed, three names, key */
@@ -19,8 +19,8 @@
 #define KEY_OFFSET (REGION_OFFSET + AM_NAME_SIZE)
 #define OPTIONS_SIZE (KEY_OFFSET + AM_PEER_KEY_SIZE)
 
-/* type, time, address, port, service, upstream, length */
-#define EVENT_SIZE 27
+/* type, time, address, port, service, upstream, length, wall clock */
+#define EVENT_SIZE 35
 
 int
 am_event_log_create (struct am_event_log *l, const char *file,
@@ -122,6 +122,7 @@
   am_put_u32 (buf + 15, e->service_id);
   am_put_u32 (buf + 19, e->upstream_id);
   am_put_u32 (buf + 23, (uint32_t)e->len);
+  am_put_u64 (buf + 27, e->wall_ms);
   if (fwrite (buf, sizeof buf, 1, l->file) != 1)
     return AM_E_IO;
   if (e->len && fwrite (e->data, e->len, 1, l->file) != 1)
@@ -160,7 +161,7 @@
     return AM_E_NOT_FOUND;
   if (n < sizeof buf)
     return AM_E_SHORT;
-  if (buf[0] > AM_EVENT_STOP)
+  if (buf[0] > AM_EVENT_GRANT)
     return AM_E_FORMAT;
   memset (e, 0, sizeof *e);
   e->type = (enum am_event_type)buf[0];
@@ -170,6 +171,7 @@
   e->service_id = am_get_u32 (buf + 15);
   e->upstream_id = am_get_u32 (buf + 19);
   e->len = am_get_u32 (buf + 23);
+  e->wall_ms = am_get_u64 (buf + 27);
   err = read_data (l, e->len);
   if (err)
     return err;
--- a/src/record/read.c
+++ b/src/record/read.c
@@ -334,8 +334,9 @@
     return err;
   c->kind = (Amaranth__RequestKind)kind;
   if (c->kind == AMARANTH__REQUEST_KIND__ONE_TIME
-      && s->binding != AMARANTH__BINDING__BINDING_TICKET)
-    return fail (o, AM_E_FIELD_VALUE, field, "one_time needs binding: ticket");
+      && s->binding == AMARANTH__BINDING__BINDING_HASH)
+    return fail (o, AM_E_FIELD_VALUE, field,
+                 "one_time needs binding: ticket or tracked");
   return get_uint (o, "deadline_ms",
                    (struct range){ 1, DAY_MS, DEADLINE_DEFAULT_MS },
                    &c->deadline_ms);
--- a/src/wire/amaranth.pb-c.c
+++ b/src/wire/amaranth.pb-c.c
@@ -1177,6 +1177,141 @@
   assert(message->base.descriptor == &amaranth__stop_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   amaranth__owner_grant__init
+                     (Amaranth__OwnerGrant         *message)
+{
+  static const Amaranth__OwnerGrant init_value = AMARANTH__OWNER_GRANT__INIT;
+  *message = init_value;
+}
+size_t amaranth__owner_grant__get_packed_size
+                     (const Amaranth__OwnerGrant *message)
+{
+  assert(message->base.descriptor == &amaranth__owner_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t amaranth__owner_grant__pack
+                     (const Amaranth__OwnerGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &amaranth__owner_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t amaranth__owner_grant__pack_to_buffer
+                     (const Amaranth__OwnerGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &amaranth__owner_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Amaranth__OwnerGrant *
+       amaranth__owner_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Amaranth__OwnerGrant *)
+     protobuf_c_message_unpack (&amaranth__owner_grant__descriptor,
+                                allocator, len, data);
+}
+void   amaranth__owner_grant__free_unpacked
+                     (Amaranth__OwnerGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &amaranth__owner_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   amaranth__owner_given_up__init
+                     (Amaranth__OwnerGivenUp         *message)
+{
+  static const Amaranth__OwnerGivenUp init_value = AMARANTH__OWNER_GIVEN_UP__INIT;
+  *message = init_value;
+}
+size_t amaranth__owner_given_up__get_packed_size
+                     (const Amaranth__OwnerGivenUp *message)
+{
+  assert(message->base.descriptor == &amaranth__owner_given_up__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t amaranth__owner_given_up__pack
+                     (const Amaranth__OwnerGivenUp *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &amaranth__owner_given_up__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t amaranth__owner_given_up__pack_to_buffer
+                     (const Amaranth__OwnerGivenUp *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &amaranth__owner_given_up__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Amaranth__OwnerGivenUp *
+       amaranth__owner_given_up__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Amaranth__OwnerGivenUp *)
+     protobuf_c_message_unpack (&amaranth__owner_given_up__descriptor,
+                                allocator, len, data);
+}
+void   amaranth__owner_given_up__free_unpacked
+                     (Amaranth__OwnerGivenUp *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &amaranth__owner_given_up__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   amaranth__owner_promise__init
+                     (Amaranth__OwnerPromise         *message)
+{
+  static const Amaranth__OwnerPromise init_value = AMARANTH__OWNER_PROMISE__INIT;
+  *message = init_value;
+}
+size_t amaranth__owner_promise__get_packed_size
+                     (const Amaranth__OwnerPromise *message)
+{
+  assert(message->base.descriptor == &amaranth__owner_promise__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t amaranth__owner_promise__pack
+                     (const Amaranth__OwnerPromise *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &amaranth__owner_promise__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t amaranth__owner_promise__pack_to_buffer
+                     (const Amaranth__OwnerPromise *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &amaranth__owner_promise__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Amaranth__OwnerPromise *
+       amaranth__owner_promise__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Amaranth__OwnerPromise *)
+     protobuf_c_message_unpack (&amaranth__owner_promise__descriptor,
+                                allocator, len, data);
+}
+void   amaranth__owner_promise__free_unpacked
+                     (Amaranth__OwnerPromise *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &amaranth__owner_promise__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   amaranth__envelope__init
                      (Amaranth__Envelope         *message)
 {
@@ -3385,7 +3520,290 @@
   (ProtobufCMessageInit) amaranth__stop_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor amaranth__owner_grant__field_descriptors[8] =
+{
+  {
+    "service_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, service_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, until_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "same",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, same),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, handed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGrant, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned amaranth__owner_grant__field_indices_by_name[] = {
+  1,   /* field[1] = boot_id */
+  2,   /* field[2] = epoch */
+  4,   /* field[4] = first */
+  6,   /* field[6] = handed */
+  7,   /* field[7] = leaving */
+  5,   /* field[5] = same */
+  0,   /* field[0] = service_id */
+  3,   /* field[3] = until_us */
+};
+static const ProtobufCIntRange amaranth__owner_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor amaranth__owner_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "amaranth.OwnerGrant",
+  "OwnerGrant",
+  "Amaranth__OwnerGrant",
+  "amaranth",
+  sizeof(Amaranth__OwnerGrant),
+  8,
+  amaranth__owner_grant__field_descriptors,
+  amaranth__owner_grant__field_indices_by_name,
+  1,  amaranth__owner_grant__number_ranges,
+  (ProtobufCMessageInit) amaranth__owner_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor amaranth__owner_given_up__field_descriptors[3] =
+{
+  {
+    "service_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGivenUp, service_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGivenUp, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handed_to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerGivenUp, handed_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned amaranth__owner_given_up__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = handed_to */
+  0,   /* field[0] = service_id */
+};
+static const ProtobufCIntRange amaranth__owner_given_up__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor amaranth__owner_given_up__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "amaranth.OwnerGivenUp",
+  "OwnerGivenUp",
+  "Amaranth__OwnerGivenUp",
+  "amaranth",
+  sizeof(Amaranth__OwnerGivenUp),
+  3,
+  amaranth__owner_given_up__field_descriptors,
+  amaranth__owner_given_up__field_indices_by_name,
+  1,  amaranth__owner_given_up__number_ranges,
+  (ProtobufCMessageInit) amaranth__owner_given_up__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor amaranth__owner_promise__field_descriptors[5] =
+{
+  {
+    "service_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerPromise, service_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerPromise, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "question",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerPromise, question),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerPromise, from_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promised",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__OwnerPromise, promised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned amaranth__owner_promise__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  3,   /* field[3] = from_id */
+  4,   /* field[4] = promised */
+  2,   /* field[2] = question */
+  0,   /* field[0] = service_id */
+};
+static const ProtobufCIntRange amaranth__owner_promise__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor amaranth__owner_promise__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "amaranth.OwnerPromise",
+  "OwnerPromise",
+  "Amaranth__OwnerPromise",
+  "amaranth",
+  sizeof(Amaranth__OwnerPromise),
+  5,
+  amaranth__owner_promise__field_descriptors,
+  amaranth__owner_promise__field_indices_by_name,
+  1,  amaranth__owner_promise__number_ranges,
+  (ProtobufCMessageInit) amaranth__owner_promise__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor amaranth__envelope__field_descriptors[17] =
 {
   {
     "gossip",
@@ -3555,6 +3973,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner_grant",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__Envelope, body_case),
+    offsetof(Amaranth__Envelope, owner_grant),
+    &amaranth__owner_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_given_up",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__Envelope, body_case),
+    offsetof(Amaranth__Envelope, owner_given_up),
+    &amaranth__owner_given_up__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_promise",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__Envelope, body_case),
+    offsetof(Amaranth__Envelope, owner_promise),
+    &amaranth__owner_promise__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__envelope__field_indices_by_name[] = {
   1,   /* field[1] = announce */
@@ -3564,6 +4018,9 @@
   0,   /* field[0] = gossip */
   11,   /* field[11] = metrics_reply */
   10,   /* field[10] = metrics_request */
+  15,   /* field[15] = owner_given_up */
+  14,   /* field[14] = owner_grant */
+  16,   /* field[16] = owner_promise */
   3,   /* field[3] = record_list */
   5,   /* field[5] = report */
   9,   /* field[9] = set_log_level */
@@ -3575,7 +4032,7 @@
 static const ProtobufCIntRange amaranth__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor amaranth__envelope__descriptor =
 {
@@ -3585,7 +4042,7 @@
   "Amaranth__Envelope",
   "amaranth",
   sizeof(Amaranth__Envelope),
-  14,
+  17,
   amaranth__envelope__field_descriptors,
   amaranth__envelope__field_indices_by_name,
   1,  amaranth__envelope__number_ranges,
--- a/src/wire/amaranth.pb-c.h
+++ b/src/wire/amaranth.pb-c.h
@@ -41,6 +41,9 @@
 typedef struct Amaranth__Failure Amaranth__Failure;
 typedef struct Amaranth__MetricsRequest Amaranth__MetricsRequest;
 typedef struct Amaranth__StopRequest Amaranth__StopRequest;
+typedef struct Amaranth__OwnerGrant Amaranth__OwnerGrant;
+typedef struct Amaranth__OwnerGivenUp Amaranth__OwnerGivenUp;
+typedef struct Amaranth__OwnerPromise Amaranth__OwnerPromise;
 typedef struct Amaranth__Envelope Amaranth__Envelope;
 
 
@@ -608,6 +611,76 @@
      }
 
 
+struct  Amaranth__OwnerGrant
+{
+  ProtobufCMessage base;
+  uint32_t service_id;
+  /*
+   * forwarder process that it is for
+   */
+  uint64_t boot_id;
+  uint64_t epoch;
+  /*
+   * CLOCK_MONOTONIC of the machine; 0: none
+   */
+  uint64_t until_us;
+  /*
+   * the key had no owner before
+   */
+  protobuf_c_boolean first;
+  /*
+   * the owner before was the same process
+   */
+  protobuf_c_boolean same;
+  /*
+   * the owner before handed its table over
+   */
+  protobuf_c_boolean handed;
+  /*
+   * take nothing new, finish, give up
+   */
+  protobuf_c_boolean leaving;
+};
+#define AMARANTH__OWNER_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&amaranth__owner_grant__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Amaranth__OwnerGivenUp
+{
+  ProtobufCMessage base;
+  uint32_t service_id;
+  uint64_t epoch;
+  /*
+   * member that has the whole table; 0: none
+   */
+  uint32_t handed_to;
+};
+#define AMARANTH__OWNER_GIVEN_UP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&amaranth__owner_given_up__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Amaranth__OwnerPromise
+{
+  ProtobufCMessage base;
+  uint32_t service_id;
+  uint64_t epoch;
+  /*
+   * number of the question, echoed
+   */
+  uint64_t question;
+  uint32_t from_id;
+  /*
+   * false: the question
+   */
+  protobuf_c_boolean promised;
+};
+#define AMARANTH__OWNER_PROMISE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&amaranth__owner_promise__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   AMARANTH__ENVELOPE__BODY__NOT_SET = 0,
   AMARANTH__ENVELOPE__BODY_GOSSIP = 1,
@@ -623,7 +696,10 @@
   AMARANTH__ENVELOPE__BODY_METRICS_REQUEST = 11,
   AMARANTH__ENVELOPE__BODY_METRICS_REPLY = 12,
   AMARANTH__ENVELOPE__BODY_FAILURE = 13,
-  AMARANTH__ENVELOPE__BODY_STOP_REQUEST = 14
+  AMARANTH__ENVELOPE__BODY_STOP_REQUEST = 14,
+  AMARANTH__ENVELOPE__BODY_OWNER_GRANT = 15,
+  AMARANTH__ENVELOPE__BODY_OWNER_GIVEN_UP = 16,
+  AMARANTH__ENVELOPE__BODY_OWNER_PROMISE = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AMARANTH__ENVELOPE__BODY__CASE)
 } Amaranth__Envelope__BodyCase;
 
@@ -646,6 +722,9 @@
     Amaranth__MetricsReply *metrics_reply;
     Amaranth__Failure *failure;
     Amaranth__StopRequest *stop_request;
+    Amaranth__OwnerGrant *owner_grant;
+    Amaranth__OwnerGivenUp *owner_given_up;
+    Amaranth__OwnerPromise *owner_promise;
   };
 };
 #define AMARANTH__ENVELOPE__INIT \
@@ -1147,6 +1226,63 @@
 void   amaranth__stop_request__free_unpacked
                      (Amaranth__StopRequest *message,
                       ProtobufCAllocator *allocator);
+/* Amaranth__OwnerGrant methods */
+void   amaranth__owner_grant__init
+                     (Amaranth__OwnerGrant         *message);
+size_t amaranth__owner_grant__get_packed_size
+                     (const Amaranth__OwnerGrant   *message);
+size_t amaranth__owner_grant__pack
+                     (const Amaranth__OwnerGrant   *message,
+                      uint8_t             *out);
+size_t amaranth__owner_grant__pack_to_buffer
+                     (const Amaranth__OwnerGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Amaranth__OwnerGrant *
+       amaranth__owner_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   amaranth__owner_grant__free_unpacked
+                     (Amaranth__OwnerGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Amaranth__OwnerGivenUp methods */
+void   amaranth__owner_given_up__init
+                     (Amaranth__OwnerGivenUp         *message);
+size_t amaranth__owner_given_up__get_packed_size
+                     (const Amaranth__OwnerGivenUp   *message);
+size_t amaranth__owner_given_up__pack
+                     (const Amaranth__OwnerGivenUp   *message,
+                      uint8_t             *out);
+size_t amaranth__owner_given_up__pack_to_buffer
+                     (const Amaranth__OwnerGivenUp   *message,
+                      ProtobufCBuffer     *buffer);
+Amaranth__OwnerGivenUp *
+       amaranth__owner_given_up__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   amaranth__owner_given_up__free_unpacked
+                     (Amaranth__OwnerGivenUp *message,
+                      ProtobufCAllocator *allocator);
+/* Amaranth__OwnerPromise methods */
+void   amaranth__owner_promise__init
+                     (Amaranth__OwnerPromise         *message);
+size_t amaranth__owner_promise__get_packed_size
+                     (const Amaranth__OwnerPromise   *message);
+size_t amaranth__owner_promise__pack
+                     (const Amaranth__OwnerPromise   *message,
+                      uint8_t             *out);
+size_t amaranth__owner_promise__pack_to_buffer
+                     (const Amaranth__OwnerPromise   *message,
+                      ProtobufCBuffer     *buffer);
+Amaranth__OwnerPromise *
+       amaranth__owner_promise__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   amaranth__owner_promise__free_unpacked
+                     (Amaranth__OwnerPromise *message,
+                      ProtobufCAllocator *allocator);
 /* Amaranth__Envelope methods */
 void   amaranth__envelope__init
                      (Amaranth__Envelope         *message);
@@ -1246,6 +1382,15 @@
 typedef void (*Amaranth__StopRequest_Closure)
                  (const Amaranth__StopRequest *message,
                   void *closure_data);
+typedef void (*Amaranth__OwnerGrant_Closure)
+                 (const Amaranth__OwnerGrant *message,
+                  void *closure_data);
+typedef void (*Amaranth__OwnerGivenUp_Closure)
+                 (const Amaranth__OwnerGivenUp *message,
+                  void *closure_data);
+typedef void (*Amaranth__OwnerPromise_Closure)
+                 (const Amaranth__OwnerPromise *message,
+                  void *closure_data);
 typedef void (*Amaranth__Envelope_Closure)
                  (const Amaranth__Envelope *message,
                   void *closure_data);
@@ -1290,6 +1435,9 @@
 extern const ProtobufCMessageDescriptor amaranth__failure__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__metrics_request__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__stop_request__descriptor;
+extern const ProtobufCMessageDescriptor amaranth__owner_grant__descriptor;
+extern const ProtobufCMessageDescriptor amaranth__owner_given_up__descriptor;
+extern const ProtobufCMessageDescriptor amaranth__owner_promise__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/wire/packet.c
+++ b/src/wire/packet.c
@@ -177,6 +177,7 @@
   am_put_u32 (buf, b->remaining_ms);
   am_put_u32 (buf + 4, b->service_id);
   buf[8] = b->request_class;
+  am_put_u64 (buf + 9, b->not_after_ms);
 }
 
 int
@@ -187,6 +188,7 @@
   b->remaining_ms = am_get_u32 (buf);
   b->service_id = am_get_u32 (buf + 4);
   b->request_class = buf[8];
+  b->not_after_ms = am_get_u64 (buf + 9);
   return AM_OK;
 }
 
--- a/src/wire/packet.h
+++ b/src/wire/packet.h
@@ -141,12 +141,13 @@
   uint64_t received;    /* bitmap of the segments the caller has */
 };
 
-#define AM_RUN_BODY_SIZE 9
+#define AM_RUN_BODY_SIZE 17
 struct am_run_body
 {
   uint32_t remaining_ms; /* until the deadline, at the time of sending */
   uint32_t service_id;
   uint8_t request_class;
+  uint64_t not_after_ms; /* wall clock; a later start is refused; 0: none */
 };
 
 #define AM_SEGMENT_BODY_SIZE 6
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -55,7 +55,7 @@
     return AM_E_TOO_LARGE;
   if (buf[0] != AM_PEER_VERSION)
     return AM_E_VERSION;
-  if (buf[1] < AM_PEER_FORWARD || buf[1] > AM_PEER_BINDING || buf[2] || buf[3])
+  if (buf[1] < AM_PEER_FORWARD || buf[1] > AM_PEER_OWNER || buf[2] || buf[3])
     return AM_E_FORMAT;
   *body = buf + AM_PEER_HEADER_SIZE;
   *body_len = len - AM_PEER_HEADER_SIZE;
--- a/test/control_net.h
+++ b/test/control_net.h
@@ -382,6 +382,8 @@
         printf ("%8.3f %zu %.*s\n", (double)n->now / 1e6, n->acting,
                 (int)a->len, (const char *)a->data);
       break;
+    case AM_CONTROL_OWNER_CALL: /* the store never answers it */
+      break;
     case AM_CONTROL_EXIT:
       n->nodes[n->acting].exits++;
       break;
--- /dev/null
+++ b/test/test_owned.c
@@ -0,0 +1,245 @@
+/* Ticketless requests through whole forwarders.  */
+
+#include "core_fixture.h"
+
+#include "core/owned.h"
+
+#define ID 4711u
+
+static struct net net;
+static struct config config;
+
+static void
+begin (void)
+{
+  net_init (&net, 2);
+  config_init (&config, AMARANTH__BINDING__BINDING_TRACKED, 2, 2);
+  config.service.n_classes = 1;
+  net_apply_all (&net, &config);
+  net_run (&net, SECOND / 5);
+  net.kept_count = 0;
+}
+
+static int
+give_epoch (size_t node, uint64_t epoch, uint64_t until_us, bool leaving)
+{
+  Amaranth__OwnerGrant g = AMARANTH__OWNER_GRANT__INIT;
+  struct am_event e = { .type = AM_EVENT_GRANT };
+  uint8_t buf[64];
+
+  g.service_id = config.service.id;
+  g.boot_id = net.nodes[node].board.self.boot_id;
+  g.epoch = epoch;
+  g.until_us = until_us;
+  g.first = epoch == 1;
+  g.handed = epoch > 1;
+  g.leaving = leaving;
+  e.len = amaranth__owner_grant__pack (&g, buf);
+  e.data = buf;
+  return net_event (&net, node, &e);
+}
+
+static int
+give (size_t node, uint64_t until_us, bool leaving)
+{
+  return give_epoch (node, 1, until_us, leaving);
+}
+
+static void
+send_packet (size_t node, uint8_t type, uint64_t id)
+{
+  struct am_request_body head = { .deadline_ms = 3000 };
+  uint8_t body[AM_REQUEST_BODY_SIZE + 2] = { 0 };
+  struct am_packet p = { .type = type, .connection_id = id };
+
+  am_request_body_encode (&head, body);
+  p.body = body;
+  p.body_len = type == AM_PACKET_REQUEST ? sizeof body : 0;
+  net_from_caller (&net, node, &p);
+  net_pump (&net);
+}
+
+/* Takes the next outcome to the caller.  */
+static void
+expect_outcome (enum am_outcome outcome, int error)
+{
+  struct am_packet p = net_to_caller (&net, AM_PACKET_OUTCOME);
+  struct am_outcome_body o;
+
+  ck_assert_int_eq (am_outcome_body_decode (&o, p.body, p.body_len), AM_OK);
+  ck_assert_uint_eq (o.outcome, outcome);
+  ck_assert_int_eq (o.error, error);
+}
+
+/* Takes the request that node 0 handed to an upstream and answers it.  */
+static void
+answer (void)
+{
+  struct kept_action *k = net_take (&net, AM_ACTION_STREAM);
+  uint8_t body[AM_LOAD_SIZE + 4] = { 0 };
+  uint8_t buf[256];
+  struct am_event e = { .type = AM_EVENT_STREAM, .data = buf };
+  struct am_packet p;
+
+  ck_assert_ptr_nonnull (k);
+  ck_assert_uint_eq (k->node, 0);
+  ck_assert_int_eq (am_packet_decode_stream (&p, k->data, k->a.len), AM_OK);
+  p.type = AM_PACKET_ANSWER;
+  p.body = body;
+  p.body_len = sizeof body;
+  am_packet_encode (&p, buf, sizeof buf, &e.len);
+  e.service_id = k->a.service_id;
+  e.upstream_id = k->a.upstream_id;
+  ck_assert_int_eq (net_event (&net, 0, &e), AM_OK);
+}
+
+/* Guards against a request that runs without an owner or away from it, twice,
+   or whose copy gets no answer.  */
+START_TEST (runs_at_the_owner)
+{
+  begin ();
+  send_packet (0, AM_PACKET_REQUEST, ID);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  ck_assert_int_eq (give (0, net.now_us + 10 * (uint64_t)SECOND, false),
+                    AM_OK);
+  net_run (&net, 2 * (uint64_t)SECOND);
+  net_pump (&net); /* claims */
+  send_packet (1, AM_PACKET_REQUEST, ID);
+  send_packet (0, AM_PACKET_REQUEST, ID);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 1);
+  answer ();
+  net_to_caller (&net, AM_PACKET_ANSWER);
+  send_packet (1, AM_PACKET_REQUEST, ID);
+  net_to_caller (&net, AM_PACKET_ANSWER);
+  net_run (&net, 11 * (uint64_t)SECOND);
+  net.kept_count = 0;
+  send_packet (1, AM_PACKET_REQUEST, ID + 1);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against work that an upstream may begin after the lease's end.  */
+START_TEST (ends_with_the_lease)
+{
+  struct kept_action *k;
+  struct am_run_body run;
+  struct am_packet p;
+
+  begin ();
+  give (0, net.now_us + SECOND, false);
+  send_packet (0, AM_PACKET_REQUEST, ID);
+  k = net_take (&net, AM_ACTION_STREAM);
+  ck_assert_ptr_nonnull (k);
+  ck_assert_int_eq (am_packet_decode_stream (&p, k->data, k->a.len), AM_OK);
+  ck_assert_int_eq (am_run_body_decode (&run, p.body, p.body_len), AM_OK);
+  ck_assert_uint_eq (run.remaining_ms, 1000);
+  ck_assert_uint_eq (run.not_after_ms, 1000); /* the wall clock shows 0 */
+  net_finish (&net);
+}
+END_TEST
+
+/* Lets the table reach node 1 and the acknowledgements node 0.  */
+static void
+hand_over (void)
+{
+  for (int i = 0; i < 30; i++)
+    {
+      net_run (&net, SECOND / 50);
+      net_pump (&net);
+    }
+}
+
+/* Guards against a grant given up while a request runs or taken up again
+   afterwards, and against a successor that runs what is in the table or has a
+   grace although it has the whole table.  */
+START_TEST (gives_up)
+{
+  begin ();
+  give (0, net.now_us + 10 * (uint64_t)SECOND, false);
+  for (unsigned i = 0; i < 5; i++)
+    send_packet (0, AM_PACKET_REQUEST, ID + i);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 4);
+  give (0, net.now_us + 10 * (uint64_t)SECOND, true);
+  net_run (&net, SECOND / 5);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CONTROL), 0);
+  send_packet (0, AM_PACKET_REQUEST, ID + 9);
+  expect_outcome (AM_OUTCOME_NOT_RUN, AM_E_STOPPING);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      answer ();
+      net_to_caller (&net, AM_PACKET_ANSWER);
+    }
+  hand_over ();
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CONTROL), 1);
+  ck_assert_int_eq (give (0, net.now_us + 10 * (uint64_t)SECOND, false),
+                    AM_E_REVISION);
+  send_packet (1, AM_PACKET_REQUEST, ID + 10);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  ck_assert_int_eq (
+      give_epoch (1, 2, net.now_us + 10 * (uint64_t)SECOND, false), AM_OK);
+  send_packet (1, AM_PACKET_REQUEST, ID + 9);
+  expect_outcome (AM_OUTCOME_NOT_RUN, AM_E_STOPPING);
+  send_packet (1, AM_PACKET_REQUEST, ID);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_FORGOTTEN);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  send_packet (1, AM_PACKET_REQUEST, ID + 11);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a queued request that is sent after the grant was taken
+   back.  */
+START_TEST (grant_taken_back)
+{
+  begin ();
+  give (0, net.now_us + 10 * (uint64_t)SECOND, false);
+  for (unsigned i = 0; i < 5; i++)
+    send_packet (0, AM_PACKET_REQUEST, ID + i);
+  give (0, 0, false);
+  answer ();
+  net_to_caller (&net, AM_PACKET_ANSWER);
+  expect_outcome (AM_OUTCOME_NOT_RUN, AM_E_NO_OWNER);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a cancelled id that a later copy runs, and against payload of
+   opaque callers taken for a request.  */
+START_TEST (cancel_and_payload)
+{
+  begin ();
+  give (0, net.now_us + 10 * (uint64_t)SECOND, false);
+  send_packet (0, AM_PACKET_CANCEL, ID);
+  expect_outcome (AM_OUTCOME_NOT_RUN, AM_E_CANCELLED);
+  send_packet (0, AM_PACKET_REQUEST, ID);
+  expect_outcome (AM_OUTCOME_NOT_RUN, AM_E_CANCELLED);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  send_packet (0, AM_PACKET_PING, ID);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 1);
+  net_finish (&net);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("owned");
+  TCase *t = tcase_create ("owned");
+  SRunner *r;
+  int failed;
+
+  tcase_add_test (t, runs_at_the_owner);
+  tcase_add_test (t, ends_with_the_lease);
+  tcase_add_test (t, gives_up);
+  tcase_add_test (t, grant_taken_back);
+  tcase_add_test (t, cancel_and_payload);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
