Leave new requests to the successor during a planned stop

Change: between the two owners new requests get no answer, so that callers send them again; the owner tells the home VMs its successor; a successor with the whole table takes the key at once, also when its agent has just started.

--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -168,6 +168,15 @@
          && e->value.epoch == l->grant.epoch && e->value.boot_id == l->boot_id;
 }
 
+/* Returns true if the holder has released the key and this VM has its table.
+   A promise to that holder is void then.  */
+static bool
+is_handed (const struct am_lease *l, const struct am_lease_entry *e)
+{
+  return e->error == AM_OK && e->value.epoch == e->lock_index
+         && e->value.handed_to == l->self_id;
+}
+
 static bool
 may_acquire (struct am_lease *l, const struct am_lease_entry *e)
 {
@@ -178,7 +187,7 @@
   allowed = list_allows (l, e);
   if (e->locked || !allowed || l->stopping || !l->boot_id)
     return false;
-  if (is_own (l, e))
+  if (is_own (l, e) || (is_handed (l, e) && !is_granted (l)))
     return true;
   return !is_granted (l) && l->now_us >= l->promised_until_us
          && l->now_us - l->started_us >= AM_LEASE_PROMISE_US
@@ -194,7 +203,7 @@
 
   if (!l->free_since_us)
     l->free_since_us = l->now_us;
-  if (is_own (l, e) || (e->error == AM_OK && e->value.handed_to == l->self_id))
+  if (is_own (l, e) || is_handed (l, e))
     return true;
   return l->now_us - l->free_since_us >= wait_us;
 }
--- a/src/core/owned.c
+++ b/src/core/owned.c
@@ -9,7 +9,7 @@
 #include "core/request_table.h"
 #include "wire/bytes.h"
 
-#define CLAIM_SIZE 9
+#define CLAIM_SIZE 13
 #define CLAIM_INTERVAL_US 1000000u
 
 static struct am_owned *
@@ -159,6 +159,19 @@
                AM_E_FORGOTTEN);
 }
 
+/* During a planned stop a new request is not answered: the caller sends it
+   again, and the successor runs it.  */
+static bool
+is_between_owners (const struct am_board *b, const struct am_owned *o,
+                   const struct am_owner_key *key)
+{
+  if (b->now_us < o->gate.until_us)
+    return o->leaving && !am_owner_knows (&o->gate, key);
+  if (b->now_us < o->awaited_until_us || o->to.epoch)
+    return true;
+  return b->stopping && b->via_peer && o->left_epoch;
+}
+
 static int
 judge (struct am_board *b, struct am_owned *o, struct am_request_arrival *a,
        const struct am_packet *p, const uint8_t *data, size_t len)
@@ -166,6 +179,8 @@
   struct am_owner_key key = key_of (a->caller, a->connection_id);
   struct am_owner_id *id;
 
+  if (is_between_owners (b, o, &key))
+    return AM_E_STOPPING;
   switch (am_owner_arrive (&o->gate, b->now_us, &key, &id))
     {
     case AM_OWNER_PASS:
@@ -178,12 +193,9 @@
     case AM_OWNER_RUN:
       break;
     }
-  if (p->type == AM_PACKET_REQUEST && !o->leaving && !b->stopping
-      && p->sequence <= UINT8_MAX)
+  if (p->type == AM_PACKET_REQUEST && p->sequence <= UINT8_MAX)
     return run (b, a->service, o, id, a, (uint8_t)p->sequence);
-  id->error = p->type == AM_PACKET_CANCEL ? AM_E_CANCELLED
-              : p->sequence > UINT8_MAX   ? AM_E_FIELD_VALUE
-                                          : AM_E_STOPPING;
+  id->error = p->type == AM_PACKET_CANCEL ? AM_E_CANCELLED : AM_E_FIELD_VALUE;
   id->outcome = AM_OWNER_NOT_RUN;
   return tell (b, a->service, a->caller, p, AM_OUTCOME_NOT_RUN, id->error);
 }
@@ -284,8 +296,7 @@
 }
 
 static int
-take_claim (struct am_owned *o, uint32_t sender_id, const uint8_t *body,
-            size_t len)
+take_claim (struct am_owned *o, const uint8_t *body, size_t len)
 {
   uint64_t epoch;
 
@@ -295,7 +306,7 @@
   if (epoch < o->owner_epoch)
     return AM_OK;
   o->owner_epoch = epoch;
-  o->owner_id = sender_id;
+  o->owner_id = am_get_u32 (body + 9);
   return AM_OK;
 }
 
@@ -313,7 +324,7 @@
   switch (body[0])
     {
     case AM_OWNED_CLAIM:
-      return take_claim (o, sender_id, body, len);
+      return take_claim (o, body, len);
     case AM_OWNED_TABLE:
       return am_owned_table_take (b, o, sender_id, body, len);
     case AM_OWNED_ACK:
@@ -323,22 +334,32 @@
     }
 }
 
+/* Tells the home VMs that OWNER_ID is the owner.  */
 static void
-claim (struct am_board *b, struct am_owned *o)
+send_claims (struct am_board *b, const struct am_owned *o, uint32_t owner_id)
 {
   struct am_service *s = am_board_service (b, o->service_id);
   uint8_t body[CLAIM_SIZE] = { AM_OWNED_CLAIM };
 
-  if (!s || b->now_us >= o->gate.until_us || b->now_us < o->claim_us)
+  if (!s)
     return;
-  o->claim_us = b->now_us + CLAIM_INTERVAL_US;
   am_put_u64 (body + 1, o->gate.epoch);
+  am_put_u32 (body + 9, owner_id);
   for (size_t i = 0; i < s->home_count; i++)
     if (s->home_set[i]->id != b->self.id)
       am_board_send_peer (b, s->home_set[i], AM_PEER_OWNER, s->id, body,
                           sizeof body);
 }
 
+static void
+claim (struct am_board *b, struct am_owned *o)
+{
+  if (b->now_us >= o->gate.until_us || b->now_us < o->claim_us)
+    return;
+  o->claim_us = b->now_us + CLAIM_INTERVAL_US;
+  send_claims (b, o, b->self.id);
+}
+
 static bool
 has_open (const struct am_owned *o)
 {
@@ -362,6 +383,12 @@
   am_board_decision (b, 0, "event=given_up service=%u epoch=%llu to=%u",
                      o->service_id, (unsigned long long)o->gate.epoch,
                      handed_to);
+  if (handed_to)
+    {
+      o->owner_id = handed_to;
+      o->owner_epoch = o->gate.epoch;
+      send_claims (b, o, handed_to);
+    }
   g.handed_to = handed_to;
   g.service_id = o->service_id;
   g.epoch = o->gate.epoch;
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -14,6 +14,11 @@
 
 struct am_request;
 
+/* After a hand-over the successor has the key within its poll of 2 s and a few
+   calls of the store.  Until then it answers nothing, so that the callers send
+   their requests again.  */
+#define AM_OWNED_AWAIT_US 5000000u
+
 /* Requests of one service.  Kept when the service is dropped, because the
    memory of ids must outlast it.  */
 struct am_owned
@@ -21,6 +26,7 @@
   UT_hash_handle hh;
   uint32_t service_id;
   struct am_owner gate;
+  uint64_t awaited_until_us;  /* has a whole table and waits for the grant */
   uint64_t left_epoch;        /* given up; its grants do not count any more */
   bool leaving;               /* takes nothing new, finishes, gives up */
   uint64_t claim_us;          /* when home VMs are told next */
--- a/src/core/owned_table.c
+++ b/src/core/owned_table.c
@@ -195,8 +195,11 @@
   if (err)
     return err;
   if (mark (p, index) && p->count == total)
-    am_owner_imported (&o->gate, b->now_us, epoch,
-                       am_get_u32 (body + 13) * (uint64_t)1000);
+    {
+      am_owner_imported (&o->gate, b->now_us, epoch,
+                         am_get_u32 (body + 13) * (uint64_t)1000);
+      o->awaited_until_us = b->now_us + AM_OWNED_AWAIT_US;
+    }
   acknowledge (b, o, sender_id, body);
   return AM_OK;
 }
--- a/src/core/owned_table.h
+++ b/src/core/owned_table.h
@@ -22,7 +22,7 @@
 
 enum am_owned_message
 {
-  AM_OWNED_CLAIM = 1, /* kind (1), epoch (8) */
+  AM_OWNED_CLAIM = 1, /* kind (1), epoch (8), id of the owner (4) */
   AM_OWNED_TABLE = 2,
   AM_OWNED_ACK = 3,
 };
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -83,7 +83,7 @@
 }
 
 static struct am_owner_id *
-find (struct am_owner *o, const struct am_owner_key *key)
+find (const struct am_owner *o, const struct am_owner_key *key)
 {
   struct am_owner_id *i;
 
@@ -126,6 +126,12 @@
   return *id ? AM_OWNER_RUN : AM_OWNER_UNKNOWN;
 }
 
+bool
+am_owner_knows (const struct am_owner *o, const struct am_owner_key *key)
+{
+  return find (o, key) != NULL;
+}
+
 uint64_t
 am_owner_not_after (const struct am_owner *o, uint64_t now_us)
 {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -91,6 +91,9 @@
                                        const struct am_owner_key *key,
                                        struct am_owner_id **id);
 
+/* Returns true if the id of KEY is remembered.  */
+bool am_owner_knows (const struct am_owner *o, const struct am_owner_key *key);
+
 /* Returns the time before which an upstream may begin work sent now, or 0 if
    nothing may be sent.  */
 uint64_t am_owner_not_after (const struct am_owner *o, uint64_t now_us);
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -229,6 +229,13 @@
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
   ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
 
+  reach (AM_LEASE_CHECKING);
+  lease.started_us = NOW_US; /* the promise was to the owner that released */
+  e.value.handed_to = 1;
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_CREATING);
+  e.value.handed_to = 0;
+
   reach (AM_LEASE_CHECKING);
   lease.highest_epoch = 5;
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
