End a value of the store that cannot be decoded with a NUL

Cause: the sanitizer build of test_store_client read past a value whose base64 is malformed: such an entry kept a buffer without its NUL. Change: the value is empty then.

--- a/src/io/store_client.c
+++ b/src/io/store_client.c
@@ -120,7 +120,11 @@
     return AM_E_MEMORY;
   if (sodium_base642bin (e->value, size - 1, base64, len, NULL, &e->value_len,
                          NULL, sodium_base64_VARIANT_ORIGINAL))
-    return AM_E_FORMAT;
+    {
+      e->value_len = 0;
+      e->value[0] = '\0';
+      return AM_E_FORMAT;
+    }
   e->value[e->value_len] = '\0';
   return AM_OK;
 }
