Leave a handed-over key to the member that has the table

Cause: in the integration run another home VM acquired the key before the successor that had the table, and answered ids not seen with UNKNOWN for 12 s. Change: the others wait 4 s for the member that the value names.

--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -205,6 +205,8 @@
     l->free_since_us = l->now_us;
   if (is_own (l, e) || is_handed (l, e))
     return true;
+  if (e->error == AM_OK && e->value.handed_to)
+    wait_us += AM_LEASE_HANDED_US;
   return l->now_us - l->free_since_us >= wait_us;
 }
 
--- a/src/core/control_owner.h
+++ b/src/core/control_owner.h
@@ -58,6 +58,10 @@
    this time more.  */
 #define AM_LEASE_RANK_US 500000u
 #define AM_LEASE_POLL_US 2000000u
+
+/* How long the others leave a key to the member that has the whole table: two
+   of its polls.  */
+#define AM_LEASE_HANDED_US 4000000u
 #define AM_LEASE_POLL_FAR_US 30000000u
 
 #define AM_LEASE_ELIGIBLE_MAX 7
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -229,6 +229,14 @@
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
   ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
 
+  reach (AM_LEASE_CHECKING);
+  e.value.handed_to = 3; /* which takes it first */
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+  am_lease_tick (&lease, NOW_US + AM_LEASE_HANDED_US);
+  am_lease_read_done (&lease, lease.now_us, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_CREATING);
+
   reach (AM_LEASE_CHECKING);
   lease.started_us = NOW_US; /* the promise was to the owner that released */
   e.value.handed_to = 1;
