--- a/src/core/board.h
+++ b/src/core/board.h
@@ -37,6 +37,7 @@
 struct am_lending;
 struct am_opens;
 struct am_ticket_cache;
+struct am_owned;
 
 /* ---- actions ------------------------------------------------------ */
 
@@ -49,6 +50,7 @@
   AM_ACTION_PEER,     /* datagram to a peer forwarder's peer port */
   AM_ACTION_LOG,      /* decision line: data is text without a newline */
   AM_ACTION_EXIT,     /* graceful stop is complete */
+  AM_ACTION_CONTROL,  /* packed Amaranth__Envelope to the agent */
 };
 
 struct am_action
@@ -281,7 +283,8 @@
 {
   /* Owner: dispatch.  */
   struct am_self self;
-  uint64_t now_us; /* time of the present event, monotonic */
+  uint64_t now_us;  /* time of the present event, monotonic */
+  uint64_t wall_ms; /* the same on the wall clock; 0: unknown */
   struct am_rng rng;
   struct am_sink sink;
   const uint8_t *peer_key; /* AM_PEER_KEY_SIZE bytes, not owned */
@@ -311,6 +314,7 @@
   struct am_requests *requests; /* owner: request */
   struct am_lending *lending;   /* owner: credit */
   struct am_opens *opens;       /* owner: opening */
+  struct am_owned *owned;       /* owner: owned; by service id */
 };
 
 /* Sets up an empty board.  */
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -14,6 +14,8 @@
 #include "core/control.h"
 #include "record/record.h"
 
+struct am_owners;
+
 #define AM_SEEDS_MAX 64
 
 /* Peers that an announcement or an urgent update goes to at once.  */
@@ -43,6 +45,7 @@
   X (syncs, "exchanges of the whole digest begun")                    \
   X (store_reads, "reads and watches of the store begun")             \
   X (store_failures, "reads and watches that failed")                 \
+  X (owner_calls, "store calls for owners of requests")               \
   X (snapshots, "snapshots sent to the forwarder")                    \
   X (snapshots_held, "snapshots held back as older or empty")         \
   X (ejections, "upstreams ejected for all")                          \
@@ -317,6 +320,7 @@
   struct am_readers readers;
   struct am_verdicts verdicts;
   struct am_link link;
+  struct am_owners *owners; /* owner: owners; by service id */
 };
 
 /* Copies the string FROM to the array TO of SIZE bytes, cut if longer.  */
--- a/src/record/read_service.c
+++ b/src/record/read_service.c
@@ -129,9 +129,9 @@
     return err;
   c->kind = (Amaranth__RequestKind)kind;
   if (c->kind == AMARANTH__REQUEST_KIND__ONE_TIME
-      && s->binding != AMARANTH__BINDING__BINDING_TICKET)
+      && s->binding == AMARANTH__BINDING__BINDING_HASH)
     return am_object_fail (o, AM_E_FIELD_VALUE, field,
-                           "one_time needs binding: ticket");
+                           "one_time needs binding: ticket or tracked");
   return am_object_uint (o, "deadline_ms",
                          (struct am_range){ 1, DAY_MS, DEADLINE_DEFAULT_MS },
                          &c->deadline_ms);
