--- a/src/core/control_owners.c
+++ b/src/core/control_owners.c
@@ -257,8 +257,9 @@
     return;
   o->logged = o->lease.state;
   if (o->logged >= AM_LEASE_HOLDING || o->lease.value.epoch)
-    am_control_log (c, AM_LOG_INFO, "owner service=%s state=%s epoch=%llu",
-                    o->name, am_lease_state_name (o->lease.state),
+    am_control_log (c, AM_LOG_INFO,
+                    "event=owner service=%s state=%s epoch=%llu", o->name,
+                    am_lease_state_name (o->lease.state),
                     (unsigned long long)o->lease.value.epoch);
 }
 
