Use one batch of datagrams and one way to send RESET

Cause: the fabric stand-in had a batch of its own beside the forwarder's, and opening.c built the same RESET as forward.c (found by a search for duplicates). Change: am_udp_batch serves both; am_send_reset serves both.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -70,8 +70,8 @@
 }
 
 void
-am_reset (struct am_board *b, const struct am_service *s,
-          struct am_address caller, uint64_t connection_id, int error)
+am_send_reset (struct am_board *b, const struct am_service *s,
+               struct am_address caller, uint64_t connection_id, int error)
 {
   uint8_t body[AM_REASON_BODY_SIZE];
   struct am_reason_body reason = { .error = error };
@@ -82,12 +82,19 @@
 
   am_reason_body_encode (&reason, body);
   b->counters.resets++;
+  am_board_send_caller (b, s->address, caller, &p);
+}
+
+void
+am_reset (struct am_board *b, const struct am_service *s,
+          struct am_address caller, uint64_t connection_id, int error)
+{
   am_board_decision (
       b, connection_id,
       "event=reset flow=%llu service=%s reason=%s revision=%llu",
       (unsigned long long)connection_id, s->name, am_error_name (error),
       (unsigned long long)s->revision);
-  am_board_send_caller (b, s->address, caller, &p);
+  am_send_reset (b, s, caller, connection_id, error);
 }
 
 static void
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -30,7 +30,12 @@
 struct am_member *am_forward_issuer (struct am_board *b,
                                      const struct am_ticket *t);
 
-/* Sends RESET with reason ERROR to CALLER.  */
+/* Sends RESET with reason ERROR to CALLER, without a decision line.  */
+void am_send_reset (struct am_board *b, const struct am_service *s,
+                    struct am_address caller, uint64_t connection_id,
+                    int error);
+
+/* As am_send_reset, with its decision line.  */
 void am_reset (struct am_board *b, const struct am_service *s,
                struct am_address caller, uint64_t connection_id, int error);
 
--- a/src/core/opening.c
+++ b/src/core/opening.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "core/choice.h"
 #include "core/flow_count.h"
+#include "core/forward.h"
 #include "core/key_ring.h"
 
 /* Burst of the token bucket, as a multiple of its rate.  */
@@ -189,22 +190,13 @@
 refuse (struct am_board *b, struct am_service *s, struct am_address caller,
         uint64_t connection_id, int error)
 {
-  uint8_t body[AM_REASON_BODY_SIZE];
-  struct am_reason_body reason = { .error = error };
-  struct am_packet p = { .type = AM_PACKET_RESET,
-                         .connection_id = connection_id,
-                         .body = body,
-                         .body_len = sizeof body };
-
-  am_reason_body_encode (&reason, body);
   b->counters.opens_refused++;
-  b->counters.resets++;
   am_board_decision (
       b, connection_id,
       "event=open_refused flow=%llu service=%s reason=%s revision=%llu",
       (unsigned long long)connection_id, s->name, am_error_name (error),
       (unsigned long long)s->revision);
-  am_board_send_caller (b, s->address, caller, &p);
+  am_send_reset (b, s, caller, connection_id, error);
 }
 
 static void
--- a/src/io/udp_batch.c
+++ b/src/io/udp_batch.c
@@ -25,24 +25,31 @@
   return AM_OK;
 }
 
-int
-am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
-                  const void *data, size_t len)
+uint8_t *
+am_udp_batch_room (struct am_udp_batch *b, struct am_address to, size_t len)
 {
-  struct sockaddr_in *sa;
+  struct sockaddr_in sa = { .sin_family = AF_INET,
+                            .sin_port = htons (to.port),
+                            .sin_addr = { htonl (to.ip) } };
 
   if (len > AM_UDP_BATCH_DATAGRAM)
-    return AM_E_TOO_LARGE;
+    return NULL;
   if (b->count == AM_UDP_BATCH)
     am_udp_batch_flush (b);
-  sa = &b->to[b->count];
-  memset (sa, 0, sizeof *sa);
-  sa->sin_family = AF_INET;
-  sa->sin_port = htons (to.port);
-  sa->sin_addr.s_addr = htonl (to.ip);
-  memcpy (b->data[b->count], data, len);
+  b->to[b->count] = sa;
   b->sizes[b->count] = len;
-  b->count++;
+  return b->data[b->count++];
+}
+
+int
+am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
+                  const void *data, size_t len)
+{
+  uint8_t *room = am_udp_batch_room (b, to, len);
+
+  if (!room)
+    return AM_E_TOO_LARGE;
+  memcpy (room, data, len);
   return AM_OK;
 }
 
--- a/src/io/udp_batch.h
+++ b/src/io/udp_batch.h
@@ -15,7 +15,7 @@
 #include "io/udp_port.h"
 
 #define AM_UDP_BATCH 64
-#define AM_UDP_BATCH_DATAGRAM 1536
+#define AM_UDP_BATCH_DATAGRAM 2048
 
 struct am_udp_batch
 {
@@ -32,6 +32,11 @@
 int am_udp_batch_init (struct am_udp_batch *b, uv_loop_t *loop,
                        struct am_udp_port *port);
 
+/* Returns room for one datagram of LEN bytes to TO, which the caller fills at
+   once; a full batch is sent first.  NULL: LEN is too large.  */
+uint8_t *am_udp_batch_room (struct am_udp_batch *b, struct am_address to,
+                            size_t len);
+
 /* Adds one datagram (copied); a full batch is sent first.  Returns AM_OK or
    AM_E_TOO_LARGE.  */
 int am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -7,10 +7,10 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "io/udp_batch.h"
 #include "base/hash.h"
 #include "base/rng.h"
 #include "io/program.h"
-#include "standin_batch.h"
 #include "standin_control.h"
 #include "standin_program.h"
 #include "wire/proxy_header.h"
@@ -25,7 +25,7 @@
   struct fabric *fabric;
   struct am_address address;
   struct am_udp_port port;
-  struct standin_batch batch;
+  struct am_udp_batch batch;
 };
 
 struct forwarder
@@ -42,7 +42,7 @@
   struct am_address return_address;
   struct am_address control_address;
   struct am_udp_port port;
-  struct standin_batch batch; /* towards the forwarders */
+  struct am_udp_batch batch; /* towards the forwarders */
   struct service *services;
   size_t service_count;
   struct forwarder forwarders[FORWARDERS_MAX];
@@ -98,7 +98,7 @@
   uint8_t *room;
 
   room
-      = to ? standin_batch_add (&f->batch, to->via, AM_PROXY_HEADER_SIZE + len)
+      = to ? am_udp_batch_room (&f->batch, to->via, AM_PROXY_HEADER_SIZE + len)
            : NULL;
   if (!room)
     {
@@ -137,7 +137,7 @@
       return;
     }
   s = find_service (f, h.source);
-  room = s ? standin_batch_add (&s->batch, h.destination, len - used) : NULL;
+  room = s ? am_udp_batch_room (&s->batch, h.destination, len - used) : NULL;
   if (!room)
     {
       f->dropped_down++;
@@ -192,10 +192,10 @@
 {
   json_t *forwarders = json_object ();
   char text[AM_ADDRESS_TEXT_SIZE];
-  uint64_t refused = f->batch.dropped;
+  uint64_t refused = f->port.send_drops;
 
   for (size_t i = 0; i < f->service_count; i++)
-    refused += f->services[i].batch.dropped;
+    refused += f->services[i].port.send_drops;
   for (size_t i = 0; i < f->forwarder_count; i++)
     json_object_set_new (forwarders,
                          am_address_format (f->forwarders[i].address, text),
@@ -329,7 +329,7 @@
     err = am_udp_open (&f->port, loop, f->return_address, on_return, f);
   if (err)
     return err;
-  standin_batch_init (&f->batch, loop, &f->port);
+  (void)am_udp_batch_init (&f->batch, loop, &f->port);
   for (size_t i = 0; i < f->service_count; i++)
     {
       struct service *s = &f->services[i];
@@ -338,7 +338,7 @@
       err = am_udp_open (&s->port, loop, s->address, on_caller, s);
       if (err)
         return err;
-      standin_batch_init (&s->batch, loop, &s->port);
+      (void)am_udp_batch_init (&s->batch, loop, &s->port);
     }
   return standin_control_open (&f->control, loop, f->control_address,
                                on_command, f);
