Take seeds from the platform's list of entry VMs

Cause: nothing read the list. An agent all of whose seeds have been replaced knew no member until another one happened to find it. Change: an agent without a live member asks for the list every 10 s and adds up to 16 of its entries to the seeds of its settings. The list stays a hint: it changes no member's state. Conclusion: membership has a second way in, at one call each 10 s of a lone agent.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -7,6 +7,11 @@
 
 #include "base/error.h"
 
+#define SEEDS_MAX 64
+
+/* How often a lone agent asks the platform for the list of entry VMs.  */
+#define LIST_INTERVAL_US 10000000u
+
 #define RECONNECT_MS 250
 #define TICK_MS (AM_CONTROL_TICK_US / 1000u)
 
@@ -194,28 +199,64 @@
   am_agent_expire_streams (a, am_agent_now (a));
 }
 
-static void
-on_reconnect (uv_timer_t *timer)
-{
-  struct am_agent *a = timer->data;
-
-  if (!a->forwarder)
-    am_agent_connect_forwarder (a);
-}
-
 static void
 set_seeds (struct am_agent *a)
 {
-  struct am_address seeds[64];
+  struct am_address seeds[SEEDS_MAX];
   struct am_control_event e = { .type = AM_CONTROL_SEEDS, .seeds = seeds };
+  unsigned named = a->settings->peers.seeds_count;
 
-  for (unsigned i = 0; i < a->settings->peers.seeds_count && i < 64; i++)
+  for (unsigned i = 0; i < named && e.seed_count < SEEDS_MAX; i++)
     if (am_address_parse (&seeds[e.seed_count], a->settings->peers.seeds[i])
         == AM_OK)
       e.seed_count++;
+  for (size_t i = 0; i < a->listed_count && e.seed_count < SEEDS_MAX; i++)
+    seeds[e.seed_count++] = a->listed[i];
   am_agent_event (a, &e);
 }
 
+/* The platform's list of entry VMs lags, so it only adds seeds.  */
+static void
+on_vms (void *userdata, const struct am_store_result *result)
+{
+  struct am_agent *a = userdata;
+  size_t n = 0;
+
+  if (result->error)
+    return;
+  for (size_t i = 0; i < result->entry_count && n < AM_LISTED_MAX; i++)
+    n += am_address_parse (&a->listed[n], (char *)result->entries[i].value)
+         == AM_OK;
+  a->listed_count = n;
+  am_log_line (&a->log, AM_LOG_INFO, "event=vm_list count=%zu", n);
+  set_seeds (a);
+}
+
+/* Without a live member the seeds of the settings may all be gone: VMs are
+   replaced at any time.  */
+static void
+ask_for_vms (struct am_agent *a)
+{
+  struct am_control_view v;
+  uint64_t now_us = am_agent_now (a);
+
+  am_control_look (a->control, &v);
+  if (v.members_alive > 0 || now_us < a->list_next_us)
+    return;
+  a->list_next_us = now_us + LIST_INTERVAL_US;
+  (void)am_store_vms (a->store, on_vms, a);
+}
+
+static void
+on_reconnect (uv_timer_t *timer)
+{
+  struct am_agent *a = timer->data;
+
+  if (!a->forwarder)
+    am_agent_connect_forwarder (a);
+  ask_for_vms (a);
+}
+
 /* Takes the log level and the seeds from the settings file again; nothing
    else may change while the agent runs.  */
 static void
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -27,6 +27,9 @@
   uint64_t explain_id;  /* about this id */
 };
 
+/* Entry VMs of the platform's list that are kept as seeds.  */
+#define AM_LISTED_MAX 16
+
 struct am_agent
 {
   uv_loop_t loop;
@@ -46,6 +49,12 @@
   struct am_stream *forwarder; /* NULL: not connected */
   bool forwarder_up;
   struct am_store_client *store;
+
+  /* Gossip ports from the platform's list of entry VMs.  */
+  struct am_address listed[AM_LISTED_MAX];
+  size_t listed_count;
+  uint64_t list_next_us;
+
   struct am_list owner_calls; /* that wait for the store */
   bool stopping;
   uint64_t sent_bytes; /* with frame headers; gossip, peers, forwarder */
--- a/src/io/store_client.c
+++ b/src/io/store_client.c
@@ -22,6 +22,7 @@
 enum call_kind
 {
   CALL_READ,
+  CALL_VMS,     /* list of entry VMs */
   CALL_WRITE,   /* answers true or false */
   CALL_CREATE,  /* of a session; answers its id */
   CALL_SESSION, /* renew or destroy */
@@ -151,6 +152,26 @@
   return decode_value (e, json_string_value (value));
 }
 
+static int
+decode_vm (struct am_store_entry *e, json_t *o)
+{
+  const char *name = json_string_value (json_object_get (o, "Node"));
+  const char *ip = json_string_value (json_object_get (o, "ServiceAddress"));
+  json_int_t port = json_integer_value (json_object_get (o, "ServicePort"));
+  char *address;
+  int n;
+
+  if (!name || !ip || port <= 0 || port > UINT16_MAX)
+    return AM_E_FORMAT;
+  e->key = strdup (name);
+  n = asprintf (&address, "%s:%u", ip, (unsigned)port);
+  if (!e->key || n < 0)
+    return AM_E_MEMORY;
+  e->value = (uint8_t *)address;
+  e->value_len = (size_t)n;
+  return AM_OK;
+}
+
 static int
 decode_list (struct call *c, struct am_store_result *r)
 {
@@ -166,7 +187,8 @@
   for (size_t i = 0; i < n && !err; i++)
     {
       r->entry_count++;
-      err = decode_entry (&r->entries[i], json_array_get (root, i));
+      err = (c->kind == CALL_VMS ? decode_vm : decode_entry) (
+          &r->entries[i], json_array_get (root, i));
     }
   json_decref (root);
   return err;
@@ -224,8 +246,9 @@
 static int
 transfer_error (const struct call *c, CURLcode code)
 {
-  if (c->kind == CALL_READ || code == CURLE_COULDNT_CONNECT
-      || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
+  if (c->kind == CALL_READ || c->kind == CALL_VMS
+      || code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST
+      || code == CURLE_URL_MALFORMAT)
     return AM_E_STORE;
   return AM_E_STORE_UNSURE;
 }
@@ -242,7 +265,7 @@
     r->error = transfer_error (c, code);
   else if (c->kind == CALL_WRITE)
     r->error = write_result (c, status);
-  else if (c->kind != CALL_READ)
+  else if (c->kind != CALL_READ && c->kind != CALL_VMS)
     r->error = session_result (c, status, r);
   else if (status == HTTP_NOT_FOUND)
     r->error = AM_E_NOT_FOUND;
@@ -605,6 +628,24 @@
   return start (s, read_call (s->url, s->timeout_ms, prefix), done, userdata);
 }
 
+int
+am_store_vms (struct am_store_client *s, am_store_done done, void *userdata)
+{
+  char full[URL_SIZE];
+  struct call *c = NULL;
+  int n
+      = snprintf (full, sizeof full, "%s/v1/catalog/service/entry-vm", s->url);
+
+  if (n >= 0 && (size_t)n < sizeof full)
+    c = call_new (s->timeout_ms);
+  if (c)
+    {
+      c->kind = CALL_VMS;
+      curl_easy_setopt (c->easy, CURLOPT_URL, full);
+    }
+  return start (s, c, done, userdata);
+}
+
 int
 am_store_watch (struct am_store_client *s, const char *prefix, uint64_t index,
                 uint32_t wait_ms, am_store_done done, void *userdata)
--- a/src/io/store_client.h
+++ b/src/io/store_client.h
@@ -68,6 +68,12 @@
                     uint64_t index, uint32_t wait_ms, am_store_done done,
                     void *userdata);
 
+/* Reads the platform's list of entry VMs, which lags.  An entry's key is the
+   VM's name, its value "IP:PORT" of its gossip port.  DONE is called once, on
+   the loop's thread.  Returns AM_OK or AM_E_MEMORY.  */
+int am_store_vms (struct am_store_client *c, am_store_done done,
+                  void *userdata);
+
 /* Writes VALUE to KEY if its modify index is still CAS (0: it must not
    exist).  Returns AM_OK or AM_E_MEMORY.  */
 int am_store_write (struct am_store_client *c, const char *key,
