Let an upstream shed in the test of decision lines

Cause: integration_decisions failed once: no request_refused line. The only refusals came from an upstream told to drain, and forwarders that had probed it since sent it nothing. Change: another upstream sheds every request; the list of required lines is unchanged.

--- a/test/integration/decisions.py
+++ b/test/integration/decisions.py
@@ -164,6 +164,7 @@
     check_explain(t, c)
     c.leave("dispatch", "dispatch-1")
     c.upstream("drain dispatch-2")
+    c.upstream("shed dispatch-4 100")
     c.store_fault(snapshot="old")
     c.apply("dispatch", weights={"dispatch-3": 55})
     c.wait_in_force()
