--- a/test/core_fixture.h
+++ b/test/core_fixture.h
@@ -48,6 +48,9 @@
   unsigned deaf;    /* bit mask of nodes that no peer datagram reaches */
   bool keep_probes; /* otherwise probes are left out */
   struct kept_action last;
+  const char *watched; /* start of decision lines to count, or NULL */
+  size_t lines;        /* of them */
+  char line[512];      /* the last of them */
 };
 
 /* A snapshot that a test may change before it is applied.  */
@@ -81,12 +84,25 @@
          && p.type == AM_PACKET_PROBE;
 }
 
+static void
+watch (struct net *n, const struct am_action *a)
+{
+  if (!n->watched || a->len < strlen (n->watched)
+      || memcmp (a->data, n->watched, strlen (n->watched)) != 0)
+    return;
+  n->lines++;
+  snprintf (n->line, sizeof n->line, "%.*s", (int)a->len,
+            (const char *)a->data);
+}
+
 static void
 keep (void *userdata, const struct am_action *a)
 {
   struct net *n = userdata;
   struct kept_action *k = &n->kept[n->kept_count];
 
+  if (a->type == AM_ACTION_LOG)
+    watch (n, a);
   if (a->type == AM_ACTION_LOG || (is_probe (a) && !n->keep_probes))
     return;
   ck_assert_uint_lt (n->kept_count, ACTIONS_MAX);
--- a/test/test_request_states.c
+++ b/test/test_request_states.c
@@ -14,6 +14,7 @@
   char told;   /* A, N, U of the last reply; '-': none */
   char stream; /* R, C: last packet to the upstream; '-': none */
   size_t segments;
+  unsigned retried; /* lines of this decision */
 };
 
 enum event
@@ -30,12 +31,17 @@
   EVENTS
 };
 
+#define RETRIED "event=request_retried "
+
 static void
 emit (void *userdata, const struct am_action *a)
 {
   struct issuer *x = userdata;
   struct am_packet p;
 
+  if (a->type == AM_ACTION_LOG)
+    x->retried += a->len > strlen (RETRIED)
+                  && memcmp (a->data, RETRIED, strlen (RETRIED)) == 0;
   if (a->type == AM_ACTION_STREAM
       && !am_packet_decode_stream (&p, a->data, a->len))
     x->stream = p.type == AM_PACKET_REQUEST ? 'R' : 'C';
@@ -347,6 +353,22 @@
 }
 END_TEST
 
+/* Guards against a request that is run again without a line that says so.  */
+START_TEST (test_retry_is_logged)
+{
+  struct issuer x;
+
+  issuer_init (&x, false);
+  x.board.log_decisions = true;
+  apply (&x, REQUEST);
+  ck_assert_uint_eq (x.retried, 0);
+  apply (&x, LOST);
+  ck_assert_uint_eq (x.retried, 1);
+  ck_assert_uint_eq (x.board.counters.retries, 1);
+  board_free (&x.board);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -356,7 +378,8 @@
                                  test_answer_cache_is_bounded,
                                  test_serials,
                                  test_stop_waits,
-                                 test_queue_wait };
+                                 test_queue_wait,
+                                 test_retry_is_logged };
 
   return RUN_TESTS ("request_states", tests);
 }
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -273,11 +273,17 @@
   verdict.ejected = true;
   config.snapshot.verdicts = verdicts;
   config.snapshot.n_verdicts = 1;
+  net.watched = "event=ejection ";
   net_apply_all (&net, &config);
+  net_apply_all (&net, &config);
+  ck_assert_uint_eq (net.lines, 1);
+  ck_assert_ptr_nonnull (strstr (net.line, " ejected=1 "));
   ck_assert (am_service_upstream (service (), 501)->health.ejected);
   ck_assert (!am_service_upstream (service (), 500)->health.ejected);
   config.snapshot.n_verdicts = 0;
   net_apply_all (&net, &config);
+  ck_assert_uint_eq (net.lines, 2);
+  ck_assert_ptr_nonnull (strstr (net.line, " ejected=0 "));
   ck_assert (!am_service_upstream (service (), 501)->health.ejected);
   net_finish (&net);
 }
