Share the options of the two programs of an entry VM

Cause: main.c of agent and forwarder held the same options, checks of the settings and faults of the peer key, with different help texts; three entries of the binding tables stood twice. One error line of the agent had no event= field, against the form of all other lines.

Change: io/entry_program.c has the options (an argp child) and loads settings and key; a fault of the key now names what is allowed in the agent, too. binding.c has the entries that do nothing. The line is event=owner_call_failed.

Conclusion: one place to change an option of both programs.

--- a/src/agent/owners.c
+++ b/src/agent/owners.c
@@ -120,7 +120,8 @@
   am_list_push_back (&a->owner_calls, &o->node);
   if (start_call (o, call))
     {
-      am_log_line (&a->log, AM_LOG_ERROR, "owner call failed key=%s", o->key);
+      am_log_line (&a->log, AM_LOG_ERROR, "event=owner_call_failed key=%s",
+                   o->key);
       end_call (o);
     }
 }
--- a/src/core/binding.h
+++ b/src/core/binding.h
@@ -48,6 +48,13 @@
 extern const struct am_binding_ops am_binding_tracked;
 extern const struct am_binding_ops am_binding_hash;
 
+/* Entries of a strategy that has no peer messages (a message is counted as
+   malformed; returns AM_E_FORMAT) or nothing to do.  */
+int am_binding_no_peer_message (struct am_board *b, struct am_service *s,
+                                uint32_t sender_id, const uint8_t *body,
+                                size_t len);
+void am_binding_no_change (struct am_board *b, struct am_service *s);
+
 /* Returns the table of BINDING; ticket for a value outside the list.  */
 const struct am_binding_ops *am_binding_strategy (Amaranth__Binding binding);
 
--- a/src/core/hash_binding.c
+++ b/src/core/hash_binding.c
@@ -72,25 +72,6 @@
   return AM_OK;
 }
 
-static int
-hash_from_peer (struct am_board *b, struct am_service *s, uint32_t sender_id,
-                const uint8_t *body, size_t len)
-{
-  (void)s;
-  (void)sender_id;
-  (void)body;
-  (void)len;
-  b->counters.malformed++;
-  return AM_E_FORMAT;
-}
-
-static void
-hash_nothing (struct am_board *b, struct am_service *s)
-{
-  (void)b;
-  (void)s;
-}
-
 static void
 hash_upstream_gone (struct am_board *b, struct am_service *s,
                     struct am_upstream *u)
@@ -114,9 +95,9 @@
   .finish = hash_finish,
   .from_caller = hash_from_caller,
   .from_upstream = hash_from_upstream,
-  .from_peer = hash_from_peer,
-  .changed = hash_nothing,
+  .from_peer = am_binding_no_peer_message,
+  .changed = am_binding_no_change,
   .upstream_gone = hash_upstream_gone,
-  .tick = hash_nothing,
+  .tick = am_binding_no_change,
   .may_exit = hash_may_exit,
 };
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -477,25 +477,6 @@
     }
 }
 
-static int
-ticket_from_peer (struct am_board *b, struct am_service *s, uint32_t sender_id,
-                  const uint8_t *body, size_t len)
-{
-  (void)s;
-  (void)sender_id;
-  (void)body;
-  (void)len;
-  b->counters.malformed++;
-  return AM_E_FORMAT;
-}
-
-static void
-ticket_changed (struct am_board *b, struct am_service *s)
-{
-  (void)b;
-  (void)s;
-}
-
 static void
 ticket_upstream_gone (struct am_board *b, struct am_service *s,
                       struct am_upstream *u)
@@ -523,8 +504,8 @@
   .finish = ticket_finish,
   .from_caller = ticket_from_caller,
   .from_upstream = ticket_from_upstream,
-  .from_peer = ticket_from_peer,
-  .changed = ticket_changed,
+  .from_peer = am_binding_no_peer_message,
+  .changed = am_binding_no_change,
   .upstream_gone = ticket_upstream_gone,
   .tick = ticket_tick,
   .may_exit = ticket_may_exit,
--- a/src/forwarder/main.c
+++ b/src/forwarder/main.c
@@ -3,32 +3,24 @@
 #include <argp.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "base/error.h"
 #include "forwarder/forwarder.h"
+#include "io/entry_program.h"
 #include "io/program.h"
 
-const char *argp_program_version = "amaranth-forwarder " AM_VERSION;
+#define OPTION_RECORD 256
 
-enum
-{
-  OPTION_CHECK = 256,
-  OPTION_RECORD,
-};
+const char *argp_program_version = "amaranth-forwarder " AM_VERSION;
 
 struct arguments
 {
-  const char *settings;
+  struct am_entry_arguments entry;
   const char *record;
-  bool check;
 };
 
 static const struct argp_option options[]
-    = { { "settings", 's', "FILE", 0, "Settings of this entry VM (YAML)", 0 },
-        { "check-settings", OPTION_CHECK, NULL, 0,
-          "Check the settings and exit", 0 },
-        { "record-events", OPTION_RECORD, "FILE", 0,
+    = { { "record-events", OPTION_RECORD, "FILE", 0,
           "Record every event for amaranth-replay; the file holds keys", 0 },
         { 0 } };
 
@@ -39,36 +31,19 @@
 
   switch (key)
     {
-    case 's':
-      a->settings = arg;
-      return 0;
-    case OPTION_CHECK:
-      a->check = true;
+    case ARGP_KEY_INIT:
+      state->child_inputs[0] = &a->entry;
       return 0;
     case OPTION_RECORD:
       a->record = arg;
       return 0;
-    case ARGP_KEY_ARG:
-      argp_error (state, "unexpected argument '%s'", arg);
-      return 0;
-    case ARGP_KEY_END:
-      if (!a->settings)
-        argp_error (state, "--settings is required");
-      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
 }
 
-static int
-report_fault (const struct am_fault *f, const char *file)
-{
-  char line[512];
-
-  am_fault_format (f, file, line, sizeof line);
-  fprintf (stderr, "%s\n", line);
-  return AM_EXIT_DATA;
-}
+static const struct argp_child children[]
+    = { { .argp = &am_entry_argp }, { 0 } };
 
 static int
 exit_code (int error)
@@ -86,37 +61,24 @@
     }
 }
 
-/* Checks the peer key's file.  It belongs to the settings.  */
-static int
-check_key (const struct am_settings *s, const char *file)
-{
-  uint8_t key[AM_PEER_KEY_SIZE];
-  struct am_fault fault
-      = { .field = "peers.key_file",
-          .allowed = "file of 64 hexadecimal digits, mode 0600" };
-
-  fault.error = am_settings_peer_key (s, file, key);
-  sodium_memzero (key, sizeof key);
-  return fault.error ? report_fault (&fault, file) : AM_EXIT_OK;
-}
-
 static int
 run (const struct arguments *a)
 {
   static struct am_forwarder forwarder;
-  struct am_settings *s;
-  struct am_fault fault;
-  int err;
+  uint8_t key[AM_PEER_KEY_SIZE];
+  struct am_settings *settings;
+  int err = am_entry_load (&a->entry, &settings, key);
 
-  if (am_settings_load (&s, a->settings, &fault))
-    return report_fault (&fault, a->settings);
-  err = check_key (s, a->settings);
-  if (err || a->check)
+  /* The forwarder reads the key again when it loads its settings.  */
+  sodium_memzero (key, sizeof key);
+  if (err)
+    return err;
+  if (a->entry.check)
     {
-      am_settings_free (s);
-      return err;
+      am_settings_free (settings);
+      return AM_EXIT_OK;
     }
-  err = am_forwarder_init (&forwarder, s, a->settings, a->record);
+  err = am_forwarder_init (&forwarder, settings, a->entry.settings, a->record);
   if (err)
     {
       fprintf (stderr, "amaranth-forwarder: cannot start: %s\n",
@@ -133,7 +95,8 @@
   static const struct argp argp
       = { .options = options,
           .parser = parse,
-          .doc = "Routes the datagrams of callers to upstreams." };
+          .doc = "Routes the datagrams of callers to upstreams.",
+          .children = children };
   struct arguments a = { 0 };
 
   am_program_parse (&argp, argc, argv, &a);
