Refuse unknown commands of stand-ins in the test of decision lines

It told dispatch-4 to shed, but the service has three upstreams; the stand-in answered with an error that nothing looked at, and a refused request came about only when one met the draining upstream before its VM knew.

Change: control() raises on a refused command.

Conclusion: the check is as strict as before (every decision has its line) and no longer depends on a race.

--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -85,13 +85,18 @@
 
 
 def control(address, command, seconds=2.0):
-    """Sends one command to a control port "IP:PORT"; returns the JSON."""
+    """Sends one command to a control port "IP:PORT"; returns the JSON.  Raises
+    ValueError if the stand-in refuses the command, so that a fault which is
+    not brought about does not pass unnoticed."""
     ip, port = address.split(":")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
         s.settimeout(seconds)
         s.connect((ip, int(port)))
         s.send(command.encode())
-        return json.loads(s.recv(65536))
+        reply = json.loads(s.recv(65536))
+    if "error" in reply:
+        raise ValueError(f"{address}: {command}: {reply['error']}")
+    return reply
 
 
 class Process:
--- a/test/integration/decisions.py
+++ b/test/integration/decisions.py
@@ -168,9 +168,12 @@
                              "--seconds", 2])
     time.sleep(2)
     check_explain(t, c)
+    c.upstream("shed * 100")
+    wait_until(lambda: "request_refused" not in unseen(t, c),
+               DECISIONS_SECONDS, "a refused request", 0.25)
+    c.upstream("shed * 0")
     c.leave("dispatch", "dispatch-1")
     c.upstream("drain dispatch-2")
-    c.upstream("shed dispatch-4 100")
     c.store_fault(snapshot="old")
     c.apply("dispatch", weights={"dispatch-3": 55})
     c.wait_in_force()
