Report wrong option values in one place of the stand-ins

Change: standin_option_result.

Conclusion: one text for a wrong value, which names the error's type.

--- a/standin/blast.c
+++ b/standin/blast.c
@@ -474,9 +474,7 @@
     default:
       return ARGP_ERR_UNKNOWN;
     }
-  if (rc)
-    argp_error (state, "bad value '%s'", arg);
-  return 0;
+  return standin_option_result (state, arg, rc);
 }
 
 static const struct argp parser = {
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -397,7 +397,6 @@
 parse_option (int key, char *text, struct argp_state *state)
 {
   struct options *o = state->input;
-  int err;
 
   if (key == ARGP_KEY_END)
     {
@@ -407,12 +406,7 @@
     }
   if (!text)
     return ARGP_ERR_UNKNOWN;
-  err = parse_part (key, text, o);
-  if (err == AM_E_NOT_FOUND)
-    return ARGP_ERR_UNKNOWN;
-  if (err)
-    argp_error (state, "'%s' is not a valid value", text);
-  return 0;
+  return standin_option_result (state, text, parse_part (key, text, o));
 }
 
 static int
--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -299,7 +299,6 @@
 parse_option (int key, char *text, struct argp_state *state)
 {
   struct fabric *f = state->input;
-  int err;
 
   if (key == ARGP_KEY_END)
     {
@@ -311,12 +310,7 @@
     }
   if (!text)
     return ARGP_ERR_UNKNOWN;
-  err = parse_value (key, text, f);
-  if (err == AM_E_NOT_FOUND)
-    return ARGP_ERR_UNKNOWN;
-  if (err)
-    argp_error (state, "'%s': %s", text, am_error_text (err));
-  return 0;
+  return standin_option_result (state, text, parse_value (key, text, f));
 }
 
 static int
--- a/standin/standin_program.c
+++ b/standin/standin_program.c
@@ -1,5 +1,6 @@
 #include "standin_program.h"
 
+#include <argp.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -144,6 +145,16 @@
   return am_address_parse (b, equals + 1);
 }
 
+int
+standin_option_result (struct argp_state *state, const char *text, int error)
+{
+  if (error == AM_E_NOT_FOUND)
+    return ARGP_ERR_UNKNOWN;
+  if (error)
+    argp_error (state, "'%s': %s", text, am_error_text (error));
+  return 0;
+}
+
 int
 standin_fail (const char *program, const char *what, int error, int status)
 {
--- a/standin/standin_program.h
+++ b/standin/standin_program.h
@@ -9,6 +9,8 @@
 
 #include "base/address.h"
 
+struct argp_state;
+
 /* Called once, at the first SIGTERM or SIGINT.  */
 typedef void (*standin_stop) (void *userdata);
 
@@ -51,6 +53,12 @@
 int standin_parse_address_pair (struct am_address *a, struct am_address *b,
                                 const char *text);
 
+/* Ends the parsing of an option whose value TEXT gave ERROR: returns
+   ARGP_ERR_UNKNOWN for AM_E_NOT_FOUND (not an option of this program), 0
+   else.  Any other error is a usage error, which ends the program.  */
+int standin_option_result (struct argp_state *state, const char *text,
+                           int error);
+
 /* Writes one line about the failure ERROR of WHAT to standard error and
    returns STATUS.  */
 int standin_fail (const char *program, const char *what, int error,
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -451,7 +451,6 @@
 parse_option (int key, char *text, struct argp_state *state)
 {
   struct options *o = state->input;
-  int err;
 
   switch (key)
     {
@@ -469,12 +468,7 @@
         argp_error (state, "--record and --history are needed");
       return 0;
     default:
-      err = parse_work (key, text, o);
-      if (err == AM_E_NOT_FOUND)
-        return ARGP_ERR_UNKNOWN;
-      if (err)
-        argp_error (state, "'%s' is not a valid value", text);
-      return 0;
+      return standin_option_result (state, text, parse_work (key, text, o));
     }
 }
 
