Split the requests by job

Change: request.c keeps set-up, time and the end of a service; request_arrival.c tickets, arrivals and cancellations; request_step.c the state table's steps and the queues; request_upstream.c answers, refusals and lost connections. No behaviour changes.

Conclusion: a reader finds the at-most-once rule in request_step.c alone.

--- /dev/null
+++ b/src/core/request_upstream.c
@@ -0,0 +1,169 @@
+#include "base/error.h"
+#include "core/admission.h"
+#include "core/choice.h"
+#include "core/credit.h"
+#include "core/request.h"
+#include "core/request_reply.h"
+#include "core/request_step.h"
+#include "core/request_table.h"
+#include "core/retry_budget.h"
+
+/* Answers, refusals and lost connections of upstreams.  */
+
+/* Refusals by upstreams after which a request is refused.  Each costs a
+   back-off; more of them means that no upstream has a place.  */
+#define MOVES_MAX 8u
+
+static void
+handle_answer (struct am_board *b, struct am_request *r, struct am_upstream *u,
+               const uint8_t *answer, size_t len)
+{
+  uint64_t took_us = b->now_us - r->sent_us;
+
+  am_table_free_slot (b, r);
+  am_health_ok (b, u, took_us);
+  am_admission_answered (b, r->service, r->class_id, took_us);
+  am_retry_success (r->service);
+  if (!am_request_step (b, r, AM_REQUEST_ON_ANSWER, AM_OK))
+    return;
+  b->requests->last_reply_us = b->now_us;
+  am_table_keep_answer (b->requests, r, answer, len);
+  am_reply_segments (b, r, answer, len, 0);
+}
+
+/* U has not run R: another one may.  */
+static void
+move_on (struct am_board *b, struct am_request *r, const struct am_upstream *u,
+         int error)
+{
+  am_table_free_slot (b, r);
+  if (r->state != AM_REQUEST_SENT)
+    return;
+  r->moves++;
+  b->counters.moved++;
+  am_board_decision (b, r->connection_id,
+                     "event=request_refused request=%llu flow=%llu service=%s "
+                     "upstream=%s reason=%s moves=%u revision=%llu",
+                     (unsigned long long)r->serial,
+                     (unsigned long long)r->connection_id, r->service->name,
+                     u->name, am_error_name (error), r->moves,
+                     (unsigned long long)r->service->revision);
+  am_request_queue_again (b, r, AM_REQUEST_ON_SHED);
+  if (r->state == AM_REQUEST_QUEUED && r->moves >= MOVES_MAX)
+    am_request_step (b, r, AM_REQUEST_ON_REFUSE, error);
+}
+
+static void
+handle_refusal (struct am_board *b, struct am_request *r,
+                struct am_upstream *u, int error)
+{
+  if (error != AM_E_CANCELLED && error != AM_E_DEADLINE)
+    am_health_refused (b, u);
+  move_on (b, r, u, error);
+}
+
+int
+am_requests_stream (struct am_board *b, struct am_upstream *u,
+                    const struct am_packet *p)
+{
+  struct am_outcome_body o = { 0 };
+  struct am_request *r;
+
+  if (p->type != AM_PACKET_ANSWER && p->type != AM_PACKET_OUTCOME)
+    return AM_E_FORMAT;
+  if (p->body_len < AM_LOAD_SIZE
+      || p->body_len > AM_LOAD_SIZE + AM_ANSWER_SIZE_MAX)
+    return AM_E_FORMAT;
+  if (p->type == AM_PACKET_OUTCOME
+      && am_outcome_body_decode (&o, p->body + AM_LOAD_SIZE,
+                                 p->body_len - AM_LOAD_SIZE))
+    return AM_E_FORMAT;
+  r = am_table_find_held (b->requests, u, p->sequence, p->connection_id);
+  if (!r)
+    {
+      b->requests->dropped++;
+      return AM_OK;
+    }
+  if (p->type == AM_PACKET_ANSWER)
+    handle_answer (b, r, u, p->body + AM_LOAD_SIZE,
+                   p->body_len - AM_LOAD_SIZE);
+  else if (o.outcome == AM_OUTCOME_NOT_RUN)
+    handle_refusal (b, r, u, o.error);
+  else
+    {
+      am_table_free_slot (b, r);
+      am_request_lost (b, r, o.error);
+    }
+  am_request_pump (b, u->service);
+  return AM_OK;
+}
+
+static bool
+holds_any (const struct am_board *b, const struct am_upstream *u)
+{
+  am_list_each (r, &b->requests->held, struct am_request, held)
+  {
+    if (r->upstream == u)
+      return true;
+  }
+  return false;
+}
+
+/* Ends what was sent to U; its answers cannot be matched any more.  */
+static void
+lose_upstream (struct am_board *b, struct am_upstream *u, int error)
+{
+  am_list_each_safe (r, next, &b->requests->held, struct am_request, held)
+  {
+    if (r->upstream != u)
+      continue;
+    am_table_free_slot (b, r);
+    am_request_lost (b, r, error);
+  }
+}
+
+static struct am_upstream *
+find_upstream (struct am_board *b, uint32_t service_id, uint32_t upstream_id)
+{
+  struct am_service *s = am_board_service (b, service_id);
+
+  return s ? am_service_upstream (s, upstream_id) : NULL;
+}
+
+void
+am_requests_stream_lost (struct am_board *b, uint32_t service_id,
+                         uint32_t upstream_id)
+{
+  struct am_upstream *u = find_upstream (b, service_id, upstream_id);
+
+  /* An idle connection that the upstream closes is no failure.  */
+  if (!u || !holds_any (b, u))
+    return;
+  am_health_failed (b, u);
+  lose_upstream (b, u, AM_E_CONNECTION);
+  am_request_pump (b, u->service);
+}
+
+void
+am_requests_stream_unopened (struct am_board *b, uint32_t service_id,
+                             uint32_t upstream_id)
+{
+  struct am_upstream *u = find_upstream (b, service_id, upstream_id);
+
+  if (!u)
+    return;
+  am_health_failed (b, u);
+  am_list_each_safe (r, next, &b->requests->held, struct am_request, held)
+  {
+    if (r->upstream == u)
+      move_on (b, r, u, AM_E_CONNECTION);
+  }
+  am_request_pump (b, u->service);
+}
+
+void
+am_requests_upstream_gone (struct am_board *b, struct am_upstream *u)
+{
+  lose_upstream (b, u, AM_E_UPSTREAM_UNKNOWN);
+  am_credit_upstream_gone (b, u);
+}
