Measure the cost of decision lines

Cause: the cost of the lines that log each decision was not known. An earlier trial repeated connection ids, which a VM answers from its memory without a decision, and met the bound of 65,536 remembered opens.

Change: the datapath experiment opens 20,000 flows in turn on an entry VM with lines and on one without, each run under another caller address, and counts instructions of both under callgrind.

--- a/scripts/experiments/datapath.py
+++ b/scripts/experiments/datapath.py
@@ -1,5 +1,6 @@
 """Packets and new flows a second, and instructions for each packet, beside
-a bare UDP relay in the same run."""
+a bare UDP relay in the same run; and the cost of the lines that log the
+decisions on a new flow."""
 
 import json
 import re
@@ -16,6 +17,10 @@
 BOUND = 0.8
 FLOWS = 256
 
+# New flows of one measurement: fewer than the opens that a VM remembers
+# (65,536), and of the same number with and without lines.
+OPENS = 20000
+
 
 def service(policy):
     return [{"name": "dispatch", "upstreams": 1, "binding": policy,
@@ -30,13 +35,19 @@
         self.c = c
         self.mode = "data" if policy == "ticket" else "opaque"
         self.sink = c.upstream_address("dispatch", 0)
-        self.caller = f"127.{c.block}.200.1:4000"
+        self.callers = 0
+
+    def caller(self):
+        """Another address for each run: a VM answers the repeated OPEN of a
+        connection id without a decision."""
+        self.callers += 1
+        return f"127.{self.c.block}.200.{self.callers}:4000"
 
     def argv(self, target, mode, *more):
         return [str(a) for a in (
             self.c.program("standin-blast"), "--target", target, "--return",
             self.c.return_address, "--sink", self.sink, "--service",
-            self.c.services["dispatch"]["address"], "--caller", self.caller,
+            self.c.services["dispatch"]["address"], "--caller", self.caller(),
             "--mode", mode, "--flows", FLOWS, *more)]
 
     def blast(self, target, mode, *more, seconds=120):
@@ -50,7 +61,15 @@
         return json.loads(done.stdout)
 
 
+def without_lines(vm):
+    """Switches the lines of decisions off in the settings of VM."""
+    text = vm.settings.read_text()
+    vm.settings.write_text(text.replace("decisions: true",
+                                        "decisions: false"))
+
+
 def start(c):
+    without_lines(c.vms[1])
     c.start_store()
     c.start_entry_vms()
     c.configure()
@@ -62,24 +81,34 @@
 
 
 def compare(x, path, relay, rounds, seconds):
-    """Alternates forwarder and relay, so that noise meets both.  New flows
-    come last: those whose CLOSE is lost use up the upstream's connections."""
+    """Alternates forwarder and relay, so that noise meets both."""
     vm = path.c.vms[0].data
-    rates = {"forwarder": [], "relay": [], "open": []}
+    rates = {"forwarder": [], "relay": []}
     for _ in range(rounds):
         rates["forwarder"].append(
             path.blast(vm, path.mode, "--seconds", seconds)["per_second"])
         rates["relay"].append(
             path.blast(relay, "opaque", "--seconds", seconds)["per_second"])
-    if path.mode == "data":
-        rates["open"].append(
-            path.blast(vm, "open", "--seconds", seconds)["per_second"])
     x.figures["packets_per_second"] = round(median(rates["forwarder"]))
     x.figures["relay_packets_per_second"] = round(median(rates["relay"]))
     x.figures["ratio_to_relay"] = round(median(
         [f / r for f, r in zip(rates["forwarder"], rates["relay"])]), 3)
-    if rates["open"]:
-        x.figures["new_flows_per_second"] = round(median(rates["open"]))
+
+
+def compare_lines(x, path, rounds):
+    """Alternates two VMs, one with lines of decisions and one without.  Runs
+    after the packets: flows whose CLOSE is lost use up the upstream's
+    connections."""
+    rates = {"lines": [], "none": []}
+    for _ in range(rounds):
+        for vm, name in zip(path.c.vms, rates):
+            rates[name].append(path.blast(vm.data, "open", "--count",
+                                          OPENS)["per_second"])
+    x.figures["new_flows_per_second"] = round(median(rates["lines"]))
+    x.figures["new_flows_per_second_without_lines"] = round(
+        median(rates["none"]))
+    x.figures["lines_ratio_of_new_flows"] = round(median(
+        [a / b for a, b in zip(rates["lines"], rates["none"])]), 3)
 
 
 def collected(process):
@@ -95,9 +124,10 @@
             f"--callgrind-out-file={c.folder}/{name}.callgrind"]
 
 
-def instructions(x, policy, count, which):
+def instructions(x, policy, count, which, mode=None, lines=True):
     """Instructions of one run with COUNT packets."""
-    with x.cluster(services=service(policy), vms=1, data_centres=1) as c:
+    with x.cluster(services=service(policy), vms=1, data_centres=1,
+                   decisions=lines, log_level="info") as c:
         path = Path(c, policy)
         if which == "relay":
             argv = [*callgrind(c, which), c.program("standin-relay"),
@@ -119,7 +149,7 @@
             wait_until(lambda: reachable(c, vm), 20, "agent", 0.2)
             c.configure()
             c.wait_in_force(seconds=30)
-            target, mode = vm.data, path.mode
+            target, mode = vm.data, mode or path.mode
         path.blast(target, mode, "--count", count, "--window", 32)
         process.stop(60)
         return collected(process)
@@ -146,12 +176,31 @@
         / max(1, x.figures["relay_instructions_per_packet"]), 3)
 
 
+def count_line_instructions(x, policy):
+    """The same for new flows, with and without lines of decisions."""
+    few, many = 2000, 8000
+    each = {}
+    for lines in (True, False):
+        low = instructions(x, policy, few, "open", "open", lines)
+        high = instructions(x, policy, many, "open", "open", lines)
+        each[lines] = (high - low) / (many - few)
+    x.figures["instructions_per_new_flow"] = round(each[True])
+    x.figures["instructions_per_new_flow_without_lines"] = round(each[False])
+    x.figures["lines_ratio_of_instructions"] = round(
+        each[True] / max(1, each[False]), 3)
+
+
 def run(x):
-    with x.cluster(services=service(x.policy), vms=1, data_centres=1) as c:
+    with x.cluster(services=service(x.policy), vms=2, data_centres=1,
+                   decisions=True, log_level="info") as c:
         relay = start(c)
-        compare(x, Path(c, x.policy), relay, x.pick(7, 3),
-                x.seconds(2, 1))
+        path = Path(c, x.policy)
+        compare(x, path, relay, x.pick(7, 3), x.seconds(2, 1))
+        if path.mode == "data":
+            compare_lines(x, path, x.pick(7, 3))
     x.bound("ratio_to_relay", ">=", BOUND)
     if not x.small and shutil.which("valgrind"):
         count_instructions(x, x.policy)
+        if x.policy == "ticket":
+            count_line_instructions(x, x.policy)
     return x.result()
