Queue requests again whose connection could not be opened

Cause: the core knew how to move such a request on (am_requests_stream_unopened), but no event led there: the forwarder reported every end of a connection as lost. So a one-time request that met an upstream without a listener ended as UNKNOWN, although nothing had left, and one that met a VM that answers no SYN waited for its deadline and was then UNKNOWN. Ruled out: choice (back-off and ejection keep later requests away; the first of each forwarder always meets the upstream).

Change: event STREAM_UNOPENED. The pool tells refused from lost connections, gives up a connection after 500 ms, and reports lost whenever an earlier connection was replaced with requests under way. Only ANSWER and OUTCOME end a request under way.

Conclusion: UNKNOWN is left to requests that an upstream may have taken.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -201,6 +201,9 @@
     case AM_EVENT_STREAM_LOST:
       am_requests_stream_lost (b, e->service_id, e->upstream_id);
       return AM_OK;
+    case AM_EVENT_STREAM_UNOPENED:
+      am_requests_stream_unopened (b, e->service_id, e->upstream_id);
+      return AM_OK;
     case AM_EVENT_SNAPSHOT:
       return am_snapshot_apply (b, e->data, e->len);
     case AM_EVENT_TICK:
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -11,16 +11,18 @@
 
 enum am_event_type
 {
-  AM_EVENT_CALLER,      /* datagram from the fabric, PROXY header first */
-  AM_EVENT_UPSTREAM,    /* datagram from an upstream, PROXY header first */
-  AM_EVENT_PEER,        /* datagram on the peer port */
-  AM_EVENT_STREAM,      /* one packet from an upstream's TCP connection */
-  AM_EVENT_STREAM_LOST, /* that connection failed, closed or could not be
-                           opened */
-  AM_EVENT_SNAPSHOT,    /* packed Amaranth__Snapshot */
-  AM_EVENT_TICK,        /* every AM_TICK_US */
-  AM_EVENT_STOP,        /* begin the graceful stop */
-  AM_EVENT_GRANT,       /* packed Amaranth__OwnerGrant */
+  AM_EVENT_CALLER,          /* datagram from the fabric, PROXY header first */
+  AM_EVENT_UPSTREAM,        /* datagram from an upstream, PROXY header first */
+  AM_EVENT_PEER,            /* datagram on the peer port */
+  AM_EVENT_STREAM,          /* one packet from an upstream's TCP connection */
+  AM_EVENT_STREAM_LOST,     /* that connection failed or closed */
+  AM_EVENT_SNAPSHOT,        /* packed Amaranth__Snapshot */
+  AM_EVENT_TICK,            /* every AM_TICK_US */
+  AM_EVENT_STOP,            /* begin the graceful stop */
+  AM_EVENT_GRANT,           /* packed Amaranth__OwnerGrant */
+  AM_EVENT_STREAM_UNOPENED, /* that connection could not be opened, and
+                               nothing handed over for it has left; a driver
+                               that cannot tell reports STREAM_LOST */
 };
 
 /* Interval of AM_EVENT_TICK in microseconds.  */
@@ -32,8 +34,8 @@
   uint64_t now_us;        /* monotonic; never decreases */
   uint64_t wall_ms;       /* wall clock, read before NOW_US; 0: unknown */
   struct am_address from; /* source address of a datagram */
-  uint32_t service_id;    /* STREAM and STREAM_LOST */
-  uint32_t upstream_id;   /* STREAM and STREAM_LOST */
+  uint32_t service_id;    /* STREAM* */
+  uint32_t upstream_id;   /* STREAM* */
   const uint8_t *data;
   size_t len;
 };
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -126,10 +126,10 @@
 }
 
 static void
-on_lost (void *userdata, struct am_pool_key key)
+connection_ended (struct am_forwarder *f, enum am_event_type type,
+                  struct am_pool_key key)
 {
-  struct am_forwarder *f = userdata;
-  struct am_event e = { .type = AM_EVENT_STREAM_LOST,
+  struct am_event e = { .type = type,
                         .service_id = key.service_id,
                         .upstream_id = key.upstream_id };
 
@@ -137,6 +137,18 @@
     (void)am_forwarder_event (f, &e);
 }
 
+static void
+on_lost (void *userdata, struct am_pool_key key)
+{
+  connection_ended (userdata, AM_EVENT_STREAM_LOST, key);
+}
+
+static void
+on_unopened (void *userdata, struct am_pool_key key)
+{
+  connection_ended (userdata, AM_EVENT_STREAM_UNOPENED, key);
+}
+
 /* ---- stop --------------------------------------------------------- */
 
 static void
@@ -353,7 +365,7 @@
                    const char *settings_file, const char *record_file)
 {
   static const struct am_pool_callbacks pool_callbacks
-      = { .packet = on_packet, .lost = on_lost };
+      = { .packet = on_packet, .lost = on_lost, .unopened = on_unopened };
   int err;
 
   memset (f, 0, sizeof *f);
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -10,7 +10,7 @@
 #include "core/action_digest.h"
 #include "core/dispatch.h"
 #include "forwarder/decision_log.h"
-#include "forwarder/pool.h"
+#include "io/pool.h"
 #include "io/event_log.h"
 #include "io/metrics_port.h"
 #include "io/settings.h"
--- a/src/forwarder/pool.c
+++ b/src/io/pool.c
@@ -1,4 +1,4 @@
-#include "forwarder/pool.h"
+#include "io/pool.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -71,6 +71,15 @@
   return c;
 }
 
+/* A report of load alone does not end a request.  */
+static bool
+ends_request (const uint8_t *data, size_t len)
+{
+  return len > TYPE_OFFSET
+         && (data[TYPE_OFFSET] == AM_PACKET_ANSWER
+             || data[TYPE_OFFSET] == AM_PACKET_OUTCOME);
+}
+
 static void
 on_message (void *userdata, struct am_stream *s, const uint8_t *data,
             size_t len)
@@ -80,27 +89,46 @@
 
   if (!c)
     return;
-  if (c->under_way)
+  if (c->under_way && ends_request (data, len))
     c->under_way--;
   if (!p->callbacks.packet (p->userdata, c->key, data, len))
     am_stream_close (s);
 }
 
+/* Packets leave only when the connection is established.  */
+static bool
+is_unopened (const struct am_pool_connection *c)
+{
+  return !c->unsure && !(c->stream && c->stream->established);
+}
+
+/* Frees C, which is in no index, and tells the user why it ended.  */
+static void
+report (struct am_pool *p, struct am_pool_connection *c)
+{
+  struct am_pool_key key = c->key;
+  bool unopened = c->unopened;
+
+  p->count--;
+  free (c);
+  if (unopened)
+    p->callbacks.unopened (p->userdata, key);
+  else
+    p->callbacks.lost (p->userdata, key);
+}
+
 static void
 on_closed (void *userdata, struct am_stream *s, int error)
 {
   struct am_pool *p = userdata;
   struct am_pool_connection *c = find_stream (p, s);
-  struct am_pool_key key;
 
   (void)error;
   if (!c)
     return;
-  key = c->key;
+  c->unopened = is_unopened (c);
   detach (p, c);
-  p->count--;
-  free (c);
-  p->callbacks.lost (p->userdata, key);
+  report (p, c);
 }
 
 static const struct am_stream_callbacks stream_callbacks
@@ -111,6 +139,7 @@
 {
   struct am_stream *stream = c->stream;
 
+  c->unopened = is_unopened (c);
   detach (p, c);
   am_list_push_back (&p->lost, &c->node);
   if (stream)
@@ -136,7 +165,7 @@
 
 static struct am_pool_connection *
 connect_to (struct am_pool *p, struct am_pool_key key,
-            struct am_address address)
+            struct am_address address, uint64_t now_us, bool unsure)
 {
   bool room = make_room (p);
   struct am_pool_connection *c = calloc (1, sizeof *c);
@@ -146,12 +175,15 @@
   am_list_init (&c->node);
   c->key = key;
   c->address = address;
+  c->begun_us = now_us;
+  c->unsure = unsure;
   p->count++;
   if (room)
     c->stream = am_stream_connect (p->loop, address, &am_stream_packets, NULL,
                                    &stream_callbacks, p);
   if (!c->stream)
     {
+      c->unopened = is_unopened (c);
       am_list_push_back (&p->lost, &c->node);
       return NULL;
     }
@@ -178,17 +210,19 @@
               size_t len)
 {
   struct am_pool_connection *c;
+  bool unsure = false;
 
   HASH_FIND (by_key, p->by_key, &key, sizeof key, c);
   if ((c && c->stream->closing) || is_lost (p, key))
     return;
   if (c && !am_address_equal (c->address, address))
     {
+      unsure = c->unsure || c->under_way > 0;
       drop (p, c);
       c = NULL;
     }
   if (!c)
-    c = connect_to (p, key, address);
+    c = connect_to (p, key, address, now_us, unsure);
   if (!c)
     return;
   c->used_us = now_us;
@@ -213,18 +247,28 @@
     {
       struct am_pool_connection *c
           = am_container_of (n, struct am_pool_connection, node);
-      struct am_pool_key key = c->key;
 
-      p->count--;
-      free (c);
-      p->callbacks.lost (p->userdata, key);
+      report (p, c);
     }
 }
 
+/* The closed callback reports the connection later.  */
+static void
+give_up_unopened (struct am_pool *p, uint64_t now_us)
+{
+  am_list_each (c, &p->used, struct am_pool_connection, node)
+  {
+    if (!c->stream->established && !c->stream->closing
+        && now_us - c->begun_us >= AM_POOL_CONNECT_US)
+      am_stream_close (c->stream);
+  }
+}
+
 void
 am_pool_tick (struct am_pool *p, uint64_t now_us)
 {
   report_lost (p);
+  give_up_unopened (p, now_us);
   am_list_each_safe (c, next, &p->used, struct am_pool_connection, node)
   {
     if (now_us - c->used_us < AM_POOL_IDLE_US)
--- a/src/forwarder/pool.h
+++ b/src/io/pool.h
@@ -1,7 +1,7 @@
 /* TCP connections to upstreams, one per upstream, opened on demand.  */
 
-#ifndef AM_FORWARDER_POOL_H
-#define AM_FORWARDER_POOL_H
+#ifndef AM_IO_POOL_H
+#define AM_IO_POOL_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -17,6 +17,11 @@
    this time.  */
 #define AM_POOL_IDLE_US 60000000u
 
+/* A connection that is not established after this time is given up: an
+   upstream VM that has gone answers no SYN, and a request's deadline would
+   pass before the system gives up.  */
+#define AM_POOL_CONNECT_US 500000u
+
 #define AM_POOL_CONNECTIONS_MAX 1024
 
 struct am_pool_key
@@ -34,7 +39,11 @@
   struct am_address address;
   struct am_stream *stream;
   uint64_t used_us;
+  uint64_t begun_us;  /* when the connection was begun */
   uint32_t under_way; /* requests sent and not answered */
+  bool unsure;        /* an earlier connection of the upstream was replaced
+                         with requests under way */
+  bool unopened;      /* in lost: no packet has left */
 };
 
 struct am_pool_callbacks
@@ -44,6 +53,9 @@
                   size_t len);
   /* The connection failed or was closed by the upstream.  */
   void (*lost) (void *userdata, struct am_pool_key key);
+  /* The connection could not be opened: nothing that was sent to the upstream
+     since the last call of lost or unopened has left.  */
+  void (*unopened) (void *userdata, struct am_pool_key key);
 };
 
 struct am_pool
@@ -65,14 +77,15 @@
 void am_pool_finish (struct am_pool *p);
 
 /* Sends a packet to the upstream KEY at ADDRESS, connecting first if need be.
-   A failure is reported by the lost callback, never during the call.  While a
-   loss waits to be reported the packet is dropped, so that the loss covers
-   it.  */
+   A failure is reported by the lost or unopened callback, never during the
+   call.  While a failure waits to be reported the packet is dropped, so that
+   the report covers it.  */
 void am_pool_send (struct am_pool *p, struct am_pool_key key,
                    struct am_address address, uint64_t now_us,
                    const uint8_t *data, size_t len);
 
-/* Reports failures and closes idle connections.  */
+/* Reports failures, gives up connections that do not open, and closes idle
+   ones.  */
 void am_pool_tick (struct am_pool *p, uint64_t now_us);
 
 #endif
