Bound the OPEN of a caller over the whole fleet

Cause: a home VM did not count an OPEN that a peer had passed on, and a VM outside the home set passes OPEN on uncounted; at 730 entry VMs 99 of 100 enter that way, so there was no bound. Where there was one, each of 7 home VMs allowed the whole rate, and one bucket served all services of a caller with their different rates.

Change: the home VM that serves an OPEN counts it. Its share is 1.5 times an even part of open_rate, at least 4 a second; buckets are kept for each service and caller (core/open_rate).

--- a/src/core/opening.c
+++ b/src/core/opening.c
@@ -9,11 +9,7 @@
 #include "core/flow_count.h"
 #include "core/forward.h"
 #include "core/key_ring.h"
-
-/* Burst of the token bucket, as a multiple of its rate.  */
-#define BURST_SECONDS 2.0
-
-#define MICROSECONDS 1e6
+#include "core/open_rate.h"
 
 /* Identifies one OPEN: connection id, then service id and caller address.  */
 struct key
@@ -37,24 +33,13 @@
   uint8_t ticket[AM_TICKET_SIZE];
 };
 
-/* OPEN rate of one caller address.  */
-struct bucket
-{
-  struct am_list node; /* in callers, least recently used first */
-  UT_hash_handle hh;
-  uint32_t ip;
-  double tokens;
-  uint64_t at_us;
-};
-
 struct am_opens
 {
   struct opening *table;
   struct am_list pending;
   struct am_list opened;
   size_t pending_count;
-  struct bucket *buckets;
-  struct am_list callers;
+  struct am_open_rate rate;
   uint64_t serial;
 };
 
@@ -67,7 +52,7 @@
     return AM_E_MEMORY;
   am_list_init (&o->pending);
   am_list_init (&o->opened);
-  am_list_init (&o->callers);
+  am_open_rate_init (&o->rate);
   b->opens = o;
   return AM_OK;
 }
@@ -92,16 +77,6 @@
   free (o);
 }
 
-static void
-free_buckets (struct am_opens *t)
-{
-  am_list_each_safe (c, next, &t->callers, struct bucket, node)
-  {
-    HASH_DEL (t->buckets, c);
-    free (c);
-  }
-}
-
 void
 am_opens_finish (struct am_board *b)
 {
@@ -117,67 +92,16 @@
   {
     forget (t, o);
   }
-  free_buckets (t);
+  am_open_rate_finish (&t->rate);
   free (t);
   b->opens = NULL;
 }
 
-/* ---- token buckets ------------------------------------------------ */
-
-static struct bucket *
-find_bucket (struct am_opens *t, uint32_t ip, double burst, uint64_t now_us)
-{
-  struct bucket *c;
-
-  HASH_FIND (hh, t->buckets, &ip, sizeof ip, c);
-  if (c)
-    return c;
-  if (HASH_COUNT (t->buckets) >= AM_OPEN_CALLERS_MAX)
-    {
-      c = am_container_of (am_list_pop_front (&t->callers), struct bucket,
-                           node);
-      HASH_DEL (t->buckets, c);
-    }
-  else
-    c = calloc (1, sizeof *c);
-  if (!c)
-    return NULL;
-  memset (c, 0, sizeof *c);
-  am_list_init (&c->node);
-  c->ip = ip;
-  c->tokens = burst;
-  c->at_us = now_us;
-  HASH_ADD (hh, t->buckets, ip, sizeof c->ip, c);
-  return c;
-}
-
-static int
-take_token (struct am_board *b, const struct am_service *s,
-            struct am_address caller)
-{
-  struct am_opens *t = b->opens;
-  double burst = s->open_rate * BURST_SECONDS;
-  struct bucket *c = find_bucket (t, caller.ip, burst, b->now_us);
-
-  if (!c)
-    return AM_E_RATE;
-  am_list_remove (&c->node);
-  am_list_push_back (&t->callers, &c->node);
-  c->tokens += (double)(b->now_us - c->at_us) * s->open_rate / MICROSECONDS;
-  if (c->tokens > burst)
-    c->tokens = burst;
-  c->at_us = b->now_us;
-  if (c->tokens < 1.0)
-    return AM_E_RATE;
-  c->tokens -= 1.0;
-  return AM_OK;
-}
-
 int
 am_opens_admit (struct am_board *b, const struct am_service *s,
                 struct am_address caller)
 {
-  int err = take_token (b, s, caller);
+  int err = am_open_rate_take (&b->opens->rate, s, caller.ip, b->now_us);
 
   if (err)
     b->counters.opens_limited++;
@@ -325,7 +249,7 @@
                  struct am_address caller, uint64_t connection_id)
 {
   struct opening *o = find (b->opens, s, caller, connection_id);
-  int err = AM_OK;
+  int err;
 
   if (o)
     {
@@ -333,8 +257,7 @@
         send_ticket (b, o);
       return AM_OK;
     }
-  if (!b->via_peer)
-    err = am_opens_admit (b, s, caller);
+  err = am_opens_admit (b, s, caller);
   if (!err)
     {
       o = add (b, s, caller, connection_id);
--- a/src/core/opening.h
+++ b/src/core/opening.h
@@ -32,10 +32,6 @@
 /* Bound of the table; beyond it OPEN is refused with AM_E_LIMIT.  */
 #define AM_OPENS_MAX 65536
 
-/* Caller addresses whose OPEN rate is kept.  A full table forgets the one
-   used longest ago.  */
-#define AM_OPEN_CALLERS_MAX 8192
-
 /* Set up and free B->opens.  am_opens_init returns AM_OK or AM_E_MEMORY.  */
 int am_opens_init (struct am_board *b);
 void am_opens_finish (struct am_board *b);
@@ -45,8 +41,9 @@
 int am_opens_arrive (struct am_board *b, struct am_service *s,
                      struct am_address caller, uint64_t connection_id);
 
-/* Takes one OPEN of CALLER out of its token bucket.  Returns AM_OK or
-   AM_E_RATE.  */
+/* Counts one OPEN of CALLER against its bound (core/open_rate.h), at the entry
+   VM that serves it: one outside the home set passes OPEN on without a look.
+   Returns AM_OK or AM_E_RATE.  */
 int am_opens_admit (struct am_board *b, const struct am_service *s,
                     struct am_address caller);
 
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -99,10 +99,8 @@
   struct am_packet p = { .type = AM_PACKET_OPENED,
                          .connection_id = a->packet.connection_id,
                          .ticket = ticket };
-  int err = AM_OK;
+  int err = am_opens_admit (b, a->service, a->caller);
 
-  if (!b->via_peer)
-    err = am_opens_admit (b, a->service, a->caller);
   if (!err)
     err = am_requests_issue (b, a->service, request_class, &t);
   if (!err)
--- /dev/null
+++ b/test/test_open_rate.c
@@ -0,0 +1,107 @@
+/* The bound on OPEN of one caller, over all VMs of a home set.  */
+
+#include "base/error.h"
+#include "base/rng.h"
+#include "core/open_rate.h"
+#include "core_board.h"
+
+#define HOMES 7
+#define SECONDS 20
+#define RATE 200
+
+static struct am_open_rate homes[HOMES];
+static struct am_service service;
+
+static void
+begin (uint32_t rate)
+{
+  service
+      = (struct am_service){ .id = 1, .open_rate = rate, .home_count = HOMES };
+  for (size_t i = 0; i < HOMES; i++)
+    am_open_rate_init (&homes[i]);
+}
+
+static void
+end (void)
+{
+  for (size_t i = 0; i < HOMES; i++)
+    am_open_rate_finish (&homes[i]);
+}
+
+/* Sends PER_SECOND evenly spaced OPEN of one caller for SECONDS, each to a
+   random home VM.  Returns how many were admitted.  */
+static unsigned
+spray (unsigned per_second, uint64_t seed)
+{
+  struct am_rng rng;
+  unsigned admitted = 0;
+
+  am_rng_init (&rng, seed);
+  for (unsigned i = 0; i < per_second * SECONDS; i++)
+    admitted
+        += am_open_rate_take (&homes[am_rng_below (&rng, HOMES)], &service, 5,
+                              (uint64_t)i * 1000000 / per_second)
+           == AM_OK;
+  return admitted;
+}
+
+/* Guards against a caller that gets the bound once at each home VM: it got
+   1,400 a second of a bound of 200.  */
+START_TEST (test_bound_holds_for_the_fleet)
+{
+  unsigned admitted;
+
+  begin (RATE);
+  admitted = spray (20 * RATE, 1);
+  ck_assert_uint_ge (admitted, RATE * SECONDS);
+  ck_assert_uint_le (admitted, RATE * (SECONDS + 2) * 3 / 2);
+  end ();
+}
+END_TEST
+
+/* Guards against the refusal of a caller that keeps to the bound, by the
+   chance of the spray.  */
+START_TEST (test_caller_within_the_bound)
+{
+  static const unsigned rates[] = { 1, 10, 50, RATE, 2000 };
+
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      begin (rates[_i]);
+      ck_assert_uint_eq (spray (rates[_i], seed), rates[_i] * SECONDS);
+      end ();
+    }
+}
+END_TEST
+
+/* Guards against OPEN to one service that use up the bound of another.  */
+START_TEST (test_services_are_apart)
+{
+  struct am_service other = { .id = 2, .open_rate = 1, .home_count = 1 };
+
+  begin (1000);
+  spray (1000, 1);
+  ck_assert_int_eq (
+      am_open_rate_take (&homes[0], &other, 5, SECONDS * 1000000), AM_OK);
+  end ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("open_rate");
+  TCase *tc = tcase_create ("open_rate");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, test_bound_holds_for_the_fleet);
+  tcase_add_loop_test (tc, test_caller_within_the_bound, 0, 5);
+  tcase_add_test (tc, test_services_are_apart);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/test_opening.c
+++ b/test/test_opening.c
@@ -1,5 +1,6 @@
 #include "core_fixture.h"
 
+#include "core/open_rate.h"
 #include "core/opening.h"
 
 static struct net net;
@@ -136,6 +137,30 @@
 }
 END_TEST
 
+/* Guards against callers without a bound behind entry VMs that are not home
+   to the service: at 730 entry VMs, 99 of 100 OPEN enter there.  */
+START_TEST (test_rate_of_passed_opens)
+{
+  unsigned refused = 0;
+
+  net_init (&net, 2);
+  config_init (&config, AMARANTH__BINDING__BINDING_TICKET, 1, 2);
+  config.member[1].region = "other";
+  config.service.open_rate = 10;
+  net_apply_all (&net, &config);
+  for (uint64_t id = 1; id <= 30; id++)
+    {
+      net_open (&net, 1, id, AM_OPEN_FLOW);
+      net_pump (&net);
+      if (net_count (&net, AM_ACTION_CALLER))
+        refused += net_reset_reason (&net) == AM_E_RATE;
+      net.kept_count = 0;
+    }
+  ck_assert_uint_eq (refused, 10);
+  net_finish (&net);
+}
+END_TEST
+
 /* Guards against a table of callers without bound.  */
 START_TEST (test_callers_are_bounded)
 {
@@ -231,6 +256,7 @@
 END_TEST
 
 RUN_TESTS ("opening", test_refusal_moves_on, test_mute_upstreams,
-           test_duplicate_open, test_rate_per_caller, test_callers_are_bounded,
+           test_duplicate_open, test_rate_per_caller,
+           test_rate_of_passed_opens, test_callers_are_bounded,
            test_no_active_key, test_outside_home_set, test_one_hop,
            test_upstream_removed)
