Send nothing to an upstream that has not proven its service

Cause: an entry VM cut off from peers and store keeps its configuration past the quarantine of a retired service's addresses and goes on delivering packets with old tickets to the address, which another service has by then.

Change: an upstream gets packets of callers only if it sent a datagram under its service's address in the last 20 s, or was added in that time. Home VMs probe an upstream that has been quiet for 5 s. Without a proof, packets of open flows go through a peer. An answer under another service's address ends the proof at once. After the quarantine a service may take the service address or upstream addresses of a retired one, not both, since the two could not be told apart.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -118,6 +118,14 @@
   uint64_t sent_us; /* time of the unanswered probe; 0: none */
 };
 
+/* Proof that the address is the upstream's.  Owner: confirm.  */
+struct am_upstream_confirm
+{
+  uint64_t at_us;    /* time of the last proof; 0: none yet */
+  uint64_t asked_us; /* time of the last PROBE for one */
+  bool denied;       /* another service answered there since */
+};
+
 struct am_upstream
 {
   /* Owner: snapshot.  */
@@ -143,6 +151,7 @@
   struct am_upstream_credit credit;
   struct am_upstream_report report;
   struct am_upstream_probe probe;
+  struct am_upstream_confirm confirm;
   uint64_t choice_mark;  /* owner: choice; order of last use */
   uint64_t ramp_next_us; /* owner: choice; next request while ramping up */
 };
@@ -256,6 +265,7 @@
   X (resets, "resets sent to callers")                            \
   X (silent, "flows reported silent")                             \
   X (forwarded, "packets passed to a peer")                       \
+  X (unconfirmed, "packets held for want of proof")               \
   X (requests, "requests accepted")                               \
   X (answers, "requests answered")                                \
   X (not_run, "requests told NOT-RUN")                            \
--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "core/confirm.h"
 #include "core/credit.h"
 #include "core/policy.h"
 
@@ -40,7 +41,8 @@
 may_serve (const struct am_board *b, const struct am_upstream *u)
 {
   return u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
-         && !u->health.ejected && b->now_us >= u->health.avoid_until_us;
+         && !u->health.ejected && b->now_us >= u->health.avoid_until_us
+         && am_confirm_holds (b, u);
 }
 
 static bool
--- /dev/null
+++ b/src/core/confirm.c
@@ -0,0 +1,79 @@
+#include "core/confirm.h"
+
+#include "core/probe.h"
+
+static uint64_t
+present (const struct am_board *b)
+{
+  return b->now_us ? b->now_us : 1;
+}
+
+void
+am_confirm_seen (const struct am_board *b, struct am_upstream *u)
+{
+  u->confirm.at_us = present (b);
+  u->confirm.denied = false;
+}
+
+void
+am_confirm_denied (struct am_board *b, struct am_address address)
+{
+  am_list_each (s, &b->services, struct am_service, node)
+  {
+    struct am_upstream *u = am_service_upstream_at (s, address);
+
+    if (!u || u->confirm.denied)
+      continue;
+    u->confirm.denied = true;
+    am_board_decision (
+        b, 0, "event=address_reused service=%s upstream=%s revision=%llu",
+        s->name, u->name, (unsigned long long)s->revision);
+  }
+}
+
+void
+am_confirm_added (struct am_board *b)
+{
+  am_list_each (s, &b->services, struct am_service, node)
+  {
+    am_list_each (u, &s->upstreams, struct am_upstream, node)
+    {
+      if (u->confirm.at_us == 0)
+        u->confirm.at_us = present (b);
+    }
+  }
+}
+
+/* An upstream that the present snapshot adds has no time yet.  */
+static bool
+is_within (const struct am_board *b, const struct am_upstream *u,
+           uint64_t life_us)
+{
+  return u->confirm.at_us == 0 || b->now_us - u->confirm.at_us < life_us;
+}
+
+bool
+am_confirm_holds (const struct am_board *b, const struct am_upstream *u)
+{
+  return !u->confirm.denied && is_within (b, u, AM_CONFIRM_LIFE_US);
+}
+
+bool
+am_confirm_due (const struct am_board *b, const struct am_upstream *u)
+{
+  return u->confirm.denied || !is_within (b, u, AM_CONFIRM_REFRESH_US);
+}
+
+bool
+am_confirm_check (struct am_board *b, struct am_upstream *u)
+{
+  if (am_confirm_holds (b, u))
+    return true;
+  b->counters.unconfirmed++;
+  if (b->now_us - u->confirm.asked_us >= AM_CONFIRM_ASK_US)
+    {
+      u->confirm.asked_us = b->now_us;
+      am_probe_ask (b, u);
+    }
+  return false;
+}
--- /dev/null
+++ b/src/core/confirm.h
@@ -0,0 +1,48 @@
+/* Proof that an address still belongs to an upstream of a service.
+
+   Whatever an upstream sends names its service in the PROXY header.  A
+   datagram of this kind from the upstream's address proves that the address is
+   the service's; it counts for AM_CONFIRM_LIFE_US.  Without a proof no packet
+   of a caller goes to the upstream, only a PROBE that asks for one.
+
+   The life of a proof is far below the quarantine of a retired address
+   (AM_RECORD_QUARANTINE_S).  So an entry VM that missed the retirement has no
+   proof any more when another service takes the address, and gets none after,
+   since the answers there name the other service.  No agreement with peers or
+   store is needed, and an entry VM that is cut off from them goes on serving
+   the upstreams that it reaches.  */
+
+#ifndef AM_CORE_CONFIRM_H
+#define AM_CORE_CONFIRM_H
+
+#include "core/board.h"
+
+#define AM_CONFIRM_LIFE_US 20000000u
+
+/* A home VM probes an upstream that has sent nothing for this time: several
+   probes, 2 s apart, may be lost before the proof has ended.  */
+#define AM_CONFIRM_REFRESH_US 5000000u
+
+/* Pause between two probes that packets without proof cause.  */
+#define AM_CONFIRM_ASK_US 200000u
+
+/* Notes a datagram of U under the address of its service.  */
+void am_confirm_seen (const struct am_board *b, struct am_upstream *u);
+
+/* Notes an answer to a PROBE from ADDRESS under the address of a service that
+   is not known here: upstreams at ADDRESS lose their proof.  */
+void am_confirm_denied (struct am_board *b, struct am_address address);
+
+/* Upstreams that a snapshot has added count as proven from its time on.  */
+void am_confirm_added (struct am_board *b);
+
+/* Returns true if U has a proof.  */
+bool am_confirm_holds (const struct am_board *b, const struct am_upstream *u);
+
+/* Returns true if the proof of U is to be renewed.  */
+bool am_confirm_due (const struct am_board *b, const struct am_upstream *u);
+
+/* As am_confirm_holds; if not, asks U for a proof.  */
+bool am_confirm_check (struct am_board *b, struct am_upstream *u);
+
+#endif
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "core/binding.h"
+#include "core/confirm.h"
 #include "core/credit.h"
 #include "core/forward.h"
 #include "core/key_ring.h"
@@ -65,8 +66,21 @@
   return error;
 }
 
+/* A datagram for a service address that is not known here.  An answer to a
+   PROBE is one if the upstream's service is not known.  */
 static int
-from_caller (struct am_board *b, const uint8_t *data, size_t len)
+to_unknown (struct am_board *b, const struct am_address *from,
+            const struct am_proxy_header *h)
+{
+  if (from && am_probe_is_source (h->destination))
+    am_confirm_denied (b, *from);
+  return refuse (b, AM_E_SERVICE_UNKNOWN);
+}
+
+/* FROM is NULL if the datagram came through a peer.  */
+static int
+from_caller (struct am_board *b, const struct am_address *from,
+             const uint8_t *data, size_t len)
 {
   struct am_proxy_header h;
   struct am_service *s;
@@ -77,7 +91,7 @@
     return refuse (b, err);
   s = am_board_service_at (b, h.destination);
   if (!s)
-    return refuse (b, AM_E_SERVICE_UNKNOWN);
+    return to_unknown (b, from, &h);
   return s->binding->from_caller (b, s, h.source, data + used, len - used);
 }
 
@@ -98,6 +112,7 @@
   u = am_service_upstream_at (s, e->from);
   if (!u)
     return refuse (b, AM_E_UPSTREAM_UNKNOWN);
+  am_confirm_seen (b, u);
   if (am_probe_is_source (h.destination))
     return am_probe_reply (b, u, e->data + used, e->len - used);
   return s->binding->from_upstream (b, s, u, h.destination, e->data + used,
@@ -116,7 +131,7 @@
   if (err)
     return refuse (b, err);
   if (h.type == AM_PEER_FORWARD)
-    return from_caller (b, body, len);
+    return from_caller (b, NULL, body, len);
   if (h.type == AM_PEER_CREDIT)
     return am_credit_peer (b, h.sender_id, body, len);
   if (h.type == AM_PEER_OWNER)
@@ -146,6 +161,15 @@
   return am_requests_stream (b, u, &p);
 }
 
+static int
+take_snapshot (struct am_board *b, const struct am_event *e)
+{
+  int err = am_snapshot_apply (b, e->data, e->len);
+
+  am_confirm_added (b);
+  return err;
+}
+
 /* ---- time --------------------------------------------------------- */
 
 static void
@@ -189,7 +213,7 @@
     {
     case AM_EVENT_CALLER:
       b->counters.packets_in++;
-      return from_caller (b, e->data, e->len);
+      return from_caller (b, &e->from, e->data, e->len);
     case AM_EVENT_UPSTREAM:
       b->counters.packets_upstream++;
       return from_upstream (b, e);
@@ -202,7 +226,7 @@
       am_requests_stream_lost (b, e->service_id, e->upstream_id);
       return AM_OK;
     case AM_EVENT_SNAPSHOT:
-      return am_snapshot_apply (b, e->data, e->len);
+      return take_snapshot (b, e);
     case AM_EVENT_TICK:
       tick (d);
       return AM_OK;
--- a/src/core/hash_binding.c
+++ b/src/core/hash_binding.c
@@ -1,6 +1,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "core/binding.h"
+#include "core/confirm.h"
 #include "core/forward.h"
 
 /* Baseline: plain hash of the flow over the active upstreams.  Every change of
@@ -54,10 +55,12 @@
 hash_from_caller (struct am_board *b, struct am_service *s,
                   struct am_address caller, const uint8_t *data, size_t len)
 {
-  const struct am_upstream *u = pick (s, caller);
+  struct am_upstream *u = pick (s, caller);
 
   if (!u)
     return AM_E_NO_UPSTREAM;
+  if (!am_confirm_check (b, u))
+    return AM_E_TIMEOUT;
   am_send_opaque_upstream (b, u, caller, data, len);
   return AM_OK;
 }
--- a/src/core/probe.c
+++ b/src/core/probe.c
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "core/choice.h"
+#include "core/confirm.h"
 #include "core/forward.h"
 
 static const struct am_address probe_source = { 0, 0 };
@@ -29,14 +30,20 @@
   return better < AM_PROBERS;
 }
 
-static void
-send_probe (struct am_board *b, struct am_upstream *u)
+void
+am_probe_ask (struct am_board *b, const struct am_upstream *u)
 {
   struct am_packet p = { .type = AM_PACKET_PROBE };
 
+  am_board_send_upstream (b, u, probe_source, &p);
+}
+
+static void
+send_probe (struct am_board *b, struct am_upstream *u)
+{
   u->probe.sent_us = b->now_us;
   u->probe.next_us = b->now_us + AM_PROBE_INTERVAL_US;
-  am_board_send_upstream (b, u, probe_source, &p);
+  am_probe_ask (b, u);
 }
 
 static void
@@ -50,10 +57,13 @@
           b, 0, "event=probe_failed service=%s upstream=%s failures=%u",
           u->service->name, u->name, u->health.failures);
     }
+  if (b->stopping && !am_confirm_due (b, u))
+    return;
   if (u->probe.next_us == 0)
     u->probe.next_us
         = b->now_us + am_rng_below (&b->rng, AM_PROBE_INTERVAL_US);
-  else if (b->now_us >= u->probe.next_us && is_prober (b, u))
+  else if (b->now_us >= u->probe.next_us
+           && (is_prober (b, u) || am_confirm_due (b, u)))
     send_probe (b, u);
 }
 
@@ -62,7 +72,7 @@
 {
   am_list_each (s, &b->services, struct am_service, node)
   {
-    if (!s->home || s->retired || b->stopping)
+    if (!s->home || s->retired)
       continue;
     am_list_each (u, &s->upstreams, struct am_upstream, node)
     {
--- a/src/core/probe.h
+++ b/src/core/probe.h
@@ -18,6 +18,9 @@
 /* Sends the probes that are due and counts the ones without answer.  */
 void am_probe_tick (struct am_board *b);
 
+/* Sends a probe to U that is not counted as a failure if it has no answer.  */
+void am_probe_ask (struct am_board *b, const struct am_upstream *u);
+
 /* Handles the reply DATA (without PROXY header) of U.  Returns AM_OK or a
    typed error of am_packet_decode.  */
 int am_probe_reply (struct am_board *b, struct am_upstream *u,
--- a/src/core/ticket_binding.c
+++ b/src/core/ticket_binding.c
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "core/binding.h"
 #include "core/choice.h"
+#include "core/confirm.h"
 #include "core/flow_count.h"
 #include "core/forward.h"
 #include "core/key_ring.h"
@@ -167,6 +168,14 @@
   am_board_send_caller (b, a->service->address, a->caller, &p);
 }
 
+/* The upstream has given no proof that it still is the service's: lets another
+   entry VM deliver, which has one if the upstream is there.  */
+static int
+hold (struct am_board *b, const struct arrival *a, const struct am_ticket *t)
+{
+  return pass_stale (b, a, t, AM_E_TIMEOUT) ? AM_OK : AM_E_TIMEOUT;
+}
+
 /* Lets the issuer of T count the end of the flow.  */
 static void
 tell_issuer (struct am_board *b, const struct arrival *a,
@@ -186,8 +195,8 @@
 }
 
 static void
-close_flow (struct am_board *b, const struct arrival *a,
-            const struct am_upstream *u, const struct am_ticket *t)
+close_flow (struct am_board *b, const struct arrival *a, struct am_upstream *u,
+            const struct am_ticket *t)
 {
   struct arrival closing = *a;
   uint8_t data[AM_PACKET_HEADER_SIZE + AM_TICKET_SIZE];
@@ -197,7 +206,7 @@
   closing.data = data;
   if (am_packet_encode (&closing.packet, data, sizeof data, &closing.len))
     return;
-  if (!b->via_peer || t->issuer_id != b->self.id)
+  if ((!b->via_peer || t->issuer_id != b->self.id) && am_confirm_check (b, u))
     am_board_send_upstream (b, u, a->caller, &closing.packet);
   tell_issuer (b, &closing, t);
 }
@@ -226,6 +235,8 @@
       close_flow (b, a, u, t);
       return reset (b, a, AM_E_SILENT);
     }
+  if (!am_confirm_check (b, u))
+    return hold (b, a, t);
   am_board_send_upstream (b, u, a->caller, &a->packet);
   if (needs_renewal && a->packet.type == AM_PACKET_PING)
     renew (b, a, t);
--- a/src/core/tracked_binding.c
+++ b/src/core/tracked_binding.c
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "core/binding.h"
+#include "core/confirm.h"
 #include "core/forward.h"
 #include "core/owned.h"
 #include "core/tracked.h"
@@ -147,11 +148,13 @@
 
 static void
 deliver (struct am_board *b, struct am_tracked *t, struct am_tracked_flow *f,
-         const struct am_upstream *u, const uint8_t *data, size_t len)
+         struct am_upstream *u, const uint8_t *data, size_t len)
 {
   struct am_address caller = { (uint32_t)(f->key >> 16), (uint16_t)f->key };
 
   am_tracked_touch (b, t, f);
+  if (!am_confirm_check (b, u))
+    return;
   if (f->unanswered++ == 0)
     f->unanswered_since_us = b->now_us;
   am_send_opaque_upstream (b, u, caller, data, len);
@@ -274,7 +277,7 @@
   struct am_tracked_flow *f = find_owned (b, s, in);
   const struct am_member *former
       = f || in->hint_id ? NULL : former_owner (b, k, in);
-  const struct am_upstream *u;
+  struct am_upstream *u;
 
   if (former)
     {
@@ -382,7 +385,7 @@
   struct am_tracked_bucket *k = &t->buckets[am_tracked_bucket_of (s, caller)];
   struct introduction in = { .caller = caller, .data = data, .len = len };
   const struct am_member *owner;
-  const struct am_upstream *u = NULL;
+  struct am_upstream *u = NULL;
   struct am_tracked_flow *f;
 
   if (s->retired)
@@ -399,7 +402,7 @@
       am_tracked_forget (t, f);
       f = NULL;
     }
-  if (f && may_go_straight (b, k, f))
+  if (f && may_go_straight (b, k, f) && am_confirm_check (b, u))
     {
       deliver (b, t, f, u, data, len);
       return AM_OK;
@@ -433,7 +436,7 @@
                    const struct introduction *in)
 {
   struct am_tracked *t = s->binding_state;
-  const struct am_upstream *u
+  struct am_upstream *u
       = am_tracked_upstream (s, in->hint_id, in->hint_incarnation);
   struct am_tracked_flow *f = am_tracked_find (t, in->caller);
 
--- a/src/record/validate.c
+++ b/src/record/validate.c
@@ -128,6 +128,57 @@
   return AM_OK;
 }
 
+static bool
+has_address (const Amaranth__Service *s, const Amaranth__Upstream *u)
+{
+  for (size_t i = 0; i < s->n_upstreams; i++)
+    if (s->upstreams[i]->ip == u->ip && s->upstreams[i]->port == u->port)
+      return true;
+  return false;
+}
+
+/* An entry VM that missed the retirement of OLD tells its upstreams from
+   others by the service address that they answer under.  So NEXT may take the
+   service address or upstream addresses of OLD, but never both.  */
+static int
+check_successor (const struct am_record *old, const struct am_record *next,
+                 struct am_fault *f)
+{
+  const Amaranth__Service *s = next->service;
+  char field[2 * sizeof f->field];
+  char allowed[sizeof f->allowed];
+
+  if (!old->service->retired || s->retired || s->ip != old->service->ip
+      || s->port != old->service->port)
+    return AM_OK;
+  for (size_t i = 0; i < s->n_upstreams; i++)
+    {
+      if (!has_address (old->service, s->upstreams[i]))
+        continue;
+      snprintf (field, sizeof field, "%s: upstreams[%zu].address", next->name,
+                i);
+      snprintf (allowed, sizeof allowed,
+                "address of an upstream of retired service %s at the same "
+                "service address",
+                old->name);
+      return am_fault_set (f, AM_E_QUARANTINE, field, allowed);
+    }
+  return AM_OK;
+}
+
+static int
+check_successors (const struct am_record *const *set, size_t n,
+                  struct am_fault *f)
+{
+  int err = AM_OK;
+
+  for (size_t i = 0; i < n && !err; i++)
+    for (size_t j = 0; j < n && !err; j++)
+      if (set[i]->service && set[j]->service)
+        err = check_successor (set[i], set[j], f);
+  return err;
+}
+
 struct identity
 {
   uint32_t id;
@@ -195,6 +246,8 @@
   err = check_names (identities, names, f);
   if (!err)
     err = check_claims (claims, claim_count, f);
+  if (!err)
+    err = check_successors (set, n, f);
   free (claims);
   free (identities);
   return err;
--- a/test/core_fixture.h
+++ b/test/core_fixture.h
@@ -412,6 +412,38 @@
   return net_from_upstream (n, node, address, &p);
 }
 
+/* Answers a probe of NODE as ADDRESS, an upstream of the service at SERVICE.
+ */
+HELPER int
+net_report (struct net *n, size_t node, struct am_address address,
+            struct am_address service)
+{
+  static const uint8_t load[AM_LOAD_SIZE];
+  struct am_address nobody = { 0, 0 };
+  struct am_packet p
+      = { .type = AM_PACKET_REPORT, .body = load, .body_len = sizeof load };
+  uint8_t buf[AM_PACKET_SIZE_MAX];
+  size_t len;
+  bool known = am_address_equal (service, fixture_service);
+
+  ck_assert_int_eq (am_packet_encode (&p, buf, sizeof buf, &len), AM_OK);
+  return net_datagram (n, node, known ? AM_EVENT_UPSTREAM : AM_EVENT_CALLER,
+                       address, service, nobody, buf, len);
+}
+
+/* Every upstream of C answers the probes of every node.  */
+HELPER void
+net_report_all (struct net *n, const struct config *c)
+{
+  for (size_t node = 0; node < n->count; node++)
+    for (size_t i = 0; i < c->service.n_upstreams; i++)
+      {
+        struct am_address a = { c->upstream[i].ip, 9000 };
+
+        net_report (n, node, a, fixture_service);
+      }
+}
+
 /* Opens flow ID through NODE and copies its ticket.  Returns the address of
    the upstream that accepted.  */
 HELPER struct am_address
--- /dev/null
+++ b/test/test_confirm.c
@@ -0,0 +1,144 @@
+#include "core_fixture.h"
+
+#include "core/confirm.h"
+
+static struct net net;
+static struct config config;
+static uint8_t ticket[AM_TICKET_SIZE];
+
+static void
+begin (size_t nodes, Amaranth__Binding binding)
+{
+  net_init (&net, nodes);
+  config_init (&config, binding, 1, nodes);
+  net_apply_all (&net, &config);
+}
+
+static struct am_address
+target (void)
+{
+  struct am_address a = { config.upstream[0].ip, 9000 };
+
+  return a;
+}
+
+/* Number of packets of callers that went to the upstream.  */
+static size_t
+sent (void)
+{
+  size_t n = net_count (&net, AM_ACTION_UPSTREAM);
+
+  net.kept_count = 0;
+  return n;
+}
+
+/* Guards against a stale entry VM that sends packets to whatever has the
+   address now: without a proof nothing goes there, neither on an open flow nor
+   a new one; one answer of the upstream brings it back.  */
+START_TEST (test_proof_ends)
+{
+  begin (1, AMARANTH__BINDING__BINDING_TICKET);
+  net_open_flow (&net, 0, 1, ticket);
+  net_run (&net, AM_CONFIRM_LIFE_US - SECOND);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 1);
+  net_run (&net, SECOND);
+  ck_assert_int_eq (net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0),
+                    AM_E_TIMEOUT);
+  net_flow_packet (&net, 0, AM_PACKET_CLOSE, 1, ticket, 0);
+  ck_assert_int_eq (net_open (&net, 0, 2, AM_OPEN_FLOW), AM_E_NO_UPSTREAM);
+  ck_assert_uint_eq (sent (), 0);
+  ck_assert_int_eq (net_report (&net, 0, target (), fixture_service), AM_OK);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a proof that outlives an answer which shows that the address
+   is another service's.  */
+START_TEST (test_other_service_answers)
+{
+  struct am_address other = { fixture_service.ip + 1, 8002 };
+
+  begin (1, AMARANTH__BINDING__BINDING_TICKET);
+  net_open_flow (&net, 0, 1, ticket);
+  ck_assert_int_eq (net_report (&net, 0, target (), other),
+                    AM_E_SERVICE_UNKNOWN);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 0);
+  net_report (&net, 0, target (), fixture_service);
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against an entry VM without a proof that breaks a flow which others
+   can serve: its packets go through a peer, over the upstream's address only
+   from there.  */
+START_TEST (test_peer_delivers)
+{
+  struct kept_action *k;
+
+  begin (2, AMARANTH__BINDING__BINDING_TICKET);
+  net_open_flow (&net, 1, 1, ticket);
+  net_run (&net, AM_CONFIRM_LIFE_US);
+  net_report (&net, 1, target (), fixture_service);
+  net.kept_count = 0;
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_UPSTREAM), 0);
+  net_pump (&net);
+  k = net_take (&net, AM_ACTION_UPSTREAM);
+  ck_assert_ptr_nonnull (k);
+  ck_assert_uint_eq (k->node, 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a quiet upstream that loses its proof: probes renew it in
+   time, and a packet without proof asks for one at once.  */
+START_TEST (test_probes_renew)
+{
+  begin (1, AMARANTH__BINDING__BINDING_TICKET);
+  net_open_flow (&net, 0, 1, ticket);
+  net.keep_probes = true;
+  for (int i = 0; i < 60; i++)
+    {
+      net_run (&net, SECOND);
+      if (net_take (&net, AM_ACTION_UPSTREAM))
+        net_report (&net, 0, target (), fixture_service);
+      net.kept_count = 0;
+    }
+  net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 1);
+  net.now_us += AM_CONFIRM_LIFE_US;
+  for (int i = 0; i < 3; i++)
+    net_flow_packet (&net, 0, AM_PACKET_DATA, 1, ticket, 0);
+  ck_assert_uint_eq (sent (), 1);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against the same fault with opaque callers.  */
+START_TEST (test_opaque)
+{
+  static const Amaranth__Binding bindings[]
+      = { AMARANTH__BINDING__BINDING_TRACKED,
+          AMARANTH__BINDING__BINDING_HASH };
+
+  for (size_t i = 0; i < 2; i++)
+    for (int lapsed = 0; lapsed < 2; lapsed++)
+      {
+        begin (1, bindings[i]);
+        net.now_us += lapsed ? AM_CONFIRM_LIFE_US : 0;
+        net_datagram (&net, 0, AM_EVENT_CALLER, target (), fixture_caller,
+                      fixture_service, (const uint8_t *)"data", 4);
+        ck_assert_uint_eq (sent (), lapsed ? 0 : 1);
+        net_finish (&net);
+      }
+}
+END_TEST
+
+RUN_TESTS ("confirm", test_proof_ends, test_other_service_answers,
+           test_peer_delivers, test_probes_renew, test_opaque)
--- a/test/test_tracked_binding.c
+++ b/test/test_tracked_binding.c
@@ -87,7 +87,7 @@
         ck_assert (am_address_equal (packet (node, i), at[i]));
 }
 
-/* Lets copies travel for US.  */
+/* Lets copies travel for US while the upstreams answer probes.  */
 static void
 run (uint64_t us)
 {
@@ -95,6 +95,7 @@
     {
       net_run (&net, 100 * MS);
       net_pump (&net);
+      net_report_all (&net, &config);
     }
 }
 
--- a/test/test_validate.c
+++ b/test/test_validate.c
@@ -114,6 +114,27 @@
 }
 END_TEST
 
+/* Guards against a service that a stale entry VM cannot tell from the retired
+   one: after the quarantine it may take the service address or an upstream's
+   address, never both.  */
+START_TEST (retired_service_and_upstream)
+{
+  add ("a", "0.1", ",\"retired\":true,\"retired_at\":900000", "1.1", "");
+  add ("b", "0.1", "", "1.2", "");
+  add ("c", "0.2", "", "1.1", "");
+  ck_assert_int_eq (check (), AM_OK);
+}
+END_TEST
+
+START_TEST (retired_service_taken_whole)
+{
+  add ("a", "0.1", ",\"retired\":true,\"retired_at\":900000", "1.1", "");
+  add ("b", "0.1", "", "1.1", "");
+  ck_assert_int_eq (check (), AM_E_QUARANTINE);
+  ck_assert_str_eq (fault.field, "b: upstreams[0].address");
+}
+END_TEST
+
 /* Guards against refusing two retired holders of one address, which a moved
    upstream leaves behind.  */
 START_TEST (both_retired)
@@ -163,6 +184,8 @@
   tcase_add_test (tc, upstream_address);
   tcase_add_loop_test (tc, quarantine, 0, 6);
   tcase_add_test (tc, retired_service_address);
+  tcase_add_test (tc, retired_service_and_upstream);
+  tcase_add_test (tc, retired_service_taken_whole);
   tcase_add_test (tc, both_retired);
   tcase_add_test (tc, name_twice);
   tcase_add_test (tc, id_collision);
