Copy tracked exceptions densely and in bursts

Cause: exceptions went to the backup at 60 flows in 300 ms, so 10,000 took 50 s, and those not yet copied were lost with their owner.

Change: a batch holds sorted differences of addresses, grouped by upstream, in at most 1,200 bytes. A token bucket of the entry VM, 3,000 bytes a second and 180,000 deep, replaces the pace of one batch in 300 ms for each service; 8 batches may be on their way.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -316,6 +316,8 @@
   struct am_ticket_cache *tickets; /* verified; owner: key ring */
 
   uint64_t credit_next_us; /* owner: credit; first due split, 0: none */
+  double copy_tokens;      /* owner: tracked copy; bytes it may send */
+  uint64_t copy_at_us;     /* of the tokens; 0: none sent yet */
 
   /* Owner: lifecycle.  */
   bool stopping;
--- a/src/core/tracked.h
+++ b/src/core/tracked.h
@@ -4,6 +4,7 @@
 
    tracked_table    buckets and flows
    tracked_copy     copies of flows to the next owner
+   tracked_batch    their encoding
    tracked_binding  path of a packet  */
 
 #ifndef AM_CORE_TRACKED_H
@@ -41,13 +42,18 @@
 #define AM_TRACKED_SILENT_PACKETS 5
 #define AM_TRACKED_SILENT_US 5000000u
 
-/* Copies of one batch; a batch is one datagram to one peer.  */
-#define AM_TRACKED_BATCH_MAX 60
+/* Bytes of one batch; a batch is one datagram to one peer.  */
+#define AM_TRACKED_BATCH_SIZE 1200
 
-/* Batches sent and not acknowledged: one in normal running, which keeps the
-   copies near 3 KB/s, more while the forwarder stops.  */
+/* Batches of a service sent and not acknowledged.  */
 #define AM_TRACKED_WINDOW_MAX 8
-#define AM_TRACKED_BATCH_INTERVAL_US 300000u
+
+/* Bytes of copies a second, over all services, and those that may be sent at
+   once after a pause: in any minute 6 KB a second on average, the bound for
+   control traffic.  Only the copies of a planned stop go beyond.  */
+#define AM_TRACKED_COPY_RATE 3000.0
+#define AM_TRACKED_COPY_BURST (60 * AM_TRACKED_COPY_RATE)
+
 #define AM_TRACKED_RESEND_US 300000u
 #define AM_TRACKED_RESENDS_MAX 5
 
@@ -104,8 +110,9 @@
   uint32_t to_id;
   uint64_t sent_us;
   uint32_t resends;
+  size_t count; /* flows */
   size_t len;
-  uint8_t body[6 + AM_TRACKED_BATCH_MAX * 14];
+  uint8_t body[AM_TRACKED_BATCH_SIZE];
 };
 
 struct am_tracked
@@ -117,7 +124,6 @@
   struct am_list copy_queue;
   struct am_tracked_batch batches[AM_TRACKED_WINDOW_MAX];
   uint32_t copy_sequence;
-  uint64_t next_batch_us;
   bool handing_over;
 };
 
--- a/src/core/tracked_copy.c
+++ b/src/core/tracked_copy.c
@@ -2,20 +2,20 @@
 
 #include "base/error.h"
 #include "core/tracked.h"
+#include "core/tracked_batch.h"
 #include "wire/bytes.h"
 
-/* kind, sequence, count */
-#define BATCH_HEADER_SIZE 6
-
-/* address, port, upstream, incarnation */
-#define ENTRY_SIZE 14
-
 #define ACK_SIZE 5
 
 /* A batch is filled from at most this many waiting flows, since each bucket
-   has its own next owner.  */
+   has its own next owner.  The more are sorted, the denser is the batch.  */
 #define SCAN_MAX 2048
 
+/* IPv4 and UDP headers.  */
+#define DATAGRAM_HEADERS_SIZE 28
+
+#define MICROSECONDS 1e6
+
 void
 am_tracked_copy_plan (struct am_tracked *t, struct am_tracked_flow *f)
 {
@@ -33,51 +33,84 @@
   return m && m->id != b->self.id ? m : NULL;
 }
 
-static void
-put_entry (uint8_t *p, const struct am_tracked_flow *f)
-{
-  am_put_u32 (p, (uint32_t)(f->key >> 16));
-  am_put_u16 (p + 4, (uint16_t)f->key);
-  am_put_u32 (p + 6, f->upstream_id);
-  am_put_u32 (p + 10, f->incarnation);
-}
-
-/* Moves waiting flows with the same destination as the first one into BATCH.
-   Returns the destination or NULL if nothing was taken.  */
+/* Collects waiting flows with the same destination as the first one into LIST
+   of SCAN_MAX.  Returns the destination or NULL if there is none.  */
 static const struct am_member *
-fill_batch (struct am_board *b, struct am_tracked *t,
-            struct am_tracked_batch *batch)
+collect (struct am_board *b, struct am_tracked *t,
+         struct am_tracked_flow **list, size_t *n)
 {
   const struct am_member *to = NULL;
-  size_t count = 0;
   int scanned = 0;
 
+  *n = 0;
   am_list_each_safe (f, next, &t->copy_queue, struct am_tracked_flow,
                      copy_node)
   {
     const struct am_member *m = destination (b, &t->buckets[f->bucket]);
 
-    if (count == AM_TRACKED_BATCH_MAX || scanned++ == SCAN_MAX)
+    if (scanned++ == SCAN_MAX)
       break;
-    if (m && to && m != to)
-      continue;
-    am_list_remove (&f->copy_node);
     if (!m)
-      continue;
-    to = m;
-    put_entry (batch->body + BATCH_HEADER_SIZE + count++ * ENTRY_SIZE, f);
+      am_list_remove (&f->copy_node);
+    else if (!to || m == to)
+      {
+        to = m;
+        list[(*n)++] = f;
+      }
   }
+  return to;
+}
+
+/* Moves waiting flows of one destination into BATCH.  Returns the destination
+   or NULL if nothing was taken.  */
+static const struct am_member *
+fill_batch (struct am_board *b, struct am_tracked *t,
+            struct am_tracked_batch *batch)
+{
+  struct am_tracked_flow *list[SCAN_MAX];
+  size_t n;
+  const struct am_member *to = collect (b, t, list, &n);
+
+  if (!to)
+    return NULL;
+  am_tracked_batch_sort (list, n);
   batch->body[0] = AM_TRACKED_COPY;
-  batch->body[5] = (uint8_t)count;
-  batch->len = BATCH_HEADER_SIZE + count * ENTRY_SIZE;
+  batch->count = am_tracked_batch_fill (batch, list, n);
+  for (size_t i = 0; i < batch->count; i++)
+    am_list_remove (&list[i]->copy_node);
   return to;
 }
 
+static void
+refill (struct am_board *b)
+{
+  double passed = (double)(b->now_us - b->copy_at_us) / MICROSECONDS;
+
+  if (b->copy_at_us == 0)
+    b->copy_tokens = AM_TRACKED_COPY_BURST;
+  else
+    b->copy_tokens += passed * AM_TRACKED_COPY_RATE;
+  if (b->copy_tokens > AM_TRACKED_COPY_BURST)
+    b->copy_tokens = AM_TRACKED_COPY_BURST;
+  b->copy_at_us = b->now_us ? b->now_us : 1;
+}
+
+/* Returns true if a batch may be sent now.  A planned stop cannot wait.  */
+static bool
+may_send (const struct am_board *b)
+{
+  return b->stopping
+         || b->copy_tokens >= AM_TRACKED_BATCH_SIZE + AM_PEER_HEADER_SIZE
+                                  + DATAGRAM_HEADERS_SIZE;
+}
+
 static void
 send_batch (struct am_board *b, struct am_service *s,
             struct am_tracked_batch *batch, const struct am_member *to)
 {
   batch->sent_us = b->now_us;
+  b->copy_tokens
+      -= (double)(batch->len + AM_PEER_HEADER_SIZE + DATAGRAM_HEADERS_SIZE);
   am_board_send_peer (b, to, AM_PEER_BINDING, s->id, batch->body, batch->len);
 }
 
@@ -105,14 +138,14 @@
 {
   const struct am_member *to = am_board_member (b, batch->to_id);
 
-  if (b->now_us - batch->sent_us < AM_TRACKED_RESEND_US)
+  if (b->now_us - batch->sent_us < AM_TRACKED_RESEND_US || !may_send (b))
     return;
   if (!to || batch->resends >= AM_TRACKED_RESENDS_MAX)
     {
       am_board_decision (b, 0,
-                         "event=copy_lost service=%s to=%u flows=%u "
+                         "event=copy_lost service=%s to=%u flows=%zu "
                          "revision=%llu",
-                         s->name, batch->to_id, batch->body[5],
+                         s->name, batch->to_id, batch->count,
                          (unsigned long long)s->revision);
       batch->sequence = 0;
       return;
@@ -144,40 +177,43 @@
 am_tracked_copy_tick (struct am_board *b, struct am_service *s)
 {
   struct am_tracked *t = s->binding_state;
-  size_t window = b->stopping ? AM_TRACKED_WINDOW_MAX : 1;
 
+  refill (b);
   if (b->stopping && !t->handing_over)
     start_handover (b, s);
   for (size_t i = 0; i < AM_TRACKED_WINDOW_MAX; i++)
     if (t->batches[i].sequence)
       resend_batch (b, s, &t->batches[i]);
-  if (!b->stopping && b->now_us < t->next_batch_us)
-    return;
-  t->next_batch_us = b->now_us + AM_TRACKED_BATCH_INTERVAL_US;
-  for (size_t i = 0; i < window; i++)
-    if (!t->batches[i].sequence)
+  for (size_t i = 0; i < AM_TRACKED_WINDOW_MAX; i++)
+    if (!t->batches[i].sequence && may_send (b))
       start_batch (b, s, &t->batches[i]);
 }
 
+struct receiver
+{
+  struct am_board *board;
+  struct am_service *service;
+};
+
 /* The sender was the owner: its word replaces what is known here.  */
 static void
-take_entry (struct am_board *b, struct am_service *s, const uint8_t *p)
+take_flow (void *userdata, uint64_t key, uint32_t id, uint32_t incarnation)
 {
-  struct am_tracked *t = s->binding_state;
-  struct am_address caller = { am_get_u32 (p), am_get_u16 (p + 4) };
-  uint32_t id = am_get_u32 (p + 6);
-  uint32_t incarnation = am_get_u32 (p + 10);
+  struct receiver *r = userdata;
+  struct am_board *b = r->board;
+  struct am_service *s = r->service;
+  struct am_address caller = { (uint32_t)(key >> 16), (uint16_t)key };
   struct am_tracked_flow *f;
 
   if (!am_tracked_upstream (s, id, incarnation)
       && !am_tracked_is_newer (s, id, incarnation))
     return;
-  f = am_tracked_find (t, caller);
+  f = am_tracked_find (s->binding_state, caller);
   if (!f)
     f = am_tracked_add (b, s, caller);
   if (!f)
     return;
-  am_tracked_touch (b, t, f);
+  am_tracked_touch (b, s->binding_state, f);
   am_tracked_assign (b, s, f, id, incarnation);
 }
 
@@ -186,19 +222,12 @@
                          uint32_t sender_id, const uint8_t *body, size_t len)
 {
   const struct am_member *sender = am_board_member (b, sender_id);
+  struct receiver r = { b, s };
   uint8_t ack[ACK_SIZE];
-  size_t count;
+  int err = am_tracked_batch_read (body, len, take_flow, &r);
 
-  if (len < BATCH_HEADER_SIZE)
-    return AM_E_SHORT;
-  count = body[5];
-  if (count > AM_TRACKED_BATCH_MAX
-      || len != BATCH_HEADER_SIZE + count * ENTRY_SIZE)
-    return AM_E_FORMAT;
-  for (size_t i = 0; i < count; i++)
-    take_entry (b, s, body + BATCH_HEADER_SIZE + i * ENTRY_SIZE);
-  if (!sender)
-    return AM_OK;
+  if (err || !sender)
+    return err;
   ack[0] = AM_TRACKED_COPY_ACK;
   memcpy (ack + 1, body + 1, 4);
   am_board_send_peer (b, sender, AM_PEER_BINDING, s->id, ack, sizeof ack);
--- /dev/null
+++ b/test/test_tracked_copy.c
@@ -0,0 +1,224 @@
+#include "core_fixture.h"
+
+#include "core/tracked_batch.h"
+
+/* Bound for a configuration to be in force everywhere (design 1.2).  */
+#define IN_FORCE_US (6 * SECOND)
+
+/* Bound for control traffic of an entry VM, bytes a second.  */
+#define CONTROL_RATE 6000
+
+static struct net net;
+static struct config config;
+
+/* ---- encoding ----------------------------------------------------- */
+
+struct seen
+{
+  size_t count;
+  uint64_t digest;
+};
+
+static void
+see (void *userdata, uint64_t key, uint32_t id, uint32_t incarnation)
+{
+  struct seen *s = userdata;
+  uint64_t fields[] = { key, (uint64_t)id << 32 | incarnation };
+
+  s->count++;
+  s->digest ^= am_hash_bytes (fields, sizeof fields, 0);
+}
+
+/* Guards against copies that bind another flow or upstream than the owner's:
+   what is read is what was written, whatever the keys.  */
+START_TEST (test_round_trip)
+{
+  static struct am_tracked_flow flows[600];
+  static struct am_tracked_batch batch;
+  struct am_tracked_flow *list[600];
+  struct am_rng rng;
+
+  am_rng_init (&rng, 20261204);
+  for (int round = 0; round < 200; round++)
+    {
+      size_t n = 1 + am_rng_below (&rng, 600);
+      unsigned spread = 1 + am_rng_below (&rng, 48);
+      struct seen wrote = { 0 };
+      struct seen read = { 0 };
+      size_t taken;
+
+      for (size_t i = 0; i < n; i++)
+        {
+          flows[i].key = am_rng_next (&rng) >> (64 - spread);
+          flows[i].upstream_id = am_rng_below (&rng, 4) * 0x40000000u;
+          flows[i].incarnation = am_rng_below (&rng, 2);
+          list[i] = &flows[i];
+        }
+      am_tracked_batch_sort (list, n);
+      taken = am_tracked_batch_fill (&batch, list, n);
+      ck_assert_uint_gt (taken, 0);
+      ck_assert_uint_le (batch.len, AM_TRACKED_BATCH_SIZE);
+      for (size_t i = 0; i < taken; i++)
+        see (&wrote, list[i]->key, list[i]->upstream_id, list[i]->incarnation);
+      ck_assert_int_eq (
+          am_tracked_batch_read (batch.body, batch.len, see, &read), AM_OK);
+      ck_assert_uint_eq (read.count, taken);
+      ck_assert_uint_eq (read.digest, wrote.digest);
+    }
+}
+END_TEST
+
+/* Guards against a batch that is applied in part or read beyond its end.  */
+START_TEST (test_malformed_batches)
+{
+  static const uint8_t good[]
+      = { 4, 0, 0, 0, 1, 0, 0, 0, 9, 0, 0, 0, 1, 2, 0x85, 1, 7 };
+  uint8_t bad[32];
+  struct seen read = { 0 };
+
+  ck_assert_int_eq (am_tracked_batch_read (good, sizeof good, see, &read),
+                    AM_OK);
+  ck_assert_uint_eq (read.count, 2);
+  for (size_t len = 0; len < sizeof good; len++)
+    if (len != AM_TRACKED_BATCH_HEADER_SIZE)
+      ck_assert_int_lt (am_tracked_batch_read (good, len, see, &read), 0);
+  memcpy (bad, good, sizeof good);
+  bad[13] = 0;
+  ck_assert_int_lt (am_tracked_batch_read (bad, sizeof good, see, &read), 0);
+  memset (bad + 14, 0xff, sizeof bad - 14);
+  bad[13] = 1;
+  ck_assert_int_lt (am_tracked_batch_read (bad, sizeof bad, see, &read), 0);
+  ck_assert_uint_eq (read.count, 2);
+}
+END_TEST
+
+/* ---- time and traffic --------------------------------------------- */
+
+static struct am_tracked *
+tracked (size_t node)
+{
+  return am_board_service (&net.nodes[node].board, 77)->binding_state;
+}
+
+/* Opens flows from many callers until node 0 owns N.  */
+static void
+open_flows (size_t n)
+{
+  struct am_address fabric = { 0x7f280801, 7900 };
+  struct am_rng rng;
+  size_t owned = 0;
+
+  net.now_us += AM_TRACKED_WARMUP_US + SECOND;
+  am_rng_init (&rng, 20261204);
+  while (owned < n)
+    {
+      struct am_address a
+          = { (uint32_t)am_rng_next (&rng), (uint16_t)am_rng_next (&rng) };
+      const struct am_tracked *t = tracked (0);
+      uint32_t bucket = am_tracked_bucket_of (
+          am_board_service (&net.nodes[0].board, 77), a);
+
+      if (t->buckets[bucket].owner_id != 1)
+        continue;
+      owned++;
+      net_datagram (&net, 0, AM_EVENT_CALLER, fabric, a, fixture_service,
+                    (const uint8_t *)"data", 4);
+      net.kept_count = 0;
+    }
+}
+
+/* Runs 100 ms; returns the bytes that node 0 sent to its peer, with their IP
+   and UDP headers.  */
+static size_t
+run_step (void)
+{
+  struct kept_action *k;
+  size_t bytes = 0;
+
+  net_run (&net, 100 * MS);
+  for (size_t i = 0; i < net.kept_count; i++)
+    if (net.kept[i].a.type == AM_ACTION_PEER && net.kept[i].node == 0)
+      bytes += net.kept[i].a.len + 28;
+  net_pump (&net);
+  while ((k = net_take (&net, AM_ACTION_UPSTREAM)) != NULL)
+    continue;
+  return bytes;
+}
+
+static const struct
+{
+  size_t flows;
+  uint64_t limit_us;
+} copies[] = {
+  { 1000, IN_FORCE_US },
+  { 10000, IN_FORCE_US },
+  /* 8 bytes each, less the burst, at the rate of copies  */
+  { 50000, 74 * SECOND },
+};
+
+/* Guards against exceptions that are lost with their owner because their
+   copies wait: 10,000 are at the backup by the time that the change which made
+   them is in force everywhere.  Guards against copies above the budget: in any
+   minute at most 6 KB a second on average.  */
+START_TEST (test_time_and_traffic)
+{
+  static size_t sent[3000];
+  size_t n = copies[_i].flows;
+  size_t total = 0;
+  size_t highest = 0;
+  size_t minute = 0;
+  uint64_t took;
+
+  net_init (&net, 2);
+  config_init (&config, AMARANTH__BINDING__BINDING_TRACKED, 1, 2);
+  net_apply_all (&net, &config);
+  open_flows (n);
+  config.service.revision = 2;
+  config.service.n_upstreams = 2;
+  config.upstream[0].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
+  net_apply_all (&net, &config);
+  took = 0;
+  for (size_t i = 0; i < 1200; i++)
+    {
+      sent[i] = run_step ();
+      total += sent[i];
+      minute += sent[i];
+      if (i >= 600)
+        minute -= sent[i - 600];
+      if (minute > highest)
+        highest = minute;
+      if (!took && am_tracked_copy_done (tracked (0)))
+        took = (i + 1) * 100 * MS;
+    }
+  printf ("exceptions=%zu copied_ms=%llu bytes=%zu bytes_each=%.1f "
+          "worst_minute_bytes_s=%.0f\n",
+          n, (unsigned long long)took / MS, total, (double)total / (double)n,
+          (double)highest / 60);
+  fflush (stdout);
+  ck_assert_uint_ne (took, 0);
+  ck_assert_uint_le (took, copies[_i].limit_us);
+  ck_assert_uint_le (highest, 60 * CONTROL_RATE);
+  ck_assert_uint_ge (HASH_COUNT (tracked (1)->flows), n);
+  net_finish (&net);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("tracked_copy");
+  TCase *c = tcase_create ("tracked_copy");
+  SRunner *r;
+  int failed;
+
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, test_round_trip);
+  tcase_add_test (c, test_malformed_batches);
+  tcase_add_loop_test (c, test_time_and_traffic, 0, 3);
+  suite_add_tcase (s, c);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
