Split the lease into state machine, rules and promises

control_owner.c had 589 lines and three jobs. No change of behaviour: test_owner and test_explore_owner pass as before.

--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -1,4 +1,4 @@
-#include "core/control_owner.h"
+#include "core/control_owner_parts.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -39,16 +39,6 @@
   return true;
 }
 
-static size_t
-rank_of (const struct am_lease *l)
-{
-  size_t i = 0;
-
-  while (i < l->home_count && l->home[i] != l->self_id)
-    i++;
-  return i;
-}
-
 static void
 go_idle (struct am_lease *l, uint64_t wait_us)
 {
@@ -60,7 +50,7 @@
 static uint64_t
 poll_interval (const struct am_lease *l)
 {
-  return rank_of (l) < 2 ? AM_LEASE_POLL_US : AM_LEASE_POLL_FAR_US;
+  return am_lease_rank (l) < 2 ? AM_LEASE_POLL_US : AM_LEASE_POLL_FAR_US;
 }
 
 static void
@@ -72,22 +62,6 @@
 
 /* ---- validity ----------------------------------------------------- */
 
-/* Returns the time until which every eligible successor has promised, or 0. */
-static uint64_t
-promised_by_all (const struct am_lease *l)
-{
-  uint64_t until = l->confirmed_us + AM_LEASE_OUTAGE_MAX_US;
-
-  for (size_t i = 0; i < l->value.eligible_count; i++)
-    {
-      if (l->value.eligible[i] == l->self_id)
-        continue;
-      if (l->promises[i].until_us < until)
-        until = l->promises[i].until_us;
-    }
-  return until > AM_LEASE_MARGIN_US ? until - AM_LEASE_MARGIN_US : 0;
-}
-
 static void
 clear_grant (struct am_lease *l)
 {
@@ -100,12 +74,11 @@
   emit (l, AM_LEASE_TELL);
 }
 
-/* Extends the grant by what the session and the promises allow.  */
-static void
-extend_grant (struct am_lease *l)
+void
+am_lease_extend (struct am_lease *l)
 {
   uint64_t until = l->lease_until_us;
-  uint64_t promised = l->outage ? promised_by_all (l) : 0;
+  uint64_t promised = l->outage ? am_lease_promised_until (l) : 0;
 
   if (promised > until)
     until = promised;
@@ -115,111 +88,17 @@
   emit (l, AM_LEASE_TELL);
 }
 
-static bool
-is_granted (const struct am_lease *l)
-{
-  return l->grant.until_us > l->now_us;
-}
-
 /* ---- acquisition -------------------------------------------------- */
 
-static bool
-is_eligible (const struct am_lease *l, const struct am_lease_value *v)
-{
-  for (size_t i = 0; i < v->eligible_count; i++)
-    if (v->eligible[i] == l->self_id)
-      return true;
-  return false;
-}
-
-/* Without a place in the list, or with a list that is lost, the key must have
-   been free for longer than any ownership by promises.  */
-static bool
-has_waited (struct am_lease *l, const struct am_lease_entry *e)
-{
-  if (e->locked || l->unlisted_index != e->lock_index || !l->unlisted_since_us)
-    {
-      l->unlisted_index = e->lock_index;
-      l->unlisted_since_us = e->locked ? 0 : l->now_us;
-    }
-  return l->unlisted_since_us
-         && l->now_us - l->unlisted_since_us
-                >= AM_LEASE_OUTAGE_MAX_US + AM_LEASE_MARGIN_US;
-}
-
-static bool
-list_allows (struct am_lease *l, const struct am_lease_entry *e)
-{
-  if (e->error == AM_E_NOT_FOUND)
-    return l->highest_epoch == 0;
-  if (e->lock_index < l->highest_epoch)
-    return false; /* the store is older than its past */
-  l->highest_epoch = e->lock_index;
-  if (e->value.epoch == e->lock_index
-      && (is_eligible (l, &e->value) || e->value.handed_to == l->self_id))
-    return true;
-  return has_waited (l, e);
-}
-
-/* Returns true if this VM still owns by promises what it acquires again.  */
-static bool
-is_own (const struct am_lease *l, const struct am_lease_entry *e)
-{
-  return e->error == AM_OK && is_granted (l) && e->value.owner_id == l->self_id
-         && e->value.epoch == l->grant.epoch && e->value.boot_id == l->boot_id;
-}
-
-/* Returns true if the holder has released the key and this VM has its table.
-   A promise to that holder is void then.  */
-static bool
-is_handed (const struct am_lease *l, const struct am_lease_entry *e)
-{
-  return e->error == AM_OK && e->value.epoch == e->lock_index
-         && e->value.handed_to == l->self_id;
-}
-
-static bool
-may_acquire (struct am_lease *l, const struct am_lease_entry *e)
-{
-  bool allowed;
-
-  if (e->error && e->error != AM_E_NOT_FOUND)
-    return false;
-  allowed = list_allows (l, e);
-  if (e->locked || !allowed || l->stopping || !l->boot_id)
-    return false;
-  if (is_own (l, e) || (is_handed (l, e) && !is_granted (l)))
-    return true;
-  return !is_granted (l) && l->now_us >= l->promised_until_us
-         && l->now_us - l->started_us >= AM_LEASE_PROMISE_US
-         && rank_of (l) < l->home_count;
-}
-
-/* Returns true if a VM of this rank has waited long enough.  A VM that has
-   the whole table does not wait.  */
-static bool
-is_my_turn (struct am_lease *l, const struct am_lease_entry *e)
-{
-  uint64_t wait_us = rank_of (l) * (uint64_t)AM_LEASE_RANK_US;
-
-  if (!l->free_since_us)
-    l->free_since_us = l->now_us;
-  if (is_own (l, e) || is_handed (l, e))
-    return true;
-  if (e->error == AM_OK && e->value.handed_to)
-    wait_us += AM_LEASE_HANDED_US;
-  return l->now_us - l->free_since_us >= wait_us;
-}
-
 static void
 checked (struct am_lease *l, const struct am_lease_entry *e)
 {
-  if (!may_acquire (l, e))
+  if (!am_lease_may_acquire (l, e))
     {
       l->free_since_us = 0;
       go_idle (l, poll_interval (l));
     }
-  else if (!is_my_turn (l, e))
+  else if (!am_lease_is_my_turn (l, e))
     go_idle (l, AM_LEASE_RANK_US);
   else
     {
@@ -250,7 +129,7 @@
 static void
 read_with_session (struct am_lease *l, const struct am_lease_entry *e)
 {
-  if (!may_acquire (l, e))
+  if (!am_lease_may_acquire (l, e))
     {
       end_session (l);
       return;
@@ -282,7 +161,7 @@
   l->confirmed_us = l->session_us;
   l->lease_until_us = l->session_us + AM_LEASE_TTL_US - AM_LEASE_MARGIN_US;
   l->poll_us = l->session_us + AM_LEASE_RENEW_US;
-  extend_grant (l);
+  am_lease_extend (l);
 }
 
 void
@@ -330,7 +209,7 @@
       l->confirmed_us = l->session_us;
       l->lease_until_us = l->session_us + AM_LEASE_TTL_US - AM_LEASE_MARGIN_US;
       l->outage = false;
-      extend_grant (l);
+      am_lease_extend (l);
       return;
     }
   if (error != AM_E_NOT_FOUND)
@@ -341,7 +220,7 @@
     }
   /* Promises outlast a session that ended while the store was away.  */
   l->lease_until_us = 0;
-  if (!l->outage || promised_by_all (l) <= l->now_us)
+  if (!l->outage || am_lease_promised_until (l) <= l->now_us)
     clear_grant (l);
   go_idle (l, 0);
 }
@@ -443,78 +322,7 @@
 bool
 am_lease_may_exit (const struct am_lease *l)
 {
-  return l->stopping && l->state == AM_LEASE_IDLE && !is_granted (l);
-}
-
-/* ---- promises ----------------------------------------------------- */
-
-/* An acquisition that may be on its way cannot be taken back, so nothing is
-   promised from its sending until its session has ended.  */
-static bool
-may_promise (const struct am_lease *l, uint64_t epoch)
-{
-  return l->state <= AM_LEASE_READING && !is_granted (l)
-         && epoch >= l->highest_epoch
-         && l->now_us - l->started_us >= AM_LEASE_SESSION_MAX_US;
-}
-
-void
-am_lease_asked (struct am_lease *l, uint64_t now_us, uint32_t from,
-                uint64_t question, uint64_t epoch)
-{
-  struct am_lease_action a = {
-    .type = AM_LEASE_PROMISE, .call = question, .to = from, .epoch = epoch
-  };
-
-  l->now_us = now_us;
-  if (!may_promise (l, epoch))
-    return;
-  l->highest_epoch = epoch;
-  l->promised_until_us = now_us + AM_LEASE_PROMISE_US;
-  l->sink.emit (l->sink.userdata, &a);
-}
-
-void
-am_lease_promised (struct am_lease *l, uint64_t now_us, uint32_t from,
-                   uint64_t question)
-{
-  l->now_us = now_us;
-  for (size_t i = 0; i < l->value.eligible_count; i++)
-    {
-      struct am_lease_promise *p = &l->promises[i];
-
-      if (l->value.eligible[i] != from || !p->question
-          || p->question != question)
-        continue;
-      p->until_us = p->asked_us + AM_LEASE_PROMISE_US;
-      p->question = 0;
-    }
-  if (l->state == AM_LEASE_HOLDING)
-    extend_grant (l);
-}
-
-/* Asks each eligible successor whose promise is due for renewal.  An answer
-   counts for the last question only, from the time it was asked.  */
-static void
-ask (struct am_lease *l)
-{
-  for (size_t i = 0; i < l->value.eligible_count; i++)
-    {
-      struct am_lease_promise *p = &l->promises[i];
-      uint64_t wait
-          = p->question ? AM_LEASE_ASK_US : AM_LEASE_PROMISE_RENEW_US;
-      struct am_lease_action a = { .type = AM_LEASE_ASK,
-                                   .to = l->value.eligible[i],
-                                   .epoch = l->grant.epoch };
-
-      if (a.to == l->self_id
-          || (p->asked_us && l->now_us - p->asked_us < wait))
-        continue;
-      p->asked_us = l->now_us;
-      p->question = ++l->questions;
-      a.call = p->question;
-      l->sink.emit (l->sink.userdata, &a);
-    }
+  return l->stopping && l->state == AM_LEASE_IDLE && !am_lease_is_granted (l);
 }
 
 /* ---- time --------------------------------------------------------- */
@@ -525,7 +333,7 @@
   switch (l->state)
     {
     case AM_LEASE_IDLE:
-      if (l->stopping || !l->boot_id || rank_of (l) == l->home_count)
+      if (l->stopping || !l->boot_id || am_lease_rank (l) == l->home_count)
         return;
       l->state = AM_LEASE_CHECKING;
       send_call (l, AM_LEASE_READ);
@@ -548,8 +356,8 @@
 am_lease_tick (struct am_lease *l, uint64_t now_us)
 {
   l->now_us = now_us;
-  if (l->outage && is_granted (l) && l->state == AM_LEASE_HOLDING)
-    ask (l);
+  if (l->outage && am_lease_is_granted (l) && l->state == AM_LEASE_HOLDING)
+    am_lease_ask (l);
   if (!l->call && now_us >= l->poll_us)
     tick_due (l);
 }
--- /dev/null
+++ b/src/core/control_owner_promise.c
@@ -0,0 +1,83 @@
+#include "core/control_owner_parts.h"
+
+uint64_t
+am_lease_promised_until (const struct am_lease *l)
+{
+  uint64_t until = l->confirmed_us + AM_LEASE_OUTAGE_MAX_US;
+
+  for (size_t i = 0; i < l->value.eligible_count; i++)
+    {
+      if (l->value.eligible[i] == l->self_id)
+        continue;
+      if (l->promises[i].until_us < until)
+        until = l->promises[i].until_us;
+    }
+  return until > AM_LEASE_MARGIN_US ? until - AM_LEASE_MARGIN_US : 0;
+}
+
+/* An acquisition that may be on its way cannot be taken back, so nothing is
+   promised from its sending until its session has ended.  */
+static bool
+may_promise (const struct am_lease *l, uint64_t epoch)
+{
+  return l->state <= AM_LEASE_READING && !am_lease_is_granted (l)
+         && epoch >= l->highest_epoch
+         && l->now_us - l->started_us >= AM_LEASE_SESSION_MAX_US;
+}
+
+void
+am_lease_asked (struct am_lease *l, uint64_t now_us, uint32_t from,
+                uint64_t question, uint64_t epoch)
+{
+  struct am_lease_action a = {
+    .type = AM_LEASE_PROMISE, .call = question, .to = from, .epoch = epoch
+  };
+
+  l->now_us = now_us;
+  if (!may_promise (l, epoch))
+    return;
+  l->highest_epoch = epoch;
+  l->promised_until_us = now_us + AM_LEASE_PROMISE_US;
+  l->sink.emit (l->sink.userdata, &a);
+}
+
+void
+am_lease_promised (struct am_lease *l, uint64_t now_us, uint32_t from,
+                   uint64_t question)
+{
+  l->now_us = now_us;
+  for (size_t i = 0; i < l->value.eligible_count; i++)
+    {
+      struct am_lease_promise *p = &l->promises[i];
+
+      if (l->value.eligible[i] != from || !p->question
+          || p->question != question)
+        continue;
+      p->until_us = p->asked_us + AM_LEASE_PROMISE_US;
+      p->question = 0;
+    }
+  if (l->state == AM_LEASE_HOLDING)
+    am_lease_extend (l);
+}
+
+void
+am_lease_ask (struct am_lease *l)
+{
+  for (size_t i = 0; i < l->value.eligible_count; i++)
+    {
+      struct am_lease_promise *p = &l->promises[i];
+      uint64_t wait
+          = p->question ? AM_LEASE_ASK_US : AM_LEASE_PROMISE_RENEW_US;
+      struct am_lease_action a = { .type = AM_LEASE_ASK,
+                                   .to = l->value.eligible[i],
+                                   .epoch = l->grant.epoch };
+
+      if (a.to == l->self_id
+          || (p->asked_us && l->now_us - p->asked_us < wait))
+        continue;
+      p->asked_us = l->now_us;
+      p->question = ++l->questions;
+      a.call = p->question;
+      l->sink.emit (l->sink.userdata, &a);
+    }
+}
