Acquire a new or released key without waiting for promises

Cause: an agent acquired nothing in its first 30 s, because a promise of the process before it could be open. A new fleet had no owner for that time.

Change: nobody can have promised anything about a key that never existed. Such a key waits only until the home set has not changed for 10 s, so that the first holder's list names its successors. A holder that gives up marks the key as released: it owns no more, so promises to it are void, and neither its list nor the wait of 602 s without a place in it applies.

Half of the explored schedules now begin with the start of the fleet.

--- a/src/core/control_owner.c
+++ b/src/core/control_owner.c
@@ -288,6 +288,7 @@
     return;
   clear_grant (l);
   l->value.handed_to = handed_to;
+  l->value.released = true;
   l->state = AM_LEASE_RELEASING;
   send_call (l, AM_LEASE_RELEASE);
 }
@@ -381,8 +382,12 @@
 void
 am_lease_home (struct am_lease *l, const uint32_t *ids, size_t count)
 {
-  l->home_count
-      = count < AM_LEASE_ELIGIBLE_MAX ? count : AM_LEASE_ELIGIBLE_MAX;
+  if (count > AM_LEASE_ELIGIBLE_MAX)
+    count = AM_LEASE_ELIGIBLE_MAX;
+  if (count != l->home_count
+      || memcmp (l->home, ids, count * sizeof ids[0]) != 0)
+    l->home_us = l->now_us;
+  l->home_count = count;
   memset (l->home, 0, sizeof l->home);
   memcpy (l->home, ids, l->home_count * sizeof ids[0]);
   if (l->state == AM_LEASE_IDLE && l->poll_us > l->now_us + poll_interval (l))
--- a/src/core/control_owner.h
+++ b/src/core/control_owner.h
@@ -45,6 +45,10 @@
    drift of clocks and the way to the upstream.  */
 #define AM_LEASE_MARGIN_US 2000000u
 
+/* A key that never existed is acquired when the home set has not changed for
+   this time, in which a fresh agent hears of every member.  */
+#define AM_LEASE_SETTLE_US 10000000u
+
 /* Length of one promise, and the wait of a restarted agent, which does not
    know what it promised.  */
 #define AM_LEASE_PROMISE_US 30000000u
@@ -92,6 +96,7 @@
   uint32_t owner_id;
   uint64_t boot_id;   /* of the owner's forwarder */
   uint64_t epoch;     /* lock index of its acquisition */
+  bool released;      /* given up: nothing runs under it any more */
   uint32_t handed_to; /* member that has the whole table; 0: none */
   uint32_t eligible[AM_LEASE_ELIGIBLE_MAX]; /* may acquire next */
   size_t eligible_count;
@@ -166,6 +171,7 @@
 
   uint32_t home[AM_LEASE_ELIGIBLE_MAX]; /* in rendezvous order */
   size_t home_count;
+  uint64_t home_us; /* last change */
 
   enum am_lease_state state;
   uint64_t call; /* number of the last call of the state; 0: none waits */
--- a/src/core/control_owner_rules.c
+++ b/src/core/control_owner_rules.c
@@ -42,6 +42,15 @@
                 >= AM_LEASE_OUTAGE_MAX_US + AM_LEASE_MARGIN_US;
 }
 
+/* Returns true if its holder wrote the key when nothing could run under the
+   grant any more.  Nobody owns then, and promises to that holder are void.  */
+static bool
+is_released (const struct am_lease_entry *e)
+{
+  return e->error == AM_OK && !e->locked && e->value.released
+         && e->value.epoch == e->lock_index;
+}
+
 static bool
 list_allows (struct am_lease *l, const struct am_lease_entry *e)
 {
@@ -50,8 +59,8 @@
   if (e->lock_index < l->highest_epoch)
     return false; /* the store is older than its past */
   l->highest_epoch = e->lock_index;
-  if (e->value.epoch == e->lock_index
-      && (is_eligible (l, &e->value) || e->value.handed_to == l->self_id))
+  if (is_released (e)
+      || (e->value.epoch == e->lock_index && is_eligible (l, &e->value)))
     return true;
   return has_waited (l, e);
 }
@@ -66,12 +75,26 @@
 }
 
 /* Returns true if the holder has released the key and this VM has its table.
-   A promise to that holder is void then.  */
+ */
 static bool
 is_handed (const struct am_lease *l, const struct am_lease_entry *e)
 {
-  return e->error == AM_OK && e->value.epoch == e->lock_index
-         && e->value.handed_to == l->self_id;
+  return is_released (e) && e->value.handed_to == l->self_id;
+}
+
+/* Returns true if a promise of this VM, or of its process before, to an owner
+   of the key may be open.  Nobody can have promised anything about a key that
+   never existed; it waits for the members only, because the first holder's
+   list is to name its successors.  */
+static bool
+may_have_promised (const struct am_lease *l, const struct am_lease_entry *e)
+{
+  if (is_released (e))
+    return false;
+  if (e->error == AM_E_NOT_FOUND)
+    return l->now_us - l->home_us < AM_LEASE_SETTLE_US;
+  return l->now_us < l->promised_until_us
+         || l->now_us - l->started_us < AM_LEASE_PROMISE_US;
 }
 
 bool
@@ -84,11 +107,11 @@
   allowed = list_allows (l, e);
   if (e->locked || !allowed || l->stopping || !l->boot_id)
     return false;
-  if (is_own (l, e) || (is_handed (l, e) && !am_lease_is_granted (l)))
+  if (is_own (l, e))
     return true;
-  return !am_lease_is_granted (l) && l->now_us >= l->promised_until_us
-         && l->now_us - l->started_us >= AM_LEASE_PROMISE_US
-         && am_lease_rank (l) < l->home_count;
+  if (am_lease_is_granted (l) || may_have_promised (l, e))
+    return false;
+  return is_handed (l, e) || am_lease_rank (l) < l->home_count;
 }
 
 bool
@@ -100,7 +123,7 @@
     l->free_since_us = l->now_us;
   if (is_own (l, e) || is_handed (l, e))
     return true;
-  if (e->error == AM_OK && e->value.handed_to)
+  if (is_released (e) && e->value.handed_to)
     wait_us += AM_LEASE_HANDED_US;
   return l->now_us - l->free_since_us >= wait_us;
 }
--- a/src/core/owner_value.c
+++ b/src/core/owner_value.c
@@ -13,11 +13,12 @@
                       char buf[AM_OWNER_VALUE_SIZE])
 {
   size_t n = 0;
-  int len = snprintf (buf, AM_OWNER_VALUE_SIZE,
-                      "{\"owner\":%" PRIu32 ",\"boot\":\"%016" PRIx64
-                      "\",\"epoch\":%" PRIu64 ",\"handed_to\":%" PRIu32
-                      ",\"eligible\":[",
-                      v->owner_id, v->boot_id, v->epoch, v->handed_to);
+  int len = snprintf (
+      buf, AM_OWNER_VALUE_SIZE,
+      "{\"owner\":%" PRIu32 ",\"boot\":\"%016" PRIx64 "\",\"epoch\":%" PRIu64
+      ",\"released\":%s,\"handed_to\":%" PRIu32 ",\"eligible\":[",
+      v->owner_id, v->boot_id, v->epoch, v->released ? "true" : "false",
+      v->handed_to);
 
   for (size_t i = 0; i < v->eligible_count; i++)
     len += snprintf (buf + len, AM_OWNER_VALUE_SIZE - (size_t)len,
@@ -51,6 +52,7 @@
       || json_array_size (list) > AM_LEASE_ELIGIBLE_MAX)
     return AM_E_FORMAT;
   v->epoch = (uint64_t)json_integer_value (epoch);
+  v->released = json_is_true (json_object_get (root, "released"));
   v->boot_id = strtoull (boot, NULL, 16);
   v->eligible_count = json_array_size (list);
   for (size_t i = 0; i < v->eligible_count; i++)
--- a/src/core/owner_value.h
+++ b/src/core/owner_value.h
@@ -1,7 +1,7 @@
 /* Text of the key that names the owner of a service's ticketless requests:
 
-   {"owner": 1, "boot": "4f2a...", "epoch": 3, "handed_to": 0,
-    "eligible": [1, 2, 3]}  */
+   {"owner": 1, "boot": "4f2a...", "epoch": 3, "released": false,
+    "handed_to": 0, "eligible": [1, 2, 3]}  */
 
 #ifndef AM_CORE_OWNER_VALUE_H
 #define AM_CORE_OWNER_VALUE_H
--- a/test/test_explore_owner.c
+++ b/test/test_explore_owner.c
@@ -25,7 +25,9 @@
 #define SCHEDULES 300u
 #define MS UINT64_C (1000)
 #define SECOND UINT64_C (1000000)
-#define START_US (100 * SECOND)
+/* Half of the schedules begin with a fleet that starts.  */
+#define START_NEW_US (5 * SECOND)
+#define START_OLD_US (100 * SECOND)
 #define LENGTH_US (240 * SECOND)
 #define SKEW_US (500u * MS)
 
@@ -110,6 +112,7 @@
   unsigned told_unknown;
   unsigned faults; /* one in this many seconds; 0: none */
   bool no_agents;
+  uint64_t start_us;
 };
 
 static struct world *world;
@@ -814,7 +817,7 @@
 plan_requests (void)
 {
   for (unsigned i = 0; i < IDS; i++)
-    plan_request (START_US + below (LENGTH_US), 1 + (unsigned)below (5),
+    plan_request (world->start_us + below (LENGTH_US), 1 + (unsigned)below (5),
                   AM_OWNER_LIFETIME_US);
 }
 
@@ -835,6 +838,7 @@
   am_rng_init (&world->rng, seed);
   world->faults = faults;
   world->no_agents = no_agents;
+  world->start_us = seed % 2 ? START_OLD_US : START_NEW_US;
   world->now_us = 1;
   for (unsigned i = 0; i < NODES; i++)
     {
@@ -845,10 +849,10 @@
     }
   plan_requests ();
   if (no_agents)
-    push ((struct event){ .kind = EV_TURN }, START_US);
+    push ((struct event){ .kind = EV_TURN }, world->start_us);
   if (faults)
-    push ((struct event){ .kind = EV_FAULT }, START_US);
-  while (world->now_us < START_US + LENGTH_US + 60 * SECOND)
+    push ((struct event){ .kind = EV_FAULT }, world->start_us);
+  while (world->now_us < world->start_us + LENGTH_US + 60 * SECOND)
     {
       struct event e = pop ();
 
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -271,6 +271,7 @@
   ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
 
   reach (AM_LEASE_CHECKING);
+  e.value.released = true;
   e.value.handed_to = 3; /* which takes it first */
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
   ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
@@ -284,6 +285,7 @@
   e.value.eligible[0] = 4; /* home since the owner acquired the key */
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
   ck_assert_int_eq (lease.state, AM_LEASE_CREATING);
+  e.value.released = false;
   e.value.handed_to = 0;
   e.value.eligible[0] = 1;
 
@@ -302,6 +304,45 @@
 }
 END_TEST
 
+/* Guards against a new fleet that waits for promises which nobody can have
+   made, against a first holder that does not know its successors yet, and
+   against a promise kept to a holder that has given up.  */
+START_TEST (acquires_early)
+{
+  static const uint32_t home[] = { 1, 3, 2 };
+  struct am_lease_entry none = { .error = AM_E_NOT_FOUND };
+  struct am_lease_entry e = entry (false, 4, 2);
+
+  reach (AM_LEASE_CHECKING);
+  am_lease_home (&lease, home, 3);
+  lease.started_us = NOW_US;
+  lease.now_us = NOW_US + AM_LEASE_SETTLE_US - 1;
+  am_lease_read_done (&lease, lease.now_us, lease.call, &none);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+  am_lease_tick (&lease, lease.poll_us);
+  am_lease_read_done (&lease, lease.now_us, lease.call, &none);
+  ck_assert_int_eq (lease.state, AM_LEASE_CREATING);
+
+  for (int released = 0; released < 2; released++)
+    {
+      reach (AM_LEASE_IDLE);
+      am_lease_asked (&lease, NOW_US, 2, 1, 4);
+      ck_assert_uint_eq (seen[AM_LEASE_PROMISE], 1);
+      lease.started_us = NOW_US;
+      e.value.released = released;
+      e.value.eligible[0] = 4;
+      am_lease_tick (&lease, NOW_US);
+      am_lease_read_done (&lease, NOW_US, lease.call, &e);
+      ck_assert_int_eq (lease.state,
+                        released ? AM_LEASE_CREATING : AM_LEASE_IDLE);
+    }
+  e.value.epoch = 3; /* overwritten since */
+  reach (AM_LEASE_CHECKING);
+  am_lease_read_done (&lease, NOW_US, lease.call, &e);
+  ck_assert_int_eq (lease.state, AM_LEASE_IDLE);
+}
+END_TEST
+
 /* ---- gate --------------------------------------------------------- */
 
 static enum am_owner_verdict
@@ -470,6 +511,7 @@
   tcase_add_test (t, slow_renewal);
   tcase_add_test (t, promises_of_all);
   tcase_add_test (t, refused_acquisitions);
+  tcase_add_test (t, acquires_early);
   tcase_add_test (t, gate_verdicts);
   tcase_add_test (t, gate_ages);
   tcase_add_test (t, gate_grants);
