Name the owner to a VM outside the home set

Cause: a VM outside the home set does not hear who owns the ticketless requests of a service. It passed them to a home VM, and unless that was the owner the caller was told UNKNOWN.

Change: a VM that a request was passed to and that is not the owner answers the VM before it. If the owner has told of itself within 3 s, it names the owner and leaves the request unanswered; the caller sends it again and the VM before passes it to the owner. Otherwise it says that it is not the owner, and the caller is told UNKNOWN as before. The owner also answers a request passed from outside the home set with its name. A request still makes one hop only, so it cannot go round and the time a copy may be on its way is unchanged. The way of a request is now in owned_route.c.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -288,7 +288,8 @@
   struct am_rng rng;
   struct am_sink sink;
   const uint8_t *peer_key; /* AM_PEER_KEY_SIZE bytes, not owned */
-  bool via_peer; /* the present datagram came through the peer port */
+  bool via_peer;    /* the present datagram came through the peer port */
+  uint32_t peer_id; /* and who sent it there */
   bool log_decisions;
   struct am_counters counters;
   struct am_histogram queue_wait; /* owner: request */
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -115,6 +115,7 @@
 
   if (err)
     return refuse (b, err);
+  b->peer_id = h.sender_id;
   if (h.type == AM_PEER_FORWARD)
     return from_caller (b, body, len);
   if (h.type == AM_PEER_CREDIT)
--- a/src/core/owned.c
+++ b/src/core/owned.c
@@ -3,15 +3,12 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/forward.h"
+#include "core/owned_route.h"
 #include "core/request.h"
 #include "core/request_reply.h"
 #include "core/request_table.h"
 #include "wire/bytes.h"
 
-#define CLAIM_SIZE 13
-#define CLAIM_INTERVAL_US 1000000u
-
 static struct am_owned *
 find (const struct am_board *b, uint32_t service_id)
 {
@@ -86,38 +83,6 @@
   return error;
 }
 
-/* Returns the member to pass a request to, or NULL.  */
-static const struct am_member *
-owner_of (struct am_board *b, struct am_service *s, const struct am_owned *o)
-{
-  const struct am_member *m = am_board_member (b, o->owner_id);
-
-  if (m && m->id != b->self.id
-      && m->state != AMARANTH__MEMBER_STATE__MEMBER_DEAD
-      && m->state != AMARANTH__MEMBER_STATE__MEMBER_LEFT)
-    return m;
-  return o->owner_id ? NULL : am_forward_home (b, s);
-}
-
-/* Without an owner the id may have been run by an owner before: UNKNOWN.  */
-static int
-pass_on (struct am_board *b, struct am_service *s, struct am_owned *o,
-         struct am_address caller, const struct am_packet *p,
-         const uint8_t *data, size_t len)
-{
-  const struct am_member *m = owner_of (b, s, o);
-
-  if (b->via_peer || !m || !am_owner_may_pass (&o->gate, b->now_us))
-    return tell (b, s, caller, p, AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
-  am_board_decision (b, p->connection_id,
-                     "event=forward request=%llu service=%s to=%s "
-                     "reason=owner revision=%llu",
-                     (unsigned long long)p->connection_id, s->name, m->name,
-                     (unsigned long long)s->revision);
-  am_forward (b, s, m, caller, data, len);
-  return AM_OK;
-}
-
 /* ---- at the owner ------------------------------------------------- */
 
 static int
@@ -182,19 +147,36 @@
   return (uint64_t)age_ms * 1000;
 }
 
+static int
+route (struct am_board *b, struct am_owned *o,
+       const struct am_request_arrival *a, const struct am_packet *p,
+       const uint8_t *data, size_t len)
+{
+  enum am_owned_way way = am_owned_pass (b, a->service, o, a->caller,
+                                         p->connection_id, data, len);
+
+  if (way != AM_OWNED_NOWHERE)
+    return AM_OK;
+  return tell (b, a->service, a->caller, p, AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+}
+
 static int
 judge (struct am_board *b, struct am_owned *o, struct am_request_arrival *a,
        const struct am_packet *p, const uint8_t *data, size_t len)
 {
   struct am_owner_key key = key_of (a->caller, a->connection_id);
+  enum am_owner_verdict verdict;
   struct am_owner_id *id;
 
   if (is_between_owners (b, o, &key))
     return AM_E_STOPPING;
-  switch (am_owner_arrive (&o->gate, b->now_us, &key, age_of (p), &id))
+  verdict = am_owner_arrive (&o->gate, b->now_us, &key, age_of (p), &id);
+  if (verdict != AM_OWNER_PASS)
+    am_owned_refresh (b, a->service, o);
+  switch (verdict)
     {
     case AM_OWNER_PASS:
-      return pass_on (b, a->service, o, a->caller, p, data, len);
+      return route (b, o, a, p, data, len);
     case AM_OWNER_UNKNOWN:
       return tell (b, a->service, a->caller, p, AM_OUTCOME_UNKNOWN,
                    AM_E_ISSUER_GONE);
@@ -305,21 +287,6 @@
   return err;
 }
 
-static int
-take_claim (struct am_owned *o, const uint8_t *body, size_t len)
-{
-  uint64_t epoch;
-
-  if (len != CLAIM_SIZE)
-    return AM_E_FORMAT;
-  epoch = am_get_u64 (body + 1);
-  if (epoch < o->owner_epoch)
-    return AM_OK;
-  o->owner_epoch = epoch;
-  o->owner_id = am_get_u32 (body + 9);
-  return AM_OK;
-}
-
 int
 am_owned_peer (struct am_board *b, uint32_t sender_id, uint32_t service_id,
                const uint8_t *body, size_t len)
@@ -334,7 +301,7 @@
   switch (body[0])
     {
     case AM_OWNED_CLAIM:
-      return take_claim (o, body, len);
+      return am_owned_take_claim (b, o, sender_id, body, len);
     case AM_OWNED_TABLE:
       return am_owned_table_take (b, o, sender_id, body, len);
     case AM_OWNED_ACK:
@@ -344,32 +311,6 @@
     }
 }
 
-/* Tells the home VMs that OWNER_ID is the owner.  */
-static void
-send_claims (struct am_board *b, const struct am_owned *o, uint32_t owner_id)
-{
-  struct am_service *s = am_board_service (b, o->service_id);
-  uint8_t body[CLAIM_SIZE] = { AM_OWNED_CLAIM };
-
-  if (!s)
-    return;
-  am_put_u64 (body + 1, o->gate.epoch);
-  am_put_u32 (body + 9, owner_id);
-  for (size_t i = 0; i < s->home_count; i++)
-    if (s->home_set[i]->id != b->self.id)
-      am_board_send_peer (b, s->home_set[i], AM_PEER_OWNER, s->id, body,
-                          sizeof body);
-}
-
-static void
-claim (struct am_board *b, struct am_owned *o)
-{
-  if (b->now_us >= o->gate.until_us || b->now_us < o->claim_us)
-    return;
-  o->claim_us = b->now_us + CLAIM_INTERVAL_US;
-  send_claims (b, o, b->self.id);
-}
-
 static bool
 has_open (const struct am_owned *o)
 {
@@ -397,7 +338,9 @@
     {
       o->owner_id = handed_to;
       o->owner_epoch = o->gate.epoch;
-      send_claims (b, o, handed_to);
+      o->known_until_us = b->now_us + AM_OWNED_KNOWN_US;
+      o->told_us = 0;
+      am_owned_send_claims (b, o, handed_to);
     }
   g.handed_to = handed_to;
   g.service_id = o->service_id;
@@ -434,7 +377,7 @@
       return;
     }
   am_owner_tick (&o->gate, b->now_us);
-  claim (b, o);
+  am_owned_claim (b, o);
   if (o->leaving)
     leave (b, o);
 }
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -2,8 +2,8 @@
    CANCEL at the forwarder (docs/notes/one-time-tracked.md).
 
    The owner admits a request under its gate (core/owner.h); after that it is a
-   request as any other.  Other entry VMs pass it to the owner, one hop.  The
-   owner tells the home VMs each second that it is the owner.  */
+   request as any other.  Other entry VMs pass it to the owner
+   (core/owned_route.h).  */
 
 #ifndef AM_CORE_OWNED_H
 #define AM_CORE_OWNED_H
@@ -26,12 +26,14 @@
   UT_hash_handle hh;
   uint32_t service_id;
   struct am_owner gate;
-  uint64_t awaited_until_us;  /* has a whole table and waits for the grant */
-  uint64_t left_epoch;        /* given up; its grants do not count any more */
-  bool leaving;               /* takes nothing new, finishes, gives up */
-  uint64_t claim_us;          /* when home VMs are told next */
-  uint32_t owner_id;          /* member that last told that it is the owner */
-  uint64_t owner_epoch;       /* its epoch */
+  uint64_t awaited_until_us; /* has a whole table and waits for the grant */
+  uint64_t left_epoch;       /* given up; its grants do not count any more */
+  bool leaving;              /* takes nothing new, finishes, gives up */
+  uint64_t claim_us;         /* when home VMs are told next */
+  uint32_t owner_id;         /* of another VM that is known; 0: none */
+  uint64_t owner_epoch;      /* its epoch */
+  uint64_t told_us;          /* when it last told so itself; 0: never */
+  uint64_t known_until_us;
   struct am_owned_parts to;   /* hand-over to the successor */
   struct am_owned_parts from; /* table taken over */
 };
--- /dev/null
+++ b/src/core/owned_route.c
@@ -0,0 +1,153 @@
+#include "core/owned_route.h"
+
+#include "base/error.h"
+#include "core/forward.h"
+#include "wire/bytes.h"
+
+#define CLAIM_SIZE 13
+#define CLAIM_INTERVAL_US 1000000u
+
+/* An owner that has claimed within this time is named to others: three of its
+   claims, so that one may be lost.  */
+#define FRESH_US 3000000u
+
+/* ---- claims ------------------------------------------------------- */
+
+static void
+send_claim (struct am_board *b, const struct am_owned *o,
+            const struct am_member *to, uint64_t epoch, uint32_t owner_id)
+{
+  uint8_t body[CLAIM_SIZE] = { AM_OWNED_CLAIM };
+
+  am_put_u64 (body + 1, epoch);
+  am_put_u32 (body + 9, owner_id);
+  am_board_send_peer (b, to, AM_PEER_OWNER, o->service_id, body, sizeof body);
+}
+
+void
+am_owned_send_claims (struct am_board *b, const struct am_owned *o,
+                      uint32_t owner_id)
+{
+  const struct am_service *s = am_board_service (b, o->service_id);
+
+  for (size_t i = 0; s && i < s->home_count; i++)
+    if (s->home_set[i]->id != b->self.id)
+      send_claim (b, o, s->home_set[i], o->gate.epoch, owner_id);
+}
+
+void
+am_owned_claim (struct am_board *b, struct am_owned *o)
+{
+  if (b->now_us >= o->gate.until_us || b->now_us < o->claim_us)
+    return;
+  o->claim_us = b->now_us + CLAIM_INTERVAL_US;
+  am_owned_send_claims (b, o, b->self.id);
+}
+
+int
+am_owned_take_claim (const struct am_board *b, struct am_owned *o,
+                     uint32_t sender_id, const uint8_t *body, size_t len)
+{
+  uint64_t epoch;
+  uint32_t id;
+
+  if (len != CLAIM_SIZE)
+    return AM_E_FORMAT;
+  epoch = am_get_u64 (body + 1);
+  id = am_get_u32 (body + 9);
+  if (!id && o->owner_id == sender_id)
+    o->owner_id = 0;
+  if (!id || epoch < o->owner_epoch)
+    return AM_OK;
+  if (id == sender_id)
+    o->told_us = b->now_us;
+  else if (id != o->owner_id)
+    o->told_us = 0;
+  o->owner_epoch = epoch;
+  o->owner_id = id;
+  o->known_until_us = b->now_us + AM_OWNED_KNOWN_US;
+  return AM_OK;
+}
+
+static bool
+is_home (const struct am_service *s, uint32_t id)
+{
+  for (size_t i = 0; i < s->home_count; i++)
+    if (s->home_set[i]->id == id)
+      return true;
+  return false;
+}
+
+void
+am_owned_refresh (struct am_board *b, const struct am_service *s,
+                  const struct am_owned *o)
+{
+  const struct am_member *from = am_board_member (b, b->peer_id);
+
+  if (b->via_peer && from && !is_home (s, from->id))
+    send_claim (b, o, from, o->gate.epoch, b->self.id);
+}
+
+/* ---- passing on --------------------------------------------------- */
+
+/* Returns the owner that is known, or NULL.  */
+static const struct am_member *
+known_owner (struct am_board *b, const struct am_owned *o)
+{
+  const struct am_member *m
+      = o->owner_id ? am_board_member (b, o->owner_id) : NULL;
+
+  if (!m || m->id == b->self.id || b->now_us >= o->known_until_us
+      || m->state == AMARANTH__MEMBER_STATE__MEMBER_DEAD
+      || m->state == AMARANTH__MEMBER_STATE__MEMBER_LEFT)
+    return NULL;
+  return m;
+}
+
+/* Answers the VM that passed a request here: with the owner that has told of
+   itself, or that this VM is not the owner.  */
+static enum am_owned_way
+name_owner (struct am_board *b, struct am_owned *o, uint64_t request)
+{
+  const struct am_member *from = am_board_member (b, b->peer_id);
+  const struct am_member *m = known_owner (b, o);
+
+  if (!from)
+    return AM_OWNED_NOWHERE;
+  if (!m || !o->told_us || b->now_us - o->told_us >= FRESH_US
+      || m->id == from->id)
+    {
+      send_claim (b, o, from, 0, 0);
+      return AM_OWNED_NOWHERE;
+    }
+  am_board_decision (b, request,
+                     "event=name_owner request=%llu owner=%s to=%s",
+                     (unsigned long long)request, m->name, from->name);
+  send_claim (b, o, from, o->owner_epoch, m->id);
+  return AM_OWNED_NAMED;
+}
+
+enum am_owned_way
+am_owned_pass (struct am_board *b, struct am_service *s, struct am_owned *o,
+               struct am_address caller, uint64_t request, const uint8_t *data,
+               size_t len)
+{
+  const struct am_member *m;
+
+  if (b->via_peer)
+    return name_owner (b, o, request);
+  if (!am_owner_may_pass (&o->gate, b->now_us))
+    return AM_OWNED_NOWHERE;
+  m = known_owner (b, o);
+  if (!m)
+    m = am_forward_home (b, s);
+  if (!m)
+    return AM_OWNED_NOWHERE;
+  am_board_decision (b, request,
+                     "event=forward request=%llu service=%s to=%s "
+                     "reason=owner revision=%llu",
+                     (unsigned long long)request, s->name, m->name,
+                     (unsigned long long)s->revision);
+  am_forward (b, s, m, caller, data, len);
+  return AM_OWNED_PASSED;
+}
--- a/test/test_owned.c
+++ b/test/test_owned.c
@@ -120,6 +120,86 @@
 }
 END_TEST
 
+static uint64_t
+forwarded (void)
+{
+  uint64_t sum = 0;
+
+  for (size_t i = 0; i < net.count; i++)
+    sum += net.nodes[i].board.counters.forwarded;
+  return sum;
+}
+
+/* Three nodes of which the last is outside the home set and passes to node 1
+   when it knows no owner.  */
+static void
+begin_outside (void)
+{
+  net_init (&net, 3);
+  config_init (&config, AMARANTH__BINDING__BINDING_TRACKED, 2, 3);
+  config.service.n_classes = 1;
+  config.member[0].state = AMARANTH__MEMBER_STATE__MEMBER_SUSPECT;
+  config.member[2].region = "other";
+  snprintf (net.nodes[2].board.self.region,
+            sizeof net.nodes[2].board.self.region, "other");
+  net_apply_all (&net, &config);
+  give (0, net.now_us + 10 * (uint64_t)SECOND, false);
+  net_run (&net, 2 * (uint64_t)SECOND);
+  net_pump (&net); /* claims */
+  net.kept_count = 0;
+}
+
+/* Guards against a caller of a VM outside the home set that is told UNKNOWN
+   although there is an owner, and against one that asks a VM which is the
+   owner no more until its knowledge ends.  */
+START_TEST (outside_the_home_set)
+{
+  begin_outside ();
+  send_packet (2, AM_PACKET_REQUEST, ID);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_CALLER), 0);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      send_packet (2, AM_PACKET_REQUEST, ID + i); /* the first one again */
+      answer ();
+      net_to_caller (&net, AM_PACKET_ANSWER);
+    }
+  give (0, 0, false);
+  send_packet (2, AM_PACKET_REQUEST, ID + 2);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  ck_assert_uint_eq (net.nodes[2].board.owned->owner_id, 0);
+  net_run (&net, 3 * (uint64_t)SECOND);
+  net.kept_count = 0;
+  send_packet (2, AM_PACKET_REQUEST, ID + 3);
+  expect_outcome (AM_OUTCOME_UNKNOWN, AM_E_NO_OWNER);
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
+/* Guards against a request that goes round between VMs that hold each other
+   for the owner.  */
+START_TEST (one_hop)
+{
+  uint64_t before;
+
+  begin_outside ();
+  give_epoch (1, 2, net.now_us + 2 * (uint64_t)SECOND, false);
+  net_run (&net, 2 * (uint64_t)SECOND);
+  net_pump (&net); /* claims of both */
+  give (0, 0, false);
+  net.kept_count = 0;
+  for (unsigned i = 0; i < 10; i++)
+    {
+      before = forwarded ();
+      send_packet (i % 3, AM_PACKET_REQUEST, ID + i);
+      ck_assert_uint_le (forwarded (), before + 1);
+    }
+  ck_assert_uint_eq (net_count (&net, AM_ACTION_STREAM), 0);
+  net_finish (&net);
+}
+END_TEST
+
 /* Guards against work that an upstream may begin after the lease's end.  */
 START_TEST (ends_with_the_lease)
 {
@@ -232,6 +312,8 @@
   int failed;
 
   tcase_add_test (t, runs_at_the_owner);
+  tcase_add_test (t, outside_the_home_set);
+  tcase_add_test (t, one_hop);
   tcase_add_test (t, ends_with_the_lease);
   tcase_add_test (t, gives_up);
   tcase_add_test (t, grant_taken_back);
