--- a/src/core/control_owner.h
+++ b/src/core/control_owner.h
@@ -31,14 +31,24 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define AM_LEASE_TTL_US 20000000u
-#define AM_LEASE_RENEW_US 8000000u
+/* 10 s is the shortest TTL that the platform takes.  580 services cost 145
+   renewals a second of the several hundred writes that the store takes.  */
+#define AM_LEASE_TTL_US 10000000u
+#define AM_LEASE_RENEW_US 4000000u
+
+/* A renewal without a result for this time counts as a failure, so that the
+   successors are asked while the session is still valid.  */
+#define AM_LEASE_SLOW_US 1000000u
 
 /* How long before the store may end a session its holder stops: twice the
    500 ms by which clocks of VMs and upstreams may differ, and a second for the
    drift of clocks and the way to the upstream.  */
 #define AM_LEASE_MARGIN_US 2000000u
 
+/* A key that never existed is acquired when the home set has not changed for
+   this time, in which a fresh agent hears of every member.  */
+#define AM_LEASE_SETTLE_US 10000000u
+
 /* Length of one promise, and the wait of a restarted agent, which does not
    know what it promised.  */
 #define AM_LEASE_PROMISE_US 30000000u
@@ -48,7 +58,7 @@
 /* Consul ends a session between once and twice its TTL after the last
    renewal.  A younger agent promises nothing: an acquisition that the process
    before it had sent may still take effect.  */
-#define AM_LEASE_SESSION_MAX_US 40000000u
+#define AM_LEASE_SESSION_MAX_US 20000000u
 
 /* Ownership by promises ends this long after the last renewal, so that a key
    without a usable list can be acquired again after this time.  */
@@ -86,6 +96,7 @@
   uint32_t owner_id;
   uint64_t boot_id;   /* of the owner's forwarder */
   uint64_t epoch;     /* lock index of its acquisition */
+  bool released;      /* given up: nothing runs under it any more */
   uint32_t handed_to; /* member that has the whole table; 0: none */
   uint32_t eligible[AM_LEASE_ELIGIBLE_MAX]; /* may acquire next */
   size_t eligible_count;
@@ -160,6 +171,7 @@
 
   uint32_t home[AM_LEASE_ELIGIBLE_MAX]; /* in rendezvous order */
   size_t home_count;
+  uint64_t home_us; /* last change */
 
   enum am_lease_state state;
   uint64_t call; /* number of the last call of the state; 0: none waits */
--- /dev/null
+++ b/src/core/control_owner_rules.c
@@ -0,0 +1,129 @@
+#include "core/control_owner_parts.h"
+
+#include "base/error.h"
+
+size_t
+am_lease_rank (const struct am_lease *l)
+{
+  size_t i = 0;
+
+  while (i < l->home_count && l->home[i] != l->self_id)
+    i++;
+  return i;
+}
+
+bool
+am_lease_is_granted (const struct am_lease *l)
+{
+  return l->grant.until_us > l->now_us;
+}
+
+static bool
+is_eligible (const struct am_lease *l, const struct am_lease_value *v)
+{
+  for (size_t i = 0; i < v->eligible_count; i++)
+    if (v->eligible[i] == l->self_id)
+      return true;
+  return false;
+}
+
+/* Without a place in the list, or with a list that is lost, the key must have
+   been free for longer than any ownership by promises.  */
+static bool
+has_waited (struct am_lease *l, const struct am_lease_entry *e)
+{
+  if (e->locked || l->unlisted_index != e->lock_index || !l->unlisted_since_us)
+    {
+      l->unlisted_index = e->lock_index;
+      l->unlisted_since_us = e->locked ? 0 : l->now_us;
+    }
+  return l->unlisted_since_us
+         && l->now_us - l->unlisted_since_us
+                >= AM_LEASE_OUTAGE_MAX_US + AM_LEASE_MARGIN_US;
+}
+
+/* Returns true if its holder wrote the key when nothing could run under the
+   grant any more.  Nobody owns then, and promises to that holder are void.  */
+static bool
+is_released (const struct am_lease_entry *e)
+{
+  return e->error == AM_OK && !e->locked && e->value.released
+         && e->value.epoch == e->lock_index;
+}
+
+static bool
+list_allows (struct am_lease *l, const struct am_lease_entry *e)
+{
+  if (e->error == AM_E_NOT_FOUND)
+    return l->highest_epoch == 0;
+  if (e->lock_index < l->highest_epoch)
+    return false; /* the store is older than its past */
+  l->highest_epoch = e->lock_index;
+  if (is_released (e)
+      || (e->value.epoch == e->lock_index && is_eligible (l, &e->value)))
+    return true;
+  return has_waited (l, e);
+}
+
+/* Returns true if this VM still owns by promises what it acquires again.  */
+static bool
+is_own (const struct am_lease *l, const struct am_lease_entry *e)
+{
+  return e->error == AM_OK && am_lease_is_granted (l)
+         && e->value.owner_id == l->self_id && e->value.epoch == l->grant.epoch
+         && e->value.boot_id == l->boot_id;
+}
+
+/* Returns true if the holder has released the key and this VM has its table.
+ */
+static bool
+is_handed (const struct am_lease *l, const struct am_lease_entry *e)
+{
+  return is_released (e) && e->value.handed_to == l->self_id;
+}
+
+/* Returns true if a promise of this VM, or of its process before, to an owner
+   of the key may be open.  Nobody can have promised anything about a key that
+   never existed; it waits for the members only, because the first holder's
+   list is to name its successors.  */
+static bool
+may_have_promised (const struct am_lease *l, const struct am_lease_entry *e)
+{
+  if (is_released (e))
+    return false;
+  if (e->error == AM_E_NOT_FOUND)
+    return l->now_us - l->home_us < AM_LEASE_SETTLE_US;
+  return l->now_us < l->promised_until_us
+         || l->now_us - l->started_us < AM_LEASE_PROMISE_US;
+}
+
+bool
+am_lease_may_acquire (struct am_lease *l, const struct am_lease_entry *e)
+{
+  bool allowed;
+
+  if (e->error && e->error != AM_E_NOT_FOUND)
+    return false;
+  allowed = list_allows (l, e);
+  if (e->locked || !allowed || l->stopping || !l->boot_id)
+    return false;
+  if (is_own (l, e))
+    return true;
+  if (am_lease_is_granted (l) || may_have_promised (l, e))
+    return false;
+  return is_handed (l, e) || am_lease_rank (l) < l->home_count;
+}
+
+bool
+am_lease_is_my_turn (struct am_lease *l, const struct am_lease_entry *e)
+{
+  uint64_t wait_us = am_lease_rank (l) * (uint64_t)AM_LEASE_RANK_US;
+
+  if (!l->free_since_us)
+    l->free_since_us = l->now_us;
+  if (is_own (l, e) || is_handed (l, e))
+    return true;
+  if (is_released (e) && e->value.handed_to)
+    wait_us += AM_LEASE_HANDED_US;
+  return l->now_us - l->free_since_us >= wait_us;
+}
