Split lending into lender, borrower and message

Change: credit_message.c has the datagrams and the token bucket, lender.c and borrower.c the two sides, lending.c sets them up and hands messages out. The same events give the same actions. Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/core/credit_message.h
@@ -0,0 +1,51 @@
+/* Datagrams by which home VMs lend slots to each other, and the token bucket
+   that bounds them.  docs/notes/credits.md has the protocol.  */
+
+#ifndef AM_CORE_CREDIT_MESSAGE_H
+#define AM_CORE_CREDIT_MESSAGE_H
+
+#include "core/board.h"
+
+/* Slots in one message.  */
+#define AM_CREDIT_ITEMS_MAX 8
+
+struct am_credit_item
+{
+  uint32_t loan_id;
+  uint32_t upstream_id;
+};
+
+struct am_credit_message
+{
+  uint8_t op; /* enum am_credit_op */
+  uint8_t count;
+  uint16_t value; /* ASK: slots wanted; LEND: validity in milliseconds */
+  uint32_t service_id;
+  uint32_t number; /* of the ASK */
+  uint16_t idle;   /* LEND: idle slots that are left */
+  struct am_credit_item items[AM_CREDIT_ITEMS_MAX];
+};
+
+/* Reads the LEN bytes at BUF.  Returns AM_OK, AM_E_SHORT or AM_E_FORMAT.  */
+int am_credit_decode (struct am_credit_message *m, const uint8_t *buf,
+                      size_t len);
+
+/* Returns true if M is about loan LOAN_ID.  */
+bool am_credit_names (const struct am_credit_message *m, uint32_t loan_id);
+
+/* Sends M to the peer port of member TO, if there is such a member.  */
+void am_credit_send (struct am_board *b, uint32_t to,
+                     const struct am_credit_message *m);
+
+struct am_credit_bucket
+{
+  double tokens;
+  uint64_t at_us;
+};
+
+/* Takes a token of K, which fills by RATE a second up to BURST.  Returns false
+   if there is none.  */
+bool am_credit_bucket_take (struct am_credit_bucket *k, uint64_t now_us,
+                            double rate, double burst);
+
+#endif
--- a/src/core/lending.h
+++ b/src/core/lending.h
@@ -1,14 +1,26 @@
-/* Lending of idle slots between home VMs; see core/credit.h.  */
+/* Lending of idle slots between home VMs; see core/credit.h.  core/lender.h
+   and core/borrower.h are its two sides, core/credit_message.h what they send.
+ */
 
 #ifndef AM_CORE_LENDING_H
 #define AM_CORE_LENDING_H
 
-#include "core/board.h"
+#include "core/borrower.h"
+#include "core/lender.h"
 
 /* A borrower begins work on a loan for this long after its ASK.  Shorter than
    the hold-down, so that a loan ends before its lender's share moves on.  */
 #define AM_LOAN_VALID_MS 1800u
 
+/* The borrower's validity ends this much before what the lender counts.  */
+#define AM_LOAN_MARGIN_US 50000u
+
+struct am_lending
+{
+  struct am_lender lender;
+  struct am_borrower borrower;
+};
+
 /* Ends the validity of loans that nobody uses, repeats RETURN, takes back
    lent slots whose time is up or whose borrower is gone.  */
 void am_lending_tick (struct am_board *b);
