Add record fields retry_budget and lending

Cause: the retry budget and lending were compiled in, so no experiment could measure the running programs without them. Conclusion: baselines are reachable by a documented field; defaults as before.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -179,7 +179,9 @@
   uint32_t ping_interval_ms;
   uint32_t ping_misses;
   uint32_t slow_start_ms;
-  uint32_t open_rate; /* OPEN a second and caller address */
+  uint32_t open_rate;    /* OPEN a second and caller address */
+  uint32_t retry_budget; /* percent of successes; 0: default */
+  Amaranth__Lending lending;
   struct am_list upstreams;
   struct am_upstream *upstreams_by_id;
   struct am_upstream *upstreams_by_address;
--- a/src/core/borrower.c
+++ b/src/core/borrower.c
@@ -163,7 +163,8 @@
   struct am_member *peer;
   size_t wanted = s->queue ? s->queue->count : 1;
 
-  if (!b->lending || s->home_count < 2 || !(w = borrowing_of (b, s->id)))
+  if (!b->lending || s->lending == AMARANTH__LENDING__LENDING_OFF
+      || s->home_count < 2 || !(w = borrowing_of (b, s->id)))
     return;
   if (w->asked_us && b->now_us - w->asked_us < ASK_TIMEOUT_US)
     return;
--- a/src/core/lender.c
+++ b/src/core/lender.c
@@ -61,6 +61,7 @@
   uint32_t total = 0;
 
   if (b->stopping || !s->home || s->credit_due_us
+      || s->lending == AMARANTH__LENDING__LENDING_OFF
       || (s->queue && s->queue->count))
     return 0;
   am_list_each (u, &s->upstreams, struct am_upstream, node)
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -3,18 +3,24 @@
 /* Ten tenths added up in binary are a little less than one.  */
 #define ROUNDING 1e-9
 
+static double
+percent (const struct am_service *s)
+{
+  return s->retry_budget ? s->retry_budget : AM_RETRY_PERCENT_DEFAULT;
+}
+
 void
 am_retry_init (struct am_service *s)
 {
-  s->retry_tokens = AM_RETRY_BURST;
+  s->retry_tokens = percent (s);
 }
 
 void
 am_retry_success (struct am_service *s)
 {
-  s->retry_tokens += AM_RETRY_SHARE;
-  if (s->retry_tokens > AM_RETRY_BURST)
-    s->retry_tokens = AM_RETRY_BURST;
+  s->retry_tokens += percent (s) / 100;
+  if (s->retry_tokens > percent (s))
+    s->retry_tokens = percent (s);
 }
 
 bool
--- a/src/core/snapshot.c
+++ b/src/core/snapshot.c
@@ -287,6 +287,8 @@
   s->ping_misses = or_default (in->ping_misses, PING_MISSES_DEFAULT);
   s->slow_start_ms = or_default (in->slow_start_ms, SLOW_START_MS_DEFAULT);
   s->open_rate = or_default (in->open_rate, OPEN_RATE_DEFAULT);
+  s->retry_budget = in->retry_budget;
+  s->lending = in->lending;
   s->choice = am_choice_policy (in->policy);
   apply_classes (s, in);
   err = apply_binding (b, s, in);
--- a/src/core/snapshot_check.c
+++ b/src/core/snapshot_check.c
@@ -109,7 +109,8 @@
     return AM_E_FIELD_VALUE;
   if (s->binding > AMARANTH__BINDING__BINDING_HASH
       || s->objective > AMARANTH__OBJECTIVE__OBJECTIVE_IMBALANCE
-      || s->policy > AMARANTH__POLICY__POLICY_HASH)
+      || s->policy > AMARANTH__POLICY__POLICY_HASH
+      || s->lending > AMARANTH__LENDING__LENDING_OFF)
     return AM_E_FIELD_VALUE;
   if (s->n_upstreams > AM_SNAPSHOT_UPSTREAMS_MAX)
     return AM_E_FIELD_RANGE;
--- a/src/core/snapshot_pack.c
+++ b/src/core/snapshot_pack.c
@@ -103,6 +103,8 @@
   m->ping_misses = s->ping_misses;
   m->slow_start_ms = s->slow_start_ms;
   m->open_rate = s->open_rate;
+  m->retry_budget = s->retry_budget;
+  m->lending = s->lending;
   m->region = s->region;
 }
 
--- a/src/record/fields.c
+++ b/src/record/fields.c
@@ -33,6 +33,8 @@
   { AM_LEVEL_SERVICE, "liveness", IN_2 },
   { AM_LEVEL_SERVICE, "slow_start_ms", IN_2 },
   { AM_LEVEL_SERVICE, "open_rate", IN_2 },
+  { AM_LEVEL_SERVICE, "retry_budget", IN_2 },
+  { AM_LEVEL_SERVICE, "lending", IN_2 },
   { AM_LEVEL_SERVICE, "classes", IN_2 },
   { AM_LEVEL_KEYS, "schema", IN_BOTH },
   { AM_LEVEL_KEYS, "kind", IN_BOTH },
--- a/src/record/read_service.c
+++ b/src/record/read_service.c
@@ -21,6 +21,8 @@
 #define PING_MISSES_MAX 100
 #define SLOW_START_DEFAULT_MS 10000
 #define OPEN_RATE_DEFAULT 200
+#define RETRY_BUDGET_DEFAULT 10
+#define RETRY_BUDGET_MAX 100000
 #define DEADLINE_DEFAULT_MS 5000
 #define QUEUE_LIMIT_DEFAULT 64
 
@@ -287,11 +289,6 @@
         o, "slow_start_ms",
         (struct am_range){ 0, DAY_MS, SLOW_START_DEFAULT_MS },
         &s->slow_start_ms);
-  if (!err)
-    err = am_object_uint (
-        o, "open_rate",
-        (struct am_range){ 1, OPEN_RATE_MAX, OPEN_RATE_DEFAULT },
-        &s->open_rate);
   if (err)
     return err;
   s->binding = (Amaranth__Binding)binding;
@@ -300,6 +297,27 @@
   return AM_OK;
 }
 
+static int
+read_limits (const struct am_object *o, Amaranth__Service *s)
+{
+  int lending;
+  int err = am_object_uint (
+      o, "open_rate", (struct am_range){ 1, OPEN_RATE_MAX, OPEN_RATE_DEFAULT },
+      &s->open_rate);
+
+  if (!err)
+    err = am_object_uint (
+        o, "retry_budget",
+        (struct am_range){ 1, RETRY_BUDGET_MAX, RETRY_BUDGET_DEFAULT },
+        &s->retry_budget);
+  if (!err)
+    err = am_object_word (o, "lending", "on, off", 0, &lending);
+  if (err)
+    return err;
+  s->lending = (Amaranth__Lending)lending;
+  return AM_OK;
+}
+
 static int
 read_retired (const struct am_object *o, Amaranth__Service *s)
 {
@@ -338,6 +356,8 @@
     err = read_retired (o, s);
   if (!err)
     err = read_policy (&known, s);
+  if (!err)
+    err = read_limits (&known, s);
   if (!err)
     err = read_liveness (&known, s);
   if (!err)
--- a/src/wire/amaranth.pb-c.c
+++ b/src/wire/amaranth.pb-c.c
@@ -1628,7 +1628,7 @@
   (ProtobufCMessageInit) amaranth__request_class__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__service__field_descriptors[16] =
+static const ProtobufCFieldDescriptor amaranth__service__field_descriptors[18] =
 {
   {
     "id",
@@ -1822,12 +1822,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_budget",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__Service, retry_budget),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lending",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__Service, lending),
+    &amaranth__lending__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__service__field_indices_by_name[] = {
   5,   /* field[5] = binding */
   14,   /* field[14] = classes */
   0,   /* field[0] = id */
   3,   /* field[3] = ip */
+  17,   /* field[17] = lending */
   1,   /* field[1] = name */
   6,   /* field[6] = objective */
   12,   /* field[12] = open_rate */
@@ -1837,6 +1862,7 @@
   4,   /* field[4] = port */
   15,   /* field[15] = region */
   8,   /* field[8] = retired */
+  16,   /* field[16] = retry_budget */
   2,   /* field[2] = revision */
   11,   /* field[11] = slow_start_ms */
   13,   /* field[13] = upstreams */
@@ -1844,7 +1870,7 @@
 static const ProtobufCIntRange amaranth__service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor amaranth__service__descriptor =
 {
@@ -1854,7 +1880,7 @@
   "Amaranth__Service",
   "amaranth",
   sizeof(Amaranth__Service),
-  16,
+  18,
   amaranth__service__field_descriptors,
   amaranth__service__field_indices_by_name,
   1,  amaranth__service__number_ranges,
@@ -4199,6 +4225,34 @@
   amaranth__policy__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue amaranth__lending__enum_values_by_number[2] =
+{
+  { "LENDING_ON", "AMARANTH__LENDING__LENDING_ON", 0 },
+  { "LENDING_OFF", "AMARANTH__LENDING__LENDING_OFF", 1 },
+};
+static const ProtobufCIntRange amaranth__lending__value_ranges[] = {
+{0, 0},{0, 2}
+};
+static const ProtobufCEnumValueIndex amaranth__lending__enum_values_by_name[2] =
+{
+  { "LENDING_OFF", 1 },
+  { "LENDING_ON", 0 },
+};
+const ProtobufCEnumDescriptor amaranth__lending__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "amaranth.Lending",
+  "Lending",
+  "Amaranth__Lending",
+  "amaranth",
+  2,
+  amaranth__lending__enum_values_by_number,
+  2,
+  amaranth__lending__enum_values_by_name,
+  1,
+  amaranth__lending__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue amaranth__key_state__enum_values_by_number[3] =
 {
   { "KEY_STANDBY", "AMARANTH__KEY_STATE__KEY_STANDBY", 0 },
--- a/src/wire/amaranth.pb-c.h
+++ b/src/wire/amaranth.pb-c.h
@@ -85,6 +85,14 @@
   AMARANTH__POLICY__POLICY_HASH = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AMARANTH__POLICY)
 } Amaranth__Policy;
+/*
+ * Whether entry VMs lend each other idle slots of the service.
+ */
+typedef enum _Amaranth__Lending {
+  AMARANTH__LENDING__LENDING_ON = 0,
+  AMARANTH__LENDING__LENDING_OFF = 1
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AMARANTH__LENDING)
+} Amaranth__Lending;
 typedef enum _Amaranth__KeyState {
   /*
    * verified, not used to mint
@@ -208,10 +216,15 @@
    * entry VMs of this region serve it
    */
   char *region;
+  /*
+   * retries, percent of successes; 0: default of 10
+   */
+  uint32_t retry_budget;
+  Amaranth__Lending lending;
 };
 #define AMARANTH__SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&amaranth__service__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, AMARANTH__BINDING__BINDING_TICKET, AMARANTH__OBJECTIVE__OBJECTIVE_BROKEN_FLOWS, AMARANTH__POLICY__POLICY_LOCAL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, AMARANTH__BINDING__BINDING_TICKET, AMARANTH__OBJECTIVE__OBJECTIVE_BROKEN_FLOWS, AMARANTH__POLICY__POLICY_LOCAL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, AMARANTH__LENDING__LENDING_ON }
 
 
 struct  Amaranth__Key
@@ -1405,6 +1418,7 @@
 extern const ProtobufCEnumDescriptor    amaranth__binding__descriptor;
 extern const ProtobufCEnumDescriptor    amaranth__objective__descriptor;
 extern const ProtobufCEnumDescriptor    amaranth__policy__descriptor;
+extern const ProtobufCEnumDescriptor    amaranth__lending__descriptor;
 extern const ProtobufCEnumDescriptor    amaranth__key_state__descriptor;
 extern const ProtobufCEnumDescriptor    amaranth__member_state__descriptor;
 extern const ProtobufCEnumDescriptor    amaranth__gossip_kind__descriptor;
--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -354,7 +354,7 @@
     {
       f->vms[i].board.now_us = f->now_us;
       if (f->no_budget)
-        f->vms[i].service->retry_tokens = 1e9;
+        f->vms[i].service->retry_budget = 100000;
       am_credit_tick (&f->vms[i].board);
       am_requests_tick (&f->vms[i].board);
     }
--- a/test/test_credit.c
+++ b/test/test_credit.c
@@ -300,13 +300,46 @@
 }
 END_TEST
 
+/* Guards against a service without lending whose VMs still ask for slots, or
+   still lend theirs to a VM that has not seen the change.  */
+START_TEST (test_lending_off)
+{
+  struct board_options o
+      = { .vms = 2, .upstreams = 4, .slots = 2, .connections = 4 };
+
+  for (int lender_off = 0; lender_off <= 1; lender_off++)
+    {
+      struct mailbox box[2] = { { .len = 0 }, { .len = 0 } };
+      struct am_board boards[2];
+      struct am_service *s[2];
+
+      for (uint32_t i = 0; i < 2; i++)
+        {
+          struct am_sink sink = { keep_peer, &box[i] };
+
+          s[i] = board_make (&boards[i], i + 1, &o, &sink);
+          boards[i].now_us = SECOND;
+        }
+      s[lender_off]->lending = AMARANTH__LENDING__LENDING_OFF;
+      am_credit_borrow (&boards[0], s[0]);
+      ck_assert (lender_off ? box[0].len > 0 : box[0].len == 0);
+      if (lender_off)
+        pass_on (&box[0], &boards[1]);
+      ck_assert_uint_eq (boards[1].counters.lent, 0);
+      board_free (&boards[0]);
+      board_free (&boards[1]);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const tests[]
       = { test_split,         test_hold_down,
           test_lossy_lending, test_same_events_same_actions,
-          test_random_input,  test_loan_ends_by_itself };
+          test_random_input,  test_loan_ends_by_itself,
+          test_lending_off };
 
   return RUN_TESTS ("credit", tests);
 }
--- a/test/test_overload.c
+++ b/test/test_overload.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "core_fleet.h"
+#include "core/retry_budget.h"
 
 #define SEED 20261205
 #define SECOND 1000000u
@@ -134,11 +135,29 @@
 }
 END_TEST
 
+/* Guards against a budget that does not follow the record: 50 % of successes
+   and a burst of 50.  */
+START_TEST (test_retry_budget_of_record)
+{
+  struct am_service s = { .retry_budget = 50 };
+
+  am_retry_init (&s);
+  for (int i = 0; i < 50; i++)
+    ck_assert (am_retry_take (&s));
+  ck_assert (!am_retry_take (&s));
+  am_retry_success (&s);
+  ck_assert (!am_retry_take (&s));
+  am_retry_success (&s);
+  ck_assert (am_retry_take (&s));
+  ck_assert (!am_retry_take (&s));
+}
+END_TEST
+
 int
 main (void)
 {
-  const TTest *const tests[]
-      = { test_goodput_and_recovery, test_retry_budget };
+  const TTest *const tests[] = { test_goodput_and_recovery, test_retry_budget,
+                                 test_retry_budget_of_record };
 
   return RUN_TESTS ("overload", tests);
 }
--- a/test/test_record.c
+++ b/test/test_record.c
@@ -101,6 +101,8 @@
   ck_assert_uint_eq (s->ping_misses, 3);
   ck_assert_uint_eq (s->slow_start_ms, 10000);
   ck_assert_uint_eq (s->open_rate, 200);
+  ck_assert_uint_eq (s->retry_budget, 10);
+  ck_assert_int_eq (s->lending, AMARANTH__LENDING__LENDING_ON);
   ck_assert_uint_eq (s->classes[0]->id, 3);
   ck_assert_uint_eq (s->classes[0]->weight, 1);
   ck_assert_uint_eq (s->classes[0]->queue_limit, 64);
@@ -112,6 +114,16 @@
 }
 END_TEST
 
+/* Guards against limits of a record that are read but not passed on.  */
+START_TEST (limits)
+{
+  ck_assert_int_eq (parse_yaml (HEAD ("2") "retry_budget: 25\nlending: off\n"),
+                    AM_OK);
+  ck_assert_uint_eq (record.service->retry_budget, 25);
+  ck_assert_int_eq (record.service->lending, AMARANTH__LENDING__LENDING_OFF);
+}
+END_TEST
+
 /* Guards against a schema 1 record meaning something else than before.  */
 START_TEST (schema_1)
 {
@@ -172,6 +184,11 @@
   { HEAD ("1") "request: repeatable\ndeadline_ms: 0\n", AM_E_FIELD_RANGE, 7,
     "deadline_ms" },
   { HEAD ("2") "open_rate: 0\n", AM_E_FIELD_RANGE, 6, "open_rate" },
+  { HEAD ("2") "retry_budget: 0\n", AM_E_FIELD_RANGE, 6, "retry_budget" },
+  { HEAD ("2") "retry_budget: 0.1\n", AM_E_FIELD_TYPE, 6, "retry_budget" },
+  { HEAD ("2") "lending: perhaps\n", AM_E_FIELD_VALUE, 6, "lending" },
+  { HEAD ("1") "request: repeatable\nlending: off\n", AM_E_FIELD_UNKNOWN, 7,
+    "lending" },
   { HEAD ("2") "open_rate: '5'\n", AM_E_FIELD_TYPE, 6, "open_rate" },
   { HEAD ("2") "open_rate: 99999999999999999999\n", AM_E_FIELD_TYPE, 6,
     "open_rate" },
@@ -335,6 +352,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, samples, 0, COUNT (examples));
   tcase_add_test (tc, defaults);
+  tcase_add_test (tc, limits);
   tcase_add_test (tc, schema_1);
   tcase_add_test (tc, ticket_keys);
   tcase_add_loop_test (tc, named, 0, COUNT (faults));
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -84,7 +84,7 @@
 
   begin (2);
   ck_assert_int_eq (net_event (&net, 0, &e), AM_E_FORMAT);
-  for (int i = 0; i < 10; i++)
+  for (int i = 0; i < 11; i++)
     {
       config_init (c, AMARANTH__BINDING__BINDING_TICKET, 3, 3);
       c->service.revision = 9;
@@ -117,6 +117,9 @@
         case 8:
           c->service.binding = AMARANTH__BINDING__BINDING_HASH;
           break;
+        case 9:
+          c->service.lending = 2;
+          break;
         default:
           c->service.name = "";
           break;
@@ -125,7 +128,7 @@
       ck_assert_uint_eq (service ()->revision, 1);
       ck_assert_uint_eq (HASH_CNT (by_id, service ()->upstreams_by_id), 2);
     }
-  ck_assert_uint_eq (net.nodes[0].board.counters.snapshots_refused, 11);
+  ck_assert_uint_eq (net.nodes[0].board.counters.snapshots_refused, 12);
   ck_assert_uint_eq (net.nodes[0].board.counters.snapshots, 1);
   net_finish (&net);
 }
@@ -232,6 +235,8 @@
   config.service.revision = 6;
   config.service.policy = AMARANTH__POLICY__POLICY_LOCAL;
   config.service.objective = AMARANTH__OBJECTIVE__OBJECTIVE_IMBALANCE;
+  config.service.retry_budget = 25;
+  config.service.lending = AMARANTH__LENDING__LENDING_OFF;
   config.upstream[1].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
   config.snapshot.n_keys = 2;
   net_apply_all (&net, &config);
@@ -255,6 +260,8 @@
   ck_assert_uint_eq (service ()->revision, 6);
   ck_assert_uint_eq (net.nodes[0].board.key_count, 2);
   ck_assert_uint_eq (service ()->home_count, 3);
+  ck_assert_uint_eq (service ()->retry_budget, 25);
+  ck_assert_int_eq (service ()->lending, AMARANTH__LENDING__LENDING_OFF);
   free (first);
   free (second);
   net_finish (&net);
