Keep UNKNOWN of a request that is opened again

Cause: the stand-in caller opens a repeatable request anew when it is told UNKNOWN. It also opened requests anew that the forwarder had given up for want of retry budget, which undoes the budget. Change: NOT-RUN after an UNKNOWN attempt is recorded as UNKNOWN; UNKNOWN with the reason budget is final. Conclusion: the histories hold what the caller knows.

--- a/standin/standin_load.c
+++ b/standin/standin_load.c
@@ -49,6 +49,7 @@
   uint64_t deadline_us;
   uint64_t backoff_us;
   bool cancel;
+  bool uncertain;    /* was UNKNOWN before it was opened again */
   uint64_t received; /* bitmap of segments */
   uint8_t segments;  /* 0: none yet */
   uint32_t total_len;
@@ -341,17 +342,20 @@
     complete (r);
 }
 
-/* A repeatable request whose issuer lost it opens again.  */
+/* A repeatable request whose issuer lost it opens again.  One that the issuer
+   gave up for want of budget does not: that would be the retry which the
+   budget denied.  */
 static bool
-open_again (struct standin_request *r, int outcome)
+open_again (struct standin_request *r, const struct am_outcome_body *o)
 {
   struct standin_caller *c = caller_of (r);
   uint64_t now = standin_now_us ();
 
-  if (r->load->one_time || outcome != AM_OUTCOME_UNKNOWN
-      || now >= r->deadline_us)
+  if (r->load->one_time || o->outcome != AM_OUTCOME_UNKNOWN
+      || o->error == AM_E_BUDGET || now >= r->deadline_us)
     return false;
   c->request_counts.reopened++;
+  r->uncertain = true;
   HASH_DEL (c->requests, r);
   begin (r, now);
   return true;
@@ -367,9 +371,9 @@
 
   if (r->state != REQUEST_SENT
       || am_outcome_body_decode (&o, p->body, p->body_len) != AM_OK
-      || open_again (r, o.outcome))
+      || open_again (r, &o))
     return;
-  not_run = o.outcome == AM_OUTCOME_NOT_RUN;
+  not_run = o.outcome == AM_OUTCOME_NOT_RUN && !r->uncertain;
   if (not_run)
     n->not_run++;
   else
--- a/test/test_caller_standin.c
+++ b/test/test_caller_standin.c
@@ -1,5 +1,8 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "standin_process.h"
 #include "wire/packet.h"
@@ -169,6 +172,75 @@
 }
 END_TEST
 
+static void
+reply_outcome (struct am_address to, uint64_t id, enum am_outcome outcome,
+               int error)
+{
+  struct am_outcome_body o = { .outcome = (uint8_t)outcome, .error = error };
+  uint8_t body[AM_OUTCOME_BODY_SIZE];
+  struct am_packet p = { .type = AM_PACKET_OUTCOME,
+                         .connection_id = id,
+                         .body = body,
+                         .body_len = sizeof body };
+
+  am_outcome_body_encode (&o, body);
+  reply (to, &p);
+}
+
+/* Takes the OPEN of one attempt and ends it.  */
+static void
+end_attempt (enum am_outcome outcome, int error)
+{
+  struct am_packet p;
+  struct am_address from = expect (AM_PACKET_OPEN, &p);
+  uint64_t id = p.connection_id;
+
+  reply_ticket (from, id, 0, 1);
+  expect (AM_PACKET_REQUEST, &p);
+  reply_outcome (from, id, outcome, error);
+}
+
+static int
+count_in (const char *path, const char *text)
+{
+  FILE *in = fopen (path, "r");
+  char line[512];
+  int n = 0;
+
+  ck_assert_ptr_nonnull (in);
+  while (fgets (line, sizeof line, in))
+    n += strstr (line, text) != NULL;
+  fclose (in);
+  return n;
+}
+
+/* A repeatable request that was UNKNOWN and, opened again, NOT-RUN may have
+   run; one that the retry budget gave up must not be opened again, as that
+   would undo the budget.  */
+START_TEST (test_unknown_stays_unknown)
+{
+  char path[] = "/tmp/caller-history-XXXXXX";
+  char arguments[128];
+  struct am_packet p;
+  int fd = mkstemp (path);
+
+  ck_assert_int_ge (fd, 0);
+  close (fd);
+  snprintf (arguments, sizeof arguments,
+            "--closed s:0:repeatable:1 --history %s", path);
+  start (arguments);
+  end_attempt (AM_OUTCOME_UNKNOWN, AM_E_CONNECTION);
+  end_attempt (AM_OUTCOME_NOT_RUN, AM_E_QUEUE_FULL);
+  end_attempt (AM_OUTCOME_UNKNOWN, AM_E_BUDGET);
+  expect (AM_PACKET_OPEN, &p);
+  process_stop (caller);
+  ck_assert_int_eq (count_in (path, "\"ev\":\"request\""), 3);
+  ck_assert_int_eq (count_in (path, "\"UNKNOWN\",\"reason\":\"queue_full"), 1);
+  ck_assert_int_eq (count_in (path, "\"UNKNOWN\",\"reason\":\"budget"), 1);
+  unlink (path);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -181,6 +253,7 @@
   tcase_add_test (tc, test_reset_opens_anew);
   tcase_add_test (tc, test_duplicate_ticket_is_closed);
   tcase_add_test (tc, test_missing_segment_is_asked_for);
+  tcase_add_test (tc, test_unknown_stays_unknown);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
