Measure baselines beside the product in one run

The figures of a baseline carry its name, a ratio compares the two, and its broken flows do not count for the bounds.

--- a/scripts/experiments/change.py
+++ b/scripts/experiments/change.py
@@ -6,18 +6,20 @@
 from cluster import STIKLSETAS
 
 DESCRIPTION = "planned changes cut no open feed and no request"
-POLICIES = ("local", "two_choices", "hash_binding")
+PRODUCTS = ("local", "two_choices")
 
-# The plain hash binding is the baseline: it moves flows at every change.
+# Without tickets, by a hash of the flow over the active upstreams: it moves
+# flows at every change.
+BASELINES = ("hash_binding",)
+POLICIES = (*PRODUCTS, *BASELINES)
 SETTLE_SECONDS = 2
 
 
-def services(policy):
+def services(policy, baseline):
     specs = [dict(s) for s in STIKLSETAS]
-    if policy == "hash_binding":
+    specs[0]["policy"] = policy
+    if baseline == "hash_binding":
         specs[0].update(binding="hash", classes=[])
-    else:
-        specs[0]["policy"] = policy
     return specs
 
 
@@ -41,53 +43,71 @@
         turn += 1
 
 
-def run(x):
+def one(x, policy, baseline=None):
+    """One run; the figures of a baseline carry its name."""
+    prefix = f"{baseline}_" if baseline else ""
+    x.say(baseline or policy)
     feeds = x.pick(3000, 300)
-    restarted = x.pick(7, 2)
     seconds = x.seconds(75, 17)
     counts = {"drains": 0, "joins": 0, "revisions": 0}
-    with x.cluster(services=services(x.policy)) as c:
+    failures = []
+    with x.cluster(services=services(policy, baseline)) as c:
         c.start()
         c.poll()
         load = ["--flows", f"dispatch:{feeds}", "--open-rate",
                 x.pick(400, 150), "--seconds", seconds]
-        if x.policy != "hash_binding":
+        if not baseline:
             load += ["--requests", "dispatch:0:one_time:50"]
         load += ["--requests", "archive:0:repeatable:20"]
-        start = time.monotonic()
+        end = time.monotonic() + seconds
         caller = c.start_caller("load", load)
         time.sleep(feeds / x.pick(400, 150) + SETTLE_SECONDS)
         ended = threading.Event()
-        failures = []
 
         def work():
             try:
                 change_records(c, ended, counts)
             except Exception as e:  # reported as a violation below
-                failures.append(f"operator: {type(e).__name__}: {e}")
+                failures.append(f"{prefix}operator: {type(e).__name__}: {e}")
 
         operator = threading.Thread(target=work)
         operator.start()
-        restarts = 0
-        for vm in c.vms[:restarted]:
-            if time.monotonic() - start > seconds - 6:
-                break
-            c.stop_vm(vm)
-            c.start_vm(vm)
-            restarts += 1
-            time.sleep(x.pick(1.5, 0.5))
+        restarts = restart(c, x.pick(7, 2), x.pick(1.5, 0.5), end - 6)
         caller.wait(seconds + 30)
         ended.set()
         operator.join()
-        x.violations += failures
-    g = x.check(c)
+    x.violations += failures
+    g = x.check(c, prefix=prefix, promises=not baseline)
     x.keep(g, "flows_opened", "broken", "stalled", "cut_by_stop", "requests",
            "answered", "not_run", "unknown", "spread_max_ms",
-           "leaving_delay_max_ms", "reverted")
-    x.figures.update(counts, restarts=restarts, feeds=feeds,
-                     operator_failures=len(failures))
+           "leaving_delay_max_ms", "reverted", prefix=prefix)
+    figures = dict(counts, restarts=restarts, feeds=feeds,
+                   operator_failures=len(failures))
+    x.figures.update({prefix + k: v for k, v in figures.items()})
+
+
+def restart(c, count, pause, end):
+    """Restarts COUNT entry VMs one after the other, none begun after END;
+    returns how many."""
+    done = 0
+    for vm in c.vms[:count]:
+        if time.monotonic() > end:
+            break
+        c.stop_vm(vm)
+        c.start_vm(vm)
+        done += 1
+        time.sleep(pause)
+    return done
+
+
+def run(x):
+    product, baselines = x.variants(PRODUCTS, BASELINES)
+    one(x, product)
     x.bound("broken", "==", 0)
-    x.bound("flows_opened", ">=", feeds)
-    x.bound("restarts", "==", restarted)
+    x.bound("flows_opened", ">=", x.pick(3000, 300))
+    x.bound("restarts", "==", x.pick(7, 2))
     x.bound("operator_failures", "==", 0)
+    for name in baselines:
+        one(x, product, name)
+        x.compare("broken", name)
     return x.result()
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -197,13 +197,15 @@
         services: list of dicts as STIKLSETAS above (copied); each may have
           name, upstreams (count), schema, binding, objective, policy,
           classes, request, deadline_ms, slots, connections, weights,
-          ping_interval_ms, misses, slow_start_ms, open_rate.
+          ping_interval_ms, misses, slow_start_ms, open_rate, retry_budget,
+          lending.
         example: folder such as examples/stiklsetas; its settings, records
           and addresses are used and block, vms and services are ignored.
         store_relays: one TCP relay per data centre before the store, named
           "store-DC"; fabric_relays: a UDP relay before each forwarder, all
           in the process "fabric-relay"; upstream_relays: relays "udp-relay"
-          and "tcp-relay" before all upstreams.  See relay().
+          and "tcp-relay" before all upstreams; a number above 1 shares the
+          upstreams out over "tcp-relay-1" and so on.  See relay().
         """
         self.folder = pathlib.Path(folder)
         self.build = pathlib.Path(build or os.environ.get(
@@ -319,7 +321,9 @@
                       f"  ping_interval_ms: {spec.get('ping_interval_ms', 1000)}",
                       f"  misses: {spec.get('misses', 3)}",
                       f"slow_start_ms: {spec.get('slow_start_ms', 10000)}",
-                      f"open_rate: {spec.get('open_rate', 200)}"]
+                      f"open_rate: {spec.get('open_rate', 200)}",
+                      f"retry_budget: {spec.get('retry_budget', 10)}",
+                      f"lending: {spec.get('lending', 'on')}"]
             if spec.get("classes"):
                 lines.append("classes:")
             for entry in spec.get("classes", []):
@@ -454,7 +458,11 @@
                        for s, spec in self.services.items()
                        for i in range(len(spec["upstream_names"]))}
             self.start_relay("udp-relay", "udp", targets)
-            self.start_relay("tcp-relay", "tcp", targets)
+            groups = int(self.upstream_relays)
+            for i in range(groups):
+                name = "tcp-relay" if groups == 1 else f"tcp-relay-{i + 1}"
+                self.start_relay(name, "tcp",
+                                 dict(list(targets.items())[i::groups]))
 
     def start_fabric(self, arguments=()):
         argv = [self.program("standin-fabric"), "--return",
--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -3,7 +3,8 @@
 An experiment is a module scripts/experiments/NAME.py with
 
     DESCRIPTION   one line
-    POLICIES      the names that --policy takes; the first is the default
+    POLICIES      the names that --policy takes; the first is the default.
+                  A name of a baseline measures it beside the product.
     run(x)        does the work with x, an Experiment, and returns x.result()
 """
 
@@ -71,6 +72,23 @@
         """FULL, or SMALL with --small."""
         return small if self.small else full
 
+    def variants(self, products, baselines):
+        """What the run measures: the product's policy, and the names of the
+        baselines beside it.  These are all of them, or the one that --policy
+        names; the short form has none unless it is named."""
+        if self.policy in products:
+            return self.policy, ([] if self.small else [*baselines])
+        return products[0], [self.policy]
+
+    def compare(self, figure, baseline):
+        """Adds the ratio of a figure to that of a baseline (prefix NAME_) in
+        the same run; none if the baseline's is 0."""
+        mine = self.figures[figure]
+        other = self.figures[f"{baseline}_{figure}"]
+        if other:
+            self.figures[f"{figure}_ratio_to_{baseline}"] = round(
+                mine / other, 4)
+
     def say(self, text):
         print(f"{self.name}: {text}", file=sys.stderr, flush=True)
 
