--- a/src/base/error.h
+++ b/src/base/error.h
@@ -61,7 +61,8 @@
   X (AM_E_QUARANTINE, -47, "quarantine", "address is in quarantine")          \
   X (AM_E_INTERNAL, -48, "internal", "internal error")                        \
   X (AM_E_NO_OWNER, -49, "no_owner",                                          \
-     "no entry VM is known to own the requests of the service")
+     "no entry VM is known to own the requests of the service")               \
+  X (AM_E_BASE, -50, "base", "delta is for another snapshot")
 
 enum am_error
 {
--- a/src/core/board.c
+++ b/src/core/board.c
@@ -138,6 +138,19 @@
   return n;
 }
 
+bool
+am_home_set_concerns (const struct am_service *s, const struct am_member *m)
+{
+  for (size_t i = 0; i < s->home_count; i++)
+    if (s->home_set[i] == m)
+      return true;
+  if (!may_be_home (m, s))
+    return false;
+  return s->home_count < AM_HOME_MAX
+         || am_hash_rendezvous (s->id, m->id) >= am_hash_rendezvous (
+                s->id, s->home_set[s->home_count - 1]->id);
+}
+
 void
 am_board_emit (struct am_board *b, const struct am_action *a)
 {
--- a/src/core/board.h
+++ b/src/core/board.h
@@ -187,7 +187,9 @@
   size_t class_count;
   const struct am_binding_ops *binding;
   const struct am_choice_ops *choice;
-  bool home; /* this entry VM is in the home set */
+  bool offered; /* in force as the last snapshot has it */
+  bool touched; /* scratch mark while a delta is applied */
+  bool home;    /* this entry VM is in the home set */
   struct am_member *home_set[AM_HOME_MAX]; /* in rendezvous order */
   size_t home_count;
 
@@ -270,7 +272,9 @@
   X (tracked_introduced, "flows introduced to their owner")       \
   X (tracked_exceptions, "flows pinned away from the default")    \
   X (snapshots, "snapshots applied")                              \
-  X (snapshots_refused, "snapshots refused")
+  X (snapshots_refused, "snapshots refused")                      \
+  X (deltas, "deltas of snapshots applied")                       \
+  X (deltas_refused, "deltas of snapshots refused")
 
 struct am_counters
 {
@@ -295,6 +299,7 @@
 
   /* Owner: snapshot.  */
   uint64_t snapshot_digest;
+  uint64_t delta_base; /* digest that a delta may build on; 0: none */
   struct am_list services;
   struct am_service *services_by_id;
   struct am_service *services_by_address;
@@ -337,6 +342,11 @@
 size_t am_home_set (const struct am_board *b, const struct am_service *s,
                     struct am_member *home[AM_HOME_MAX]);
 
+/* Returns true if the change of M, already made, may alter the home set of S
+   or what it holds of M.  */
+bool am_home_set_concerns (const struct am_service *s,
+                           const struct am_member *m);
+
 /* Emits one action.  */
 void am_board_emit (struct am_board *b, const struct am_action *a);
 
--- a/src/core/credit.c
+++ b/src/core/credit.c
@@ -355,13 +355,19 @@
     adopt (s);
 }
 
+void
+am_credit_recompute_service (struct am_board *b, struct am_service *s)
+{
+  note_home_set (b, s);
+  split_service (b, s);
+}
+
 void
 am_credit_recompute (struct am_board *b)
 {
   am_list_each (s, &b->services, struct am_service, node)
   {
-    note_home_set (b, s);
-    split_service (b, s);
+    am_credit_recompute_service (b, s);
   }
 }
 
--- a/src/core/credit.h
+++ b/src/core/credit.h
@@ -65,6 +65,9 @@
    upstreams.  */
 void am_credit_recompute (struct am_board *b);
 
+/* The same for S alone.  */
+void am_credit_recompute_service (struct am_board *b, struct am_service *s);
+
 /* Returns how many requests may be in flight at U: own and borrowed slots
    without those lent.  */
 uint32_t am_credit_slots (const struct am_upstream *u);
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -208,6 +208,8 @@
       return AM_OK;
     case AM_EVENT_GRANT:
       return am_owned_grant (b, e->data, e->len);
+    case AM_EVENT_DELTA:
+      return am_snapshot_apply_delta (b, e->data, e->len);
     case AM_EVENT_STOP:
       am_lifecycle_stop (d);
       return AM_OK;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -21,6 +21,7 @@
   AM_EVENT_TICK,        /* every AM_TICK_US */
   AM_EVENT_STOP,        /* begin the graceful stop */
   AM_EVENT_GRANT,       /* packed Amaranth__OwnerGrant */
+  AM_EVENT_DELTA,       /* packed Amaranth__SnapshotDelta */
 };
 
 /* Interval of AM_EVENT_TICK in microseconds.  */
--- a/src/core/snapshot.h
+++ b/src/core/snapshot.h
@@ -27,6 +27,16 @@
    has changed.  */
 int am_snapshot_apply (struct am_board *b, const uint8_t *data, size_t len);
 
+/* Applies the LEN bytes at DATA, a packed Amaranth__SnapshotDelta, which leads
+   to the same state as the whole snapshot that it stands for.  Returns AM_OK;
+   AM_E_BASE if the delta is for another snapshot than the one in force, or if
+   that one is not in force as it was offered; or an error as above,
+   AM_E_FIELD_VALUE also for something gone that was not there.  On an error
+   other than AM_E_MEMORY nothing has changed; after AM_E_MEMORY every delta is
+   refused until a whole snapshot is applied.  */
+int am_snapshot_apply_delta (struct am_board *b, const uint8_t *data,
+                             size_t len);
+
 /* Drops members that have been missing for too long.  Called at each tick. */
 void am_snapshot_tick (struct am_board *b);
 
--- a/src/core/snapshot_check.c
+++ b/src/core/snapshot_check.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/board.h"
+#include "core/snapshot_parts.h"
 
 #define PORT_MAX 65535u
 #define CLASS_ID_MAX 255u
@@ -200,3 +200,90 @@
     err = check_keys (snap);
   return err;
 }
+
+/* ---- delta -------------------------------------------------------- */
+
+void
+am_snapshot_of_delta (Amaranth__Snapshot *s, const Amaranth__SnapshotDelta *d)
+{
+  amaranth__snapshot__init (s);
+  s->digest = d->digest;
+  s->services = d->services;
+  s->n_services = d->n_services;
+  s->members = d->members;
+  s->n_members = d->n_members;
+  s->keys = d->keys;
+  s->n_keys = d->n_keys;
+  s->verdicts = d->verdicts;
+  s->n_verdicts = d->n_verdicts;
+}
+
+static bool
+is_gone (const Amaranth__SnapshotDelta *d, uint32_t service_id)
+{
+  for (size_t i = 0; i < d->n_services_gone; i++)
+    if (d->services_gone[i] == service_id)
+      return true;
+  return false;
+}
+
+/* Only what the base has can be gone, and not together with a change.  */
+static int
+check_gone (struct am_board *b, const Amaranth__SnapshotDelta *d,
+            const Amaranth__Snapshot *changed)
+{
+  for (size_t i = 0; i < d->n_services_gone; i++)
+    {
+      uint32_t id = d->services_gone[i];
+      const struct am_service *s = am_board_service (b, id);
+
+      if (!s || !s->offered || am_snapshot_find_service (changed, id))
+        return AM_E_FIELD_VALUE;
+    }
+  for (size_t i = 0; i < d->n_members_gone; i++)
+    {
+      uint32_t id = d->members_gone[i];
+      const struct am_member *m = am_board_member (b, id);
+
+      if (!m || !m->present)
+        return AM_E_FIELD_VALUE;
+      for (size_t k = 0; k < changed->n_members; k++)
+        if (changed->members[k]->id == id)
+          return AM_E_FIELD_VALUE;
+    }
+  return AM_OK;
+}
+
+/* A whole snapshot with two services at one address is refused.  */
+static int
+check_addresses (struct am_board *b, const Amaranth__SnapshotDelta *d,
+                 const Amaranth__Snapshot *changed)
+{
+  for (size_t i = 0; i < changed->n_services; i++)
+    {
+      const Amaranth__Service *in = changed->services[i];
+      struct am_address a = { in->ip, (uint16_t)in->port };
+      const struct am_service *holder = am_board_service_at (b, a);
+
+      if (holder && holder->offered && holder->id != in->id
+          && !am_snapshot_find_service (changed, holder->id)
+          && !is_gone (d, holder->id))
+        return AM_E_EXISTS;
+    }
+  return AM_OK;
+}
+
+int
+am_snapshot_check_delta (struct am_board *b, const Amaranth__SnapshotDelta *d,
+                         const Amaranth__Snapshot *changed)
+{
+  int err = am_snapshot_check (changed);
+
+  if (!err && d->digest == 0)
+    err = AM_E_FIELD_VALUE;
+  if (!err)
+    err = check_gone (b, d, changed);
+  if (!err)
+    err = check_addresses (b, d, changed);
+  return err;
+}
--- a/src/core/snapshot_check.h
+++ b/src/core/snapshot_check.h
@@ -3,7 +3,7 @@
 #ifndef AM_CORE_SNAPSHOT_CHECK_H
 #define AM_CORE_SNAPSHOT_CHECK_H
 
-#include "wire/amaranth.pb-c.h"
+#include "core/board.h"
 
 /* Most upstreams of a service that a snapshot may carry.  */
 #define AM_SNAPSHOT_UPSTREAMS_MAX 16384
@@ -12,4 +12,14 @@
    AM_E_MEMORY.  */
 int am_snapshot_check (const Amaranth__Snapshot *snap);
 
+/* Fills S with what D carries.  Its arrays are those of D.  */
+void am_snapshot_of_delta (Amaranth__Snapshot *s,
+                           const Amaranth__SnapshotDelta *d);
+
+/* Checks D, whose base is in force on B; CHANGED is what D carries.  Returns
+   the same errors.  */
+int am_snapshot_check_delta (struct am_board *b,
+                             const Amaranth__SnapshotDelta *d,
+                             const Amaranth__Snapshot *changed);
+
 #endif
--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -96,6 +96,33 @@
   send_report (f, s);
 }
 
+static void
+take_delta (struct am_forwarder *f, struct am_stream *s,
+            const Amaranth__SnapshotDelta *delta)
+{
+  struct am_event e = { .type = AM_EVENT_DELTA };
+  uint8_t *data;
+  int err;
+
+  e.len = amaranth__snapshot_delta__get_packed_size (delta);
+  data = malloc (e.len ? e.len : 1);
+  if (!data)
+    return;
+  amaranth__snapshot_delta__pack (delta, data);
+  e.data = data;
+  err = am_forwarder_event (f, &e);
+  free (data);
+  if (err)
+    {
+      am_log_line (&f->log, AM_LOG_WARNING,
+                   "event=delta_refused base=%016llx digest=%016llx reason=%s",
+                   (unsigned long long)delta->base_digest,
+                   (unsigned long long)delta->digest, am_error_name (err));
+      send_failure (s, err);
+    }
+  send_report (f, s);
+}
+
 static void
 take_grant (struct am_forwarder *f, const Amaranth__OwnerGrant *grant)
 {
@@ -163,6 +190,9 @@
     case AMARANTH__ENVELOPE__BODY_SNAPSHOT:
       take_snapshot (f, s, e->snapshot);
       return;
+    case AMARANTH__ENVELOPE__BODY_SNAPSHOT_DELTA:
+      take_delta (f, s, e->snapshot_delta);
+      return;
     case AMARANTH__ENVELOPE__BODY_OWNER_GRANT:
       take_grant (f, e->owner_grant);
       return;
--- a/src/forwarder/control.h
+++ b/src/forwarder/control.h
@@ -1,11 +1,11 @@
 /* Control port of the forwarder: its agent's connection.
 
-   The agent sends Snapshot, StatusRequest, SetLogLevel, Explain,
-   MetricsRequest and StopRequest.  The forwarder sends Report each second and
-   at once after a snapshot.  When an agent connects, and as the answer to
-   StatusRequest, it sends the Snapshot last applied, if there is one, and a
-   Report; Explain and MetricsReply answer the request of the same kind; a
-   refused message is answered with Failure.  */
+   The agent sends Snapshot, SnapshotDelta, StatusRequest, SetLogLevel,
+   Explain, MetricsRequest and StopRequest.  The forwarder sends Report each
+   second and at once after a snapshot or delta.  When an agent connects, and
+   as the answer to StatusRequest, it sends the Snapshot last applied, if there
+   is one, and a Report; Explain and MetricsReply answer the request of the
+   same kind; a refused message is answered with Failure.  */
 
 #ifndef AM_FORWARDER_CONTROL_H
 #define AM_FORWARDER_CONTROL_H
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -18,7 +18,7 @@
 #include "io/udp_batch.h"
 #include "io/udp_port.h"
 
-#define AM_FORWARDER_EVENT_TYPES (AM_EVENT_GRANT + 1)
+#define AM_FORWARDER_EVENT_TYPES (AM_EVENT_DELTA + 1)
 
 struct am_forwarder
 {
--- a/src/forwarder/forwarder_metrics.c
+++ b/src/forwarder/forwarder_metrics.c
@@ -54,7 +54,8 @@
   static const char *const labels[AM_FORWARDER_EVENT_TYPES]
       = { "event=\"caller\"", "event=\"upstream\"",    "event=\"peer\"",
           "event=\"stream\"", "event=\"stream_lost\"", "event=\"snapshot\"",
-          "event=\"tick\"",   "event=\"stop\"",        "event=\"grant\"" };
+          "event=\"tick\"",   "event=\"stop\"",        "event=\"grant\"",
+          "event=\"delta\"" };
 
   am_metrics_head (t, &durations);
   for (size_t i = 0; i < AM_FORWARDER_EVENT_TYPES; i++)
--- a/src/io/event_log.c
+++ b/src/io/event_log.c
@@ -161,7 +161,7 @@
     return AM_E_NOT_FOUND;
   if (n < sizeof buf)
     return AM_E_SHORT;
-  if (buf[0] > AM_EVENT_GRANT)
+  if (buf[0] > AM_EVENT_DELTA)
     return AM_E_FORMAT;
   memset (e, 0, sizeof *e);
   e->type = (enum am_event_type)buf[0];
--- a/src/wire/amaranth.pb-c.c
+++ b/src/wire/amaranth.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &amaranth__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   amaranth__snapshot_delta__init
+                     (Amaranth__SnapshotDelta         *message)
+{
+  static const Amaranth__SnapshotDelta init_value = AMARANTH__SNAPSHOT_DELTA__INIT;
+  *message = init_value;
+}
+size_t amaranth__snapshot_delta__get_packed_size
+                     (const Amaranth__SnapshotDelta *message)
+{
+  assert(message->base.descriptor == &amaranth__snapshot_delta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t amaranth__snapshot_delta__pack
+                     (const Amaranth__SnapshotDelta *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &amaranth__snapshot_delta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t amaranth__snapshot_delta__pack_to_buffer
+                     (const Amaranth__SnapshotDelta *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &amaranth__snapshot_delta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Amaranth__SnapshotDelta *
+       amaranth__snapshot_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Amaranth__SnapshotDelta *)
+     protobuf_c_message_unpack (&amaranth__snapshot_delta__descriptor,
+                                allocator, len, data);
+}
+void   amaranth__snapshot_delta__free_unpacked
+                     (Amaranth__SnapshotDelta *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &amaranth__snapshot_delta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   amaranth__metric__init
                      (Amaranth__Metric         *message)
 {
@@ -2799,6 +2844,148 @@
   (ProtobufCMessageInit) amaranth__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor amaranth__snapshot_delta__field_descriptors[9] =
+{
+  {
+    "base_digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__SnapshotDelta, base_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__SnapshotDelta, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__SnapshotDelta, n_services),
+    offsetof(Amaranth__SnapshotDelta, services),
+    &amaranth__service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services_gone",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Amaranth__SnapshotDelta, n_services_gone),
+    offsetof(Amaranth__SnapshotDelta, services_gone),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__SnapshotDelta, n_members),
+    offsetof(Amaranth__SnapshotDelta, members),
+    &amaranth__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_gone",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Amaranth__SnapshotDelta, n_members_gone),
+    offsetof(Amaranth__SnapshotDelta, members_gone),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys_changed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Amaranth__SnapshotDelta, keys_changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__SnapshotDelta, n_keys),
+    offsetof(Amaranth__SnapshotDelta, keys),
+    &amaranth__key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdicts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__SnapshotDelta, n_verdicts),
+    offsetof(Amaranth__SnapshotDelta, verdicts),
+    &amaranth__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned amaranth__snapshot_delta__field_indices_by_name[] = {
+  0,   /* field[0] = base_digest */
+  1,   /* field[1] = digest */
+  7,   /* field[7] = keys */
+  6,   /* field[6] = keys_changed */
+  4,   /* field[4] = members */
+  5,   /* field[5] = members_gone */
+  2,   /* field[2] = services */
+  3,   /* field[3] = services_gone */
+  8,   /* field[8] = verdicts */
+};
+static const ProtobufCIntRange amaranth__snapshot_delta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor amaranth__snapshot_delta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "amaranth.SnapshotDelta",
+  "SnapshotDelta",
+  "Amaranth__SnapshotDelta",
+  "amaranth",
+  sizeof(Amaranth__SnapshotDelta),
+  9,
+  amaranth__snapshot_delta__field_descriptors,
+  amaranth__snapshot_delta__field_indices_by_name,
+  1,  amaranth__snapshot_delta__number_ranges,
+  (ProtobufCMessageInit) amaranth__snapshot_delta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor amaranth__metric__field_descriptors[2] =
 {
   {
@@ -3803,7 +3990,7 @@
   (ProtobufCMessageInit) amaranth__owner_promise__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor amaranth__envelope__field_descriptors[17] =
+static const ProtobufCFieldDescriptor amaranth__envelope__field_descriptors[18] =
 {
   {
     "gossip",
@@ -4009,6 +4196,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot_delta",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Amaranth__Envelope, body_case),
+    offsetof(Amaranth__Envelope, snapshot_delta),
+    &amaranth__snapshot_delta__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned amaranth__envelope__field_indices_by_name[] = {
   1,   /* field[1] = announce */
@@ -4025,14 +4224,16 @@
   5,   /* field[5] = report */
   9,   /* field[9] = set_log_level */
   4,   /* field[4] = snapshot */
+  17,   /* field[17] = snapshot_delta */
   7,   /* field[7] = status_reply */
   6,   /* field[6] = status_request */
   13,   /* field[13] = stop_request */
 };
-static const ProtobufCIntRange amaranth__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange amaranth__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 20, 17 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor amaranth__envelope__descriptor =
 {
@@ -4042,10 +4243,10 @@
   "Amaranth__Envelope",
   "amaranth",
   sizeof(Amaranth__Envelope),
-  17,
+  18,
   amaranth__envelope__field_descriptors,
   amaranth__envelope__field_indices_by_name,
-  1,  amaranth__envelope__number_ranges,
+  2,  amaranth__envelope__number_ranges,
   (ProtobufCMessageInit) amaranth__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/amaranth.pb-c.h
+++ b/src/wire/amaranth.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Amaranth__RecordList Amaranth__RecordList;
 typedef struct Amaranth__Verdict Amaranth__Verdict;
 typedef struct Amaranth__Snapshot Amaranth__Snapshot;
+typedef struct Amaranth__SnapshotDelta Amaranth__SnapshotDelta;
 typedef struct Amaranth__Metric Amaranth__Metric;
 typedef struct Amaranth__UpstreamLoad Amaranth__UpstreamLoad;
 typedef struct Amaranth__Report Amaranth__Report;
@@ -439,6 +440,49 @@
     , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * What changed since the snapshot with digest BASE_DIGEST.  A service in it
+ * brings all verdicts on its upstreams.
+ */
+struct  Amaranth__SnapshotDelta
+{
+  ProtobufCMessage base;
+  uint64_t base_digest;
+  /*
+   * of the snapshot that it leads to
+   */
+  uint64_t digest;
+  /*
+   * new or changed
+   */
+  size_t n_services;
+  Amaranth__Service **services;
+  size_t n_services_gone;
+  uint32_t *services_gone;
+  /*
+   * new or changed
+   */
+  size_t n_members;
+  Amaranth__Member **members;
+  size_t n_members_gone;
+  uint32_t *members_gone;
+  /*
+   * KEYS has all of them
+   */
+  protobuf_c_boolean keys_changed;
+  size_t n_keys;
+  Amaranth__Key **keys;
+  /*
+   * new, and with ejected = 0 withdrawn
+   */
+  size_t n_verdicts;
+  Amaranth__Verdict **verdicts;
+};
+#define AMARANTH__SNAPSHOT_DELTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&amaranth__snapshot_delta__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+
+
 struct  Amaranth__Metric
 {
   ProtobufCMessage base;
@@ -699,7 +743,8 @@
   AMARANTH__ENVELOPE__BODY_STOP_REQUEST = 14,
   AMARANTH__ENVELOPE__BODY_OWNER_GRANT = 15,
   AMARANTH__ENVELOPE__BODY_OWNER_GIVEN_UP = 16,
-  AMARANTH__ENVELOPE__BODY_OWNER_PROMISE = 17
+  AMARANTH__ENVELOPE__BODY_OWNER_PROMISE = 17,
+  AMARANTH__ENVELOPE__BODY_SNAPSHOT_DELTA = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AMARANTH__ENVELOPE__BODY__CASE)
 } Amaranth__Envelope__BodyCase;
 
@@ -725,6 +770,7 @@
     Amaranth__OwnerGrant *owner_grant;
     Amaranth__OwnerGivenUp *owner_given_up;
     Amaranth__OwnerPromise *owner_promise;
+    Amaranth__SnapshotDelta *snapshot_delta;
   };
 };
 #define AMARANTH__ENVELOPE__INIT \
@@ -998,6 +1044,25 @@
 void   amaranth__snapshot__free_unpacked
                      (Amaranth__Snapshot *message,
                       ProtobufCAllocator *allocator);
+/* Amaranth__SnapshotDelta methods */
+void   amaranth__snapshot_delta__init
+                     (Amaranth__SnapshotDelta         *message);
+size_t amaranth__snapshot_delta__get_packed_size
+                     (const Amaranth__SnapshotDelta   *message);
+size_t amaranth__snapshot_delta__pack
+                     (const Amaranth__SnapshotDelta   *message,
+                      uint8_t             *out);
+size_t amaranth__snapshot_delta__pack_to_buffer
+                     (const Amaranth__SnapshotDelta   *message,
+                      ProtobufCBuffer     *buffer);
+Amaranth__SnapshotDelta *
+       amaranth__snapshot_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   amaranth__snapshot_delta__free_unpacked
+                     (Amaranth__SnapshotDelta *message,
+                      ProtobufCAllocator *allocator);
 /* Amaranth__Metric methods */
 void   amaranth__metric__init
                      (Amaranth__Metric         *message);
@@ -1346,6 +1411,9 @@
 typedef void (*Amaranth__Snapshot_Closure)
                  (const Amaranth__Snapshot *message,
                   void *closure_data);
+typedef void (*Amaranth__SnapshotDelta_Closure)
+                 (const Amaranth__SnapshotDelta *message,
+                  void *closure_data);
 typedef void (*Amaranth__Metric_Closure)
                  (const Amaranth__Metric *message,
                   void *closure_data);
@@ -1423,6 +1491,7 @@
 extern const ProtobufCMessageDescriptor amaranth__record_list__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__verdict__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor amaranth__snapshot_delta__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__metric__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__upstream_load__descriptor;
 extern const ProtobufCMessageDescriptor amaranth__report__descriptor;
--- a/test/fuzz_dispatch.c
+++ b/test/fuzz_dispatch.c
@@ -3,7 +3,8 @@
    An input is a row of events: one byte of type, one of time in ticks, two of
    length, then the data.  To get past the MACs, a peer datagram is sealed and
    every service of a snapshot has the fixture's address; a packet with a
-   ticket gets one that is valid for the first upstream.  */
+   ticket gets one that is valid for the first upstream; a delta gets the base
+   that is in force.  */
 
 #include <string.h>
 
@@ -31,6 +32,7 @@
   uint8_t buf[4096];
 
   config_init (&config, binding, 3, 3);
+  config.snapshot.digest = 1;
   e.data = buf;
   e.len = amaranth__snapshot__pack (&config.snapshot, buf);
   (void)am_dispatch_event (d, &e);
@@ -94,13 +96,34 @@
   return AM_PROXY_HEADER_SIZE + len;
 }
 
+/* Gives a delta the digest that is in force as its base.  */
+static void
+feed_delta (struct am_dispatch *d, struct am_event *e)
+{
+  Amaranth__SnapshotDelta *delta
+      = amaranth__snapshot_delta__unpack (NULL, e->len, e->data);
+  uint8_t buf[8192];
+
+  if (delta)
+    {
+      delta->base_digest = d->board.snapshot_digest;
+      if (amaranth__snapshot_delta__get_packed_size (delta) <= sizeof buf)
+        {
+          e->len = amaranth__snapshot_delta__pack (delta, buf);
+          e->data = buf;
+        }
+      amaranth__snapshot_delta__free_unpacked (delta, NULL);
+    }
+  (void)am_dispatch_event (d, e);
+}
+
 static void
 feed (struct am_dispatch *d, uint64_t now_us, uint8_t type,
       const uint8_t *data, size_t len)
 {
   uint8_t buf[2048];
   struct am_event e
-      = { .type = (enum am_event_type) (type % (AM_EVENT_GRANT + 1)),
+      = { .type = (enum am_event_type) (type % (AM_EVENT_DELTA + 1)),
           .now_us = now_us,
           .from = { 0x7f280701, 9000 },
           .service_id = 77,
@@ -117,6 +140,11 @@
     e.len = put_datagram (buf, sizeof buf, e.type, data, len);
   else if (e.type == AM_EVENT_PEER)
     e.len = seal_peer (buf, sizeof buf, data, len);
+  else if (e.type == AM_EVENT_DELTA)
+    {
+      feed_delta (d, &e);
+      return;
+    }
   else
     {
       (void)am_dispatch_event (d, &e);
--- a/test/fuzz_wire.c
+++ b/test/fuzz_wire.c
@@ -97,6 +97,7 @@
   struct am_proxy_header h;
   size_t used;
   Amaranth__Snapshot *snapshot;
+  Amaranth__SnapshotDelta *delta;
   Amaranth__Envelope *envelope;
 
   if (am_proxy_decode (&h, data, len, &used) == AM_OK)
@@ -108,6 +109,8 @@
   parse_sealed (data, len);
   snapshot = amaranth__snapshot__unpack (NULL, len, data);
   amaranth__snapshot__free_unpacked (snapshot, NULL);
+  delta = amaranth__snapshot_delta__unpack (NULL, len, data);
+  amaranth__snapshot_delta__free_unpacked (delta, NULL);
   envelope = amaranth__envelope__unpack (NULL, len, data);
   amaranth__envelope__free_unpacked (envelope, NULL);
   return 0;
