--- a/test/control_net.h
+++ b/test/control_net.h
@@ -57,6 +57,8 @@
   uint32_t failing_upstream;
   unsigned lowered; /* snapshots that were older or empty */
   unsigned deltas;  /* deltas taken */
+  int delta_error;  /* 0: takes deltas; AM_E_TIMEOUT: loses them; or its
+                       answer to them */
   unsigned refused; /* deltas refused */
 };
 
@@ -555,9 +557,15 @@
 {
   struct net_forwarder *f = &n->nodes[node].forwarder;
 
-  if (!f->snapshot || f->digest != d->base_digest)
+  int err = f->snapshot && f->digest == d->base_digest ? AM_OK : AM_E_BASE;
+
+  if (f->delta_error)
+    err = f->delta_error;
+  if (err == AM_E_TIMEOUT)
+    return;
+  if (err)
     {
-      net_refuse (n, node, AM_E_BASE);
+      net_refuse (n, node, err);
       return;
     }
   for (size_t i = 0; i < d->n_services; i++)
--- /dev/null
+++ b/test/test_snapshot_cost.c
@@ -0,0 +1,428 @@
+/* Cost of one change to an agent and its forwarder.
+
+   Without arguments: a check that a change costs the bytes of that change at
+   every size.  With arguments: --services N --change config|member|read
+   [--rounds N] prints one JSON object.  Instructions are counted with
+
+     valgrind --tool=callgrind --toggle-collect='agent_send*' ...
+     valgrind --tool=callgrind --toggle-collect='forwarder_take*' ...
+     valgrind --tool=callgrind --toggle-collect='agent_read*' ...
+
+   at two numbers of rounds, for the difference.  */
+
+#include <check.h>
+#include <time.h>
+
+#include "control_net.h"
+
+#include "core/control_board.h"
+#include "core/control_members.h"
+#include "core/dispatch.h"
+#include "wire/frame.h"
+
+#define TARGETS_A_SERVICE 10
+#define TARGET_SERVICES 580
+#define TARGET_MEMBERS 730
+#define ROUNDS_MAX 64
+#define SELF 1
+
+enum change
+{
+  CHANGE_CONFIG, /* a new revision of one service */
+  CHANGE_MEMBER, /* a member leaves, and is back */
+};
+
+struct pair
+{
+  struct am_control *agent;
+  struct am_dispatch forwarder;
+  uint64_t now_us;
+  uint8_t *sent; /* last message to the forwarder, with its frame header */
+  size_t len;
+  uint8_t key[AM_PEER_KEY_SIZE];
+};
+
+/* Outside a test of check, too.  */
+static void
+must (bool ok)
+{
+  if (!ok)
+    abort ();
+}
+
+static void
+from_agent (void *userdata, const struct am_control_action *a)
+{
+  struct pair *p = userdata;
+
+  if (a->type != AM_CONTROL_SEND_FORWARDER)
+    return;
+  free (p->sent);
+  p->len = AM_FRAME_HEADER_SIZE + a->len;
+  p->sent = malloc (p->len);
+  am_frame_seal (p->key, a->data, a->len, p->sent);
+  memcpy (p->sent + AM_FRAME_HEADER_SIZE, a->data, a->len);
+}
+
+static void
+from_forwarder (void *userdata, const struct am_action *a)
+{
+  (void)userdata;
+  (void)a;
+}
+
+static void
+agent_event (struct pair *p, enum am_control_event_type type,
+             const Amaranth__Envelope *e)
+{
+  struct am_control_event event = { .type = type, .now_us = p->now_us };
+  uint8_t *data = NULL;
+
+  if (e)
+    {
+      event.len = amaranth__envelope__get_packed_size (e);
+      data = malloc (event.len + 1);
+      amaranth__envelope__pack (e, data);
+      event.data = data;
+    }
+  must (am_control_event (p->agent, &event) == AM_OK);
+  free (data);
+}
+
+static void
+offer (struct pair *p, size_t number, uint64_t revision)
+{
+  Amaranth__RecordList list = AMARANTH__RECORD_LIST__INIT;
+  Amaranth__Record record = AMARANTH__RECORD__INIT;
+  Amaranth__RecordVersion version = AMARANTH__RECORD_VERSION__INIT;
+  Amaranth__Record *records[] = { &record };
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  char name[32];
+  char write_id[40];
+  char *text;
+
+  snprintf (name, sizeof name, "s%zu", number);
+  snprintf (write_id, sizeof write_id, "%032llx",
+            (unsigned long long)revision);
+  text = net_text (name, revision, revision, TARGETS_A_SERVICE);
+  version.name = name;
+  version.revision = revision;
+  version.write_id = write_id;
+  record.version = &version;
+  record.text.data = (uint8_t *)text;
+  record.text.len = strlen (text);
+  list.records = records;
+  list.n_records = 1;
+  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
+  e.record_list = &list;
+  agent_event (p, AM_CONTROL_STREAM, &e);
+  free (text);
+}
+
+static void
+set_member (struct pair *p, uint32_t id, uint64_t incarnation,
+            Amaranth__MemberState state, uint64_t boot_id)
+{
+  Amaranth__Member m = AMARANTH__MEMBER__INIT;
+  char name[32];
+
+  snprintf (name, sizeof name, "vm%u", id);
+  m.id = id;
+  m.name = name;
+  m.data_centre = "a";
+  m.region = "r";
+  m.ip = 0x7f3c0000 + id;
+  m.agent_port = 7100;
+  m.control_port = 7101;
+  m.peer_port = 7001;
+  m.incarnation = incarnation;
+  m.state = state;
+  m.boot_id = boot_id;
+  must (am_members_update (p->agent, &m, AM_UPDATE_GOSSIP) == AM_OK);
+}
+
+/* The agent sends what changed.  Instructions are counted in here.  */
+__attribute__ ((noinline)) static void
+agent_send (struct pair *p)
+{
+  p->now_us += AM_SECOND_US / 5;
+  agent_event (p, AM_CONTROL_TICK, NULL);
+}
+
+static void
+take (struct pair *p, const Amaranth__Envelope *e)
+{
+  bool delta = e->body_case == AMARANTH__ENVELOPE__BODY_SNAPSHOT_DELTA;
+  struct am_event event = { .type = delta ? AM_EVENT_DELTA : AM_EVENT_SNAPSHOT,
+                            .now_us = p->now_us };
+  const ProtobufCMessage *m
+      = delta ? &e->snapshot_delta->base : &e->snapshot->base;
+  uint8_t *data;
+
+  must (delta || e->body_case == AMARANTH__ENVELOPE__BODY_SNAPSHOT);
+  data = malloc (protobuf_c_message_get_packed_size (m) + 1);
+  event.len = protobuf_c_message_pack (m, data);
+  event.data = data;
+  must (am_dispatch_event (&p->forwarder, &event) == AM_OK);
+  free (data);
+}
+
+/* The forwarder takes it.  Instructions are counted in here.  */
+__attribute__ ((noinline)) static void
+forwarder_take (struct pair *p)
+{
+  Amaranth__Envelope *e;
+  const uint8_t *data;
+  size_t len;
+  size_t used;
+
+  must (p->sent != NULL);
+  must (am_frame_open (p->key, p->sent, p->len, &data, &len, &used) == AM_OK);
+  e = amaranth__envelope__unpack (NULL, len, data);
+  must (e != NULL);
+  take (p, e);
+  amaranth__envelope__free_unpacked (e, NULL);
+  free (p->sent);
+  p->sent = NULL;
+}
+
+static void
+acknowledge (struct pair *p)
+{
+  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  Amaranth__Report r = AMARANTH__REPORT__INIT;
+
+  r.boot_id = p->forwarder.board.self.boot_id;
+  r.digest = p->forwarder.board.snapshot_digest;
+  e.body_case = AMARANTH__ENVELOPE__BODY_REPORT;
+  e.report = &r;
+  agent_event (p, AM_CONTROL_FORWARDER, &e);
+}
+
+static void
+begin (struct pair *p, size_t services)
+{
+  size_t members = services * TARGET_MEMBERS / TARGET_SERVICES;
+  struct am_dispatch_options d
+      = { .self = { .id = SELF, .name = "vm1", .region = "r", .boot_id = 77 },
+          .sink = { from_forwarder, p } };
+  struct am_control_options o = { .self = { .id = SELF,
+                                            .name = "vm1",
+                                            .data_centre = "a",
+                                            .region = "r",
+                                            .ip = 0x7f3c0001,
+                                            .agent_port = 7100 },
+                                  .incarnation = 1,
+                                  .sink = { from_agent, p } };
+
+  memset (p, 0, sizeof *p);
+  d.peer_key = p->key;
+  p->now_us = 100 * AM_SECOND_US;
+  must (am_dispatch_init (&p->forwarder, &d) == AM_OK);
+  must (am_control_new (&p->agent, &o) == AM_OK);
+  agent_event (p, AM_CONTROL_TICK, NULL);
+  for (size_t i = 0; i < services; i++)
+    offer (p, i, 1);
+  for (uint32_t id = SELF + 1; id < SELF + members; id++)
+    set_member (p, id, 1, AMARANTH__MEMBER_STATE__MEMBER_ALIVE, id);
+  p->agent->spread.joined = true;
+  agent_event (p, AM_CONTROL_FORWARDER_UP, NULL);
+  free (p->sent);
+  p->sent = NULL;
+  acknowledge (p);
+  agent_send (p);
+  forwarder_take (p);
+  acknowledge (p);
+}
+
+static void
+finish (struct pair *p)
+{
+  free (p->sent);
+  am_control_free (p->agent);
+  am_dispatch_finish (&p->forwarder);
+}
+
+static void
+make_change (struct pair *p, enum change change, size_t round)
+{
+  p->agent->link.last_sent_us = p->now_us;
+  if (change == CHANGE_CONFIG)
+    offer (p, 7, 2 + round);
+  else
+    set_member (p, 5, 2 + round,
+                round % 2 ? AMARANTH__MEMBER_STATE__MEMBER_ALIVE
+                          : AMARANTH__MEMBER_STATE__MEMBER_LEAVING,
+                5);
+}
+
+/* The store's answer to a reader, with nothing new in it.  */
+__attribute__ ((noinline)) static void
+agent_read (struct pair *p, struct am_control_store *store)
+{
+  struct am_control_event e
+      = { .type = AM_CONTROL_STORE, .now_us = p->now_us, .store = store };
+
+  must (am_control_event (p->agent, &e) == AM_OK);
+}
+
+static double
+seconds (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  const double *x = a;
+  const double *y = b;
+
+  return *x < *y ? -1 : *x > *y;
+}
+
+struct cost
+{
+  size_t bytes;
+  double agent_s; /* medians */
+  double forwarder_s;
+};
+
+static struct cost
+measure (size_t services, enum change change, size_t rounds)
+{
+  static struct pair p;
+  struct cost c = { 0 };
+  double agent[ROUNDS_MAX];
+  double forwarder[ROUNDS_MAX];
+
+  begin (&p, services);
+  for (size_t i = 0; i < rounds; i++)
+    {
+      double from;
+
+      make_change (&p, change, i);
+      from = seconds ();
+      agent_send (&p);
+      agent[i] = seconds () - from;
+      c.bytes = p.len;
+      from = seconds ();
+      forwarder_take (&p);
+      forwarder[i] = seconds () - from;
+      acknowledge (&p);
+    }
+  qsort (agent, rounds, sizeof agent[0], by_value);
+  qsort (forwarder, rounds, sizeof forwarder[0], by_value);
+  c.agent_s = agent[rounds / 2];
+  c.forwarder_s = forwarder[rounds / 2];
+  finish (&p);
+  return c;
+}
+
+/* Returns the median time of reading all records again.  */
+static double
+measure_read (size_t services, size_t rounds)
+{
+  static struct pair p;
+  struct am_control_value *values = calloc (services, sizeof *values);
+  struct am_control_store store
+      = { .index = 2, .values = values, .count = services };
+  double times[ROUNDS_MAX];
+
+  begin (&p, services);
+  for (size_t i = 0; i < services; i++)
+    {
+      char name[32];
+
+      snprintf (name, sizeof name, "s%zu", i);
+      values[i].name = strdup (name);
+      values[i].text = (uint8_t *)net_text (name, 1, 1, TARGETS_A_SERVICE);
+      values[i].len = strlen ((const char *)values[i].text);
+    }
+  for (size_t i = 0; i < rounds; i++)
+    {
+      double from = seconds ();
+
+      agent_read (&p, &store);
+      times[i] = seconds () - from;
+    }
+  qsort (times, rounds, sizeof times[0], by_value);
+  for (size_t i = 0; i < services; i++)
+    {
+      free ((char *)(uintptr_t)values[i].name);
+      free ((uint8_t *)(uintptr_t)values[i].text);
+    }
+  free (values);
+  finish (&p);
+  return times[rounds / 2];
+}
+
+static int
+report (int argc, char **argv)
+{
+  size_t services = TARGET_SERVICES;
+  size_t rounds = 20;
+  const char *name = "config";
+  enum change change = CHANGE_CONFIG;
+  struct cost c;
+
+  for (int i = 1; i + 1 < argc; i += 2)
+    {
+      if (strcmp (argv[i], "--services") == 0)
+        services = strtoul (argv[i + 1], NULL, 10);
+      else if (strcmp (argv[i], "--rounds") == 0)
+        rounds = strtoul (argv[i + 1], NULL, 10);
+      else if (strcmp (argv[i], "--change") == 0)
+        name = argv[i + 1];
+    }
+  if (strcmp (name, "member") == 0)
+    change = CHANGE_MEMBER;
+  if (rounds == 0 || rounds > ROUNDS_MAX)
+    return EXIT_FAILURE;
+  if (strcmp (name, "read") == 0)
+    {
+      printf ("{\"services\":%zu,\"change\":\"read\",\"agent_ms\":%.3f}\n",
+              services, measure_read (services, rounds) * 1e3);
+      return EXIT_SUCCESS;
+    }
+  c = measure (services, change, rounds);
+  printf ("{\"services\":%zu,\"change\":\"%s\",\"bytes\":%zu,"
+          "\"agent_ms\":%.3f,\"forwarder_ms\":%.3f}\n",
+          services, name, c.bytes, c.agent_s * 1e3, c.forwarder_s * 1e3);
+  return EXIT_SUCCESS;
+}
+
+/* Guards against a message to the forwarder that grows with the number of
+   services or members.  */
+START_TEST (bytes_do_not_grow)
+{
+  enum change change = (enum change)_i;
+  size_t small = measure (50, change, 4).bytes;
+  size_t large = measure (TARGET_SERVICES, change, 4).bytes;
+
+  ck_assert_uint_le (large * 10, small * 11);
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *s = suite_create ("snapshot_cost");
+  TCase *t = tcase_create ("cost");
+  SRunner *r;
+  int failed;
+
+  if (argc > 1)
+    return report (argc, argv);
+  tcase_set_timeout (t, 60);
+  tcase_add_loop_test (t, bytes_do_not_grow, CHANGE_CONFIG, CHANGE_MEMBER + 1);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
