--- a/test/integration/decisions.py
+++ b/test/integration/decisions.py
@@ -35,6 +35,8 @@
     "config_refused": {"record", "revision", "error"},
     "snapshot": {"digest", "result"},
     "snapshot_sent": {"digest"},
+    "delta": {"base", "digest", "result"},
+    "delta_sent": {"base", "digest"},
     "log_level": {"level"},
     "settings_read": set(),
 }
