--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -165,7 +165,9 @@
 static int
 take_snapshot (struct am_board *b, const struct am_event *e)
 {
-  int err = am_snapshot_apply (b, e->data, e->len);
+  int err = e->type == AM_EVENT_DELTA
+                ? am_snapshot_apply_delta (b, e->data, e->len)
+                : am_snapshot_apply (b, e->data, e->len);
 
   am_confirm_added (b);
   return err;
@@ -230,6 +232,7 @@
       am_requests_stream_unopened (b, e->service_id, e->upstream_id);
       return AM_OK;
     case AM_EVENT_SNAPSHOT:
+    case AM_EVENT_DELTA:
       return take_snapshot (b, e);
     case AM_EVENT_TICK:
       tick (d);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -23,6 +23,7 @@
   AM_EVENT_STREAM_UNOPENED, /* that connection could not be opened, and
                                nothing handed over for it has left; a driver
                                that cannot tell reports STREAM_LOST */
+  AM_EVENT_DELTA,           /* packed Amaranth__SnapshotDelta */
 };
 
 /* Interval of AM_EVENT_TICK in microseconds.  */
