--- a/scripts/lib/measurements.py
+++ b/scripts/lib/measurements.py
@@ -3,10 +3,13 @@
 import os
 import re
 
-from experiment import median
+from cluster import ROOT
+from summary import summarize
 
 BEGIN = "<!-- measurements: begin -->"
 END = "<!-- measurements: end -->"
+HEAD = ["experiment", "figure", "median (bound)", "lowest to highest",
+        "command", "seeds", "ratio to the baseline", "holds in every run"]
 
 
 def machine():
@@ -17,48 +20,74 @@
 
 
 def number(value):
-    return f"{value:g}" if isinstance(value, (int, float)) else "none"
-
-
-def ratio(results):
-    """The ratio to the baseline of the same run, if there is one."""
-    found = {k: median([r["figures"][k] for r in results
-                        if k in r["figures"]])
-             for k in results[0]["figures"] if "ratio" in k}
-    return ", ".join(f"{k} {v:g}" for k, v in found.items()) or "-"
-
-
-def rows(name, results):
-    """One row for each bound of an experiment."""
-    seeds = sorted({r["seed"] for r in results})
-    shown = (f"{seeds[0]}" if len(seeds) == 1
-             else f"{seeds[0]} to {seeds[-1]}")
-    command = f"scripts/experiment {name} --seed {seeds[0]}"
-    if "error" in results[0]:
-        yield (f"| {name} | not measured: {results[0]['error'][:80]} | | "
-               f"{command} | {shown} | - | no |")
-    for i, bound in enumerate(results[0]["bound"]):
-        values = [r["bound"][i]["value"] for r in results
-                  if len(r["bound"]) > i
-                  and r["bound"][i]["value"] is not None]
-        holds = all(len(r["bound"]) > i and r["bound"][i]["holds"]
-                    for r in results)
-        yield (f"| {name} | {bound['figure']} | "
-               f"{number(median(values)) if values else 'none'} "
-               f"({bound['bound']}) | {command} | {shown} | "
-               f"{ratio(results) if i == 0 else '-'} | "
-               f"{'yes' if holds else 'no'} |")
+    return "none" if value is None else f"{value:.7g}"
+
+
+def extent(lowest, highest):
+    """The spread, if there is one."""
+    return "-" if lowest == highest else f"{number(lowest)} to {number(highest)}"
+
+
+def ratios(s):
+    """The ratios to baselines of the same runs, if there are any."""
+    found = []
+    for name, value in s["figures"].items():
+        if "ratio" in name and value is not None:
+            low, high = s["lowest"][name], s["highest"][name]
+            text = f"{name} {number(value)}"
+            found.append(text if low == high
+                         else f"{text} ({extent(low, high)})")
+    return ", ".join(found) or "-"
+
+
+def plain(text):
+    """TEXT without paths of this machine and without column marks."""
+    text = re.sub(r"(?<![\w.])/[^\s'\",:)]+", "FILE",
+                  text.replace(f"{ROOT}/", ""))
+    return " ".join(text.replace("|", "/").split())[:80]
+
+
+def failed(count, runs):
+    return "yes" if count == 0 else f"no ({count} of {runs} failed)"
+
+
+def rows(results):
+    """One row for each bound of an experiment, and for each run without a
+    verdict on its bounds."""
+    s = summarize(results)
+    runs = len(results)
+    seeds = str(s["seed"])
+    command = f"scripts/experiment {s['name']} --seed {s['seed']}"
+    if runs > 1:
+        command += f" --runs {runs}"
+        seeds += f" to {s['seeds'][-1]}"
+    shown = ratios(s)
+    for b in s["bound"]:
+        yield [s["name"], b["figure"],
+               f"{number(b['median'])} ({b['bound']})",
+               extent(b["lowest"], b["highest"]), command, seeds, shown,
+               failed(len(b["failed_seeds"]), runs)]
+        shown = "-"
+    for run in s["runs"]:
+        if not run["pass"] and ("error" in run or not run["failed"]):
+            yield [s["name"], "run ended early: "
+                   + plain(run.get("error", "no bound")), "none", "-",
+                   f"scripts/experiment {s['name']} --seed {run['seed']}",
+                   str(run["seed"]), "-", "no"]
+
+
+def line(cells):
+    return "| " + " | ".join(cells) + " |"
 
 
 def table(results, options):
     names = list(dict.fromkeys(r["name"] for r in results))
     lines = [BEGIN, "", f"Machine: {machine()}, shared. "
-             f"Median of {options.runs} run(s).", "",
-             "| experiment | figure | measured (bound) | command | seed | "
-             "ratio to the baseline | holds |",
-             "| --- | --- | --- | --- | --- | --- | --- |"]
+             f"Median of {options.runs} run(s), seeds {options.seed} to "
+             f"{options.seed + options.runs - 1}.", "", line(HEAD),
+             line(["---"] * len(HEAD))]
     for name in names:
-        lines += rows(name, [r for r in results if r["name"] == name])
+        lines += map(line, rows([r for r in results if r["name"] == name]))
     return "\n".join([*lines, "", END])
 
 
