--- a/src/core/request_state.c
+++ b/src/core/request_state.c
@@ -64,15 +64,3 @@
 
   return names[state];
 }
-
-const char *
-am_request_event_name (enum am_request_event event)
-{
-  static const char *const names[] = {
-#define AM_REQUEST_EVENT_NAME(symbol, name) name,
-    AM_REQUEST_EVENT_LIST (AM_REQUEST_EVENT_NAME)
-#undef AM_REQUEST_EVENT_NAME
-  };
-
-  return names[event];
-}
--- a/src/core/request_state.h
+++ b/src/core/request_state.h
@@ -24,28 +24,23 @@
       AM_REQUEST_STATES
 };
 
-/* X (symbol, name)  */
-#define AM_REQUEST_EVENT_LIST(X)                                        \
-  X (ACCEPT, "accept") /* first REQUEST, admitted */                    \
-  X (REFUSE, "refuse") /* first REQUEST or CANCEL, not admitted; or the \
-                          service ends */                               \
-  X (SEND, "send")     /* handed to an upstream */                      \
-  X (ANSWER, "answer") /* whole answer of the upstream */               \
-  X (SHED, "shed")     /* upstream refused: it did not run */           \
-  X (LOST, "lost")     /* connection lost, or the upstream cannot tell  \
-                          whether it ran */                             \
-  X (RETRY, "retry")   /* the same, of a repeatable request within the  \
-                          budget */                                     \
-  X (DEADLINE, "deadline")                                              \
-  X (CANCEL, "cancel")                                                  \
-  X (FORGET, "forget") /* retention has passed or memory is short */
-
 enum am_request_event
 {
-#define AM_REQUEST_EVENT_ENUM(symbol, name) AM_REQUEST_ON_##symbol,
-  AM_REQUEST_EVENT_LIST (AM_REQUEST_EVENT_ENUM)
-#undef AM_REQUEST_EVENT_ENUM
-      AM_REQUEST_EVENTS
+  AM_REQUEST_ON_ACCEPT, /* first REQUEST, admitted */
+  AM_REQUEST_ON_REFUSE, /* first REQUEST or CANCEL, not admitted; or the
+                           service ends */
+  AM_REQUEST_ON_SEND,   /* handed to an upstream */
+  AM_REQUEST_ON_ANSWER, /* whole answer of the upstream */
+  AM_REQUEST_ON_SHED,   /* upstream refused, or its connection was never
+                           opened: it did not run */
+  AM_REQUEST_ON_LOST,   /* connection lost, or the upstream cannot tell
+                           whether it ran */
+  AM_REQUEST_ON_RETRY,  /* the same, of a repeatable request within the
+                           budget */
+  AM_REQUEST_ON_DEADLINE,
+  AM_REQUEST_ON_CANCEL,
+  AM_REQUEST_ON_FORGET, /* retention has passed or memory is short */
+  AM_REQUEST_EVENTS
 };
 
 /* Returns the state that follows STATE on EVENT; STATE itself if the event
@@ -60,6 +55,5 @@
 bool am_request_is_final (enum am_request_state state);
 
 const char *am_request_state_name (enum am_request_state state);
-const char *am_request_event_name (enum am_request_event event);
 
 #endif
