Ask for one name in the watch of the store

Change: the watch asks with separator=/ and a prefix without its last slash, so that the service answers with that one name. The index, which is all that is used, is the same. The stand-in knows the parameter.

Conclusion: a watch costs the same at any number of records.

--- a/src/io/store_call.c
+++ b/src/io/store_call.c
@@ -111,8 +111,16 @@
 {
   char full[AM_STORE_URL_SIZE];
   struct am_store_call *c;
-  int n = snprintf (full, sizeof full, "%s/v1/kv/%s?keys&index=%llu&wait=%ums",
-                    url, prefix, (unsigned long long)index, wait_ms);
+  size_t len = strlen (prefix);
+  int n;
+
+  /* Without its last "/" the prefix itself is the only name up to the
+     separator: the answer does not grow with the number of keys.  */
+  if (len && prefix[len - 1] == '/')
+    len--;
+  n = snprintf (full, sizeof full,
+                "%s/v1/kv/%.*s?keys&separator=/&index=%llu&wait=%ums", url,
+                (int)len, prefix, (unsigned long long)index, wait_ms);
 
   if (n < 0 || (size_t)n >= sizeof full)
     return NULL;
--- a/src/io/store_client.h
+++ b/src/io/store_client.h
@@ -61,9 +61,11 @@
                    am_store_done done, void *userdata);
 
 /* Waits until a key that begins with PREFIX has changed after INDEX, at most
-   WAIT_MS.  The service answers with the names of all keys, which are
-   dropped: the result holds the index alone.  DONE is called once, on the
-   loop's thread.  Returns AM_OK or AM_E_MEMORY.  */
+   WAIT_MS.  The service answers with the names of the keys up to the next "/",
+   which are dropped: the result holds the index alone.  A last "/" of PREFIX
+   is left off, so that the answer is PREFIX alone; a change of a key that
+   differs from PREFIX in its "/" then ends the wait as well.  DONE is called
+   once, on the loop's thread.  Returns AM_OK or AM_E_MEMORY.  */
 int am_store_watch (struct am_store_client *c, const char *prefix,
                     uint64_t index, uint32_t wait_ms, am_store_done done,
                     void *userdata);
--- a/standin/standin_kv.c
+++ b/standin/standin_kv.c
@@ -187,15 +187,37 @@
   return list;
 }
 
+static size_t
+name_length (const char *key, size_t prefix_len, const char *separator)
+{
+  const char *end
+      = separator && *separator ? strstr (key + prefix_len, separator) : NULL;
+
+  return end ? (size_t)(end - key) + strlen (separator) : strlen (key);
+}
+
 json_t *
-standin_kv_names (struct standin_kv *kv, const char *prefix)
+standin_kv_names (struct standin_kv *kv, const char *prefix,
+                  const char *separator)
 {
   json_t *list = json_array ();
+  const char *last = "";
+  size_t last_len = 0;
 
   HASH_SORT (kv->entries, by_key);
   for (struct standin_entry *e = kv->entries; e; e = e->hh.next)
-    if (e->value && matches (e, prefix, false))
-      json_array_append_new (list, json_string (e->key));
+    {
+      size_t len;
+
+      if (!e->value || !matches (e, prefix, false))
+        continue;
+      len = name_length (e->key, strlen (prefix), separator);
+      if (len == last_len && strncmp (e->key, last, len) == 0)
+        continue;
+      json_array_append_new (list, json_stringn (e->key, len));
+      last = e->key;
+      last_len = len;
+    }
   return list;
 }
 
--- a/standin/standin_kv.h
+++ b/standin/standin_kv.h
@@ -67,8 +67,11 @@
 json_t *standin_kv_read (struct standin_kv *kv, const char *prefix,
                          bool exact);
 
-/* Returns a list of the names of the keys that begin with PREFIX.  */
-json_t *standin_kv_names (struct standin_kv *kv, const char *prefix);
+/* Returns a list of the names of the keys that begin with PREFIX.  With a
+   SEPARATOR, not NULL or empty, a name ends after the first one that follows
+   PREFIX, and equal names are listed once.  */
+json_t *standin_kv_names (struct standin_kv *kv, const char *prefix,
+                          const char *separator);
 
 /* Writes KEY under condition C.  Returns AM_OK, AM_E_CONFLICT,
    AM_E_NOT_FOUND (no such session) or AM_E_MEMORY.  */
--- a/standin/store.c
+++ b/standin/store.c
@@ -429,7 +429,8 @@
 static void
 set_entries (struct store *s, struct call *c)
 {
-  json_t *list = c->names ? standin_kv_names (&s->kv, c->prefix)
+  json_t *list = c->names ? standin_kv_names (&s->kv, c->prefix,
+                                              argument (c, "separator"))
                           : standin_kv_read (&s->kv, c->prefix, c->exact);
   char index[24];
 
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -188,7 +188,8 @@
   ck_assert_str_eq (server.url, "/v1/kv/amaranth/records/");
   ck_assert_str_eq (server.query, "recurse=;");
   read_once (&s, 71);
-  ck_assert_str_eq (server.query, "keys=;index=71;wait=1000ms;");
+  ck_assert_str_eq (server.url, "/v1/kv/amaranth/records");
+  ck_assert_str_eq (server.query, "keys=;separator=/;index=71;wait=1000ms;");
 }
 END_TEST
 
--- a/test/test_store_standin.c
+++ b/test/test_store_standin.c
@@ -54,6 +54,31 @@
 }
 END_TEST
 
+/* Guards against an answer to a watch that grows with the number of records:
+   with a separator the names end at it.  */
+START_TEST (test_names_up_to_a_separator)
+{
+  struct standin_kv kv;
+  json_t *list;
+
+  standin_kv_init (&kv);
+  put (&kv, "a/r/x", "1", &any);
+  put (&kv, "a/r/y", "1", &any);
+  put (&kv, "a/s", "1", &any);
+  list = standin_kv_names (&kv, "a/r", "/");
+  ck_assert_uint_eq (json_array_size (list), 1);
+  ck_assert_str_eq (json_string_value (json_array_get (list, 0)), "a/r/");
+  json_decref (list);
+  list = standin_kv_names (&kv, "a/", "/");
+  ck_assert_uint_eq (json_array_size (list), 2);
+  json_decref (list);
+  list = standin_kv_names (&kv, "a/", NULL);
+  ck_assert_uint_eq (json_array_size (list), 3);
+  json_decref (list);
+  standin_kv_finish (&kv);
+}
+END_TEST
+
 /* A deletion that does not raise the index would leave watches asleep, and
    a key must be writable as absent after it.  */
 START_TEST (test_delete_raises_the_index)
@@ -236,6 +261,7 @@
 
   tcase_add_test (state, test_compare_and_swap);
   tcase_add_test (state, test_delete_raises_the_index);
+  tcase_add_test (state, test_names_up_to_a_separator);
   tcase_add_test (state, test_lease_ends_with_its_session);
   tcase_add_checked_fixture (process, start_store, stop_store);
   tcase_set_timeout (process, 30);
