--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -222,7 +222,9 @@
         added = {"LD_PRELOAD": str(self.build / "test" / "libam_cut.so"),
                  "AM_CUT_FILE": str(self.cut_file),
                  "AM_CUT_SELF": vm.address + ".",
-                 "ASAN_OPTIONS": "verify_asan_link_order=0"}
+                 "ASAN_OPTIONS": ":".join(filter(None, [
+                     os.environ.get("ASAN_OPTIONS"),
+                     "verify_asan_link_order=0"]))}
         before = {k: os.environ.get(k) for k in added}
         os.environ.update(added)
         try:
