Take a key from an owner that is younger than the agent

Cause: an owner that crashes soon after the start of the fleet has no successor until the agents are 30 s old, because each waits for promises that its process before could have made.

Change: the process before made no promise to an owner that acquired the key after the present process first read it. An agent keeps the lock index of its first read and does not wait when the index has grown.

test_owner also bounds the shorter lease with a store that answers after 2 s.

--- a/src/core/control_owner.h
+++ b/src/core/control_owner.h
@@ -182,6 +182,8 @@
   uint64_t unlisted_since_us; /* free without a place in the list; 0: not */
   uint64_t unlisted_index;    /* lock index then */
   uint64_t highest_epoch;     /* seen in the store */
+  bool has_read;              /* the key, since the start */
+  uint64_t first_index;       /* lock index then; 0: the key did not exist */
   char session[AM_LEASE_SESSION_SIZE];
   uint64_t session_us; /* before the last renewal that succeeded was sent */
   struct am_lease_value value; /* as last written by this VM */
--- a/src/core/control_owner_rules.c
+++ b/src/core/control_owner_rules.c
@@ -83,9 +83,10 @@
 }
 
 /* Returns true if a promise of this VM, or of its process before, to an owner
-   of the key may be open.  Nobody can have promised anything about a key that
-   never existed; it waits for the members only, because the first holder's
-   list is to name its successors.  */
+   of the key may be open.  The process before promised nothing to an owner
+   that acquired the key after this one first read it.  Nobody can have
+   promised anything about a key that never existed; it waits for the members
+   only, because the first holder's list is to name its successors.  */
 static bool
 may_have_promised (const struct am_lease *l, const struct am_lease_entry *e)
 {
@@ -93,8 +94,10 @@
     return false;
   if (e->error == AM_E_NOT_FOUND)
     return l->now_us - l->home_us < AM_LEASE_SETTLE_US;
-  return l->now_us < l->promised_until_us
-         || l->now_us - l->started_us < AM_LEASE_PROMISE_US;
+  if (l->now_us < l->promised_until_us)
+    return true;
+  return e->lock_index == l->first_index
+         && l->now_us - l->started_us < AM_LEASE_PROMISE_US;
 }
 
 bool
@@ -104,6 +107,9 @@
 
   if (e->error && e->error != AM_E_NOT_FOUND)
     return false;
+  if (!l->has_read)
+    l->first_index = e->error ? 0 : e->lock_index;
+  l->has_read = true;
   allowed = list_allows (l, e);
   if (e->locked || !allowed || l->stopping || !l->boot_id)
     return false;
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -220,6 +220,39 @@
 }
 END_TEST
 
+/* Delivers the result of the call that waits.  */
+static void
+deliver (uint64_t now_us)
+{
+  struct am_lease_entry e = lease.state == AM_LEASE_VERIFYING
+                                ? entry (true, 5, 1)
+                                : entry (false, 4, 2);
+
+  if (lease.state == AM_LEASE_CREATING)
+    am_lease_created (&lease, now_us, lease.call, AM_OK, "1");
+  else if (lease.state == AM_LEASE_ACQUIRING
+           || lease.state >= AM_LEASE_HOLDING)
+    am_lease_call_done (&lease, now_us, lease.call, AM_OK);
+  else
+    am_lease_read_done (&lease, now_us, lease.call, &e);
+}
+
+/* Guards against a lease so short that a store which answers after 2 s gives
+   no ownership, or takes it away.  */
+START_TEST (slow_store)
+{
+  reach (AM_LEASE_IDLE);
+  for (uint64_t now = NOW_US; now < NOW_US + 60 * SECOND; now += SECOND / 10)
+    {
+      am_lease_tick (&lease, now);
+      if (lease.call && now >= lease.call_sent_us + 2 * SECOND)
+        deliver (now);
+      if (now >= NOW_US + 15 * SECOND)
+        ck_assert_uint_gt (lease.grant.until_us, now);
+    }
+}
+END_TEST
+
 static void
 fail_renewal (void)
 {
@@ -336,6 +369,23 @@
       ck_assert_int_eq (lease.state,
                         released ? AM_LEASE_CREATING : AM_LEASE_IDLE);
     }
+  /* Guards also against an agent that waits for promises of the process
+     before although the owner came later, and one that does not wait.  */
+  for (uint64_t read = 3; read < 5; read++)
+    {
+      struct am_lease_entry held = entry (true, read, 2);
+
+      e = entry (false, 4, 2);
+      reach (AM_LEASE_IDLE);
+      lease.started_us = NOW_US;
+      am_lease_tick (&lease, NOW_US);
+      am_lease_read_done (&lease, NOW_US, lease.call, &held);
+      am_lease_tick (&lease, lease.poll_us);
+      am_lease_read_done (&lease, lease.now_us, lease.call, &e);
+      ck_assert_int_eq (lease.state,
+                        read < 4 ? AM_LEASE_CREATING : AM_LEASE_IDLE);
+    }
+  e.value.released = true;
   e.value.epoch = 3; /* overwritten since */
   reach (AM_LEASE_CHECKING);
   am_lease_read_done (&lease, NOW_US, lease.call, &e);
@@ -509,6 +559,7 @@
   tcase_add_test (t, validity_counts_from_sending);
   tcase_add_test (t, margin_covers_clocks);
   tcase_add_test (t, slow_renewal);
+  tcase_add_test (t, slow_store);
   tcase_add_test (t, promises_of_all);
   tcase_add_test (t, refused_acquisitions);
   tcase_add_test (t, acquires_early);
