Cover every target by the same number of entry VMs

Cause: of a service with more than 64 targets an entry VM used the 64 with the highest rendezvous score, so 1 to 7 of 7 entry VMs used a target, and each levels its flows over its own subset only.

Change: targets in the order of their hashes go to runs of consecutive home VMs: every target has the same number of VMs, every VM the same number of targets within one. If none of the subset is free the others are used.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -152,6 +152,7 @@
   struct am_upstream_report report;
   struct am_upstream_probe probe;
   struct am_upstream_confirm confirm;
+  bool in_subset;        /* owner: subset */
   uint64_t choice_mark;  /* owner: choice; order of last use */
   uint64_t ramp_next_us; /* owner: choice; next request while ramping up */
 };
--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -82,6 +82,32 @@
   c->scores[at] = score;
 }
 
+static bool
+is_eligible (const struct am_board *b, const struct am_upstream *u,
+             const struct am_upstream *exclude, bool draining)
+{
+  return u != exclude && may_serve (b, u)
+         && reports_draining (b, u) == draining;
+}
+
+/* Leaves the candidates of this entry VM's subset, if there are any.  */
+static void
+narrow (const struct am_board *b, const struct am_service *s,
+        enum am_work work, const struct am_upstream *exclude, bool draining,
+        struct candidates *c)
+{
+  size_t n = 0;
+
+  am_list_each (u, &s->upstreams, struct am_upstream, node)
+  {
+    if (u->in_subset && n < AM_CANDIDATES_MAX
+        && is_eligible (b, u, exclude, draining) && below_credit (b, u, work))
+      c->items[n++] = u;
+  }
+  if (n)
+    c->count = n;
+}
+
 /* Collects candidates other than EXCLUDE.  Returns AM_OK, AM_E_LIMIT or
    AM_E_NO_UPSTREAM if there is none.  */
 static int
@@ -90,17 +116,21 @@
          struct candidates *c)
 {
   int error = AM_E_NO_UPSTREAM;
+  size_t found = 0;
 
   c->count = 0;
   am_list_each (u, &s->upstreams, struct am_upstream, node)
   {
-    if (u == exclude || !may_serve (b, u)
-        || reports_draining (b, u) != draining)
+    if (!is_eligible (b, u, exclude, draining))
       continue;
     error = AM_E_LIMIT;
-    if (below_credit (b, u, work))
-      keep (c, u, am_hash_rendezvous (b->self.id, u->id));
+    if (!below_credit (b, u, work))
+      continue;
+    keep (c, u, am_hash_rendezvous (b->self.id, u->id));
+    found++;
   }
+  if (found > AM_CANDIDATES_MAX)
+    narrow (b, s, work, exclude, draining, c);
   return c->count ? AM_OK : error;
 }
 
--- a/src/core/choice.h
+++ b/src/core/choice.h
@@ -9,9 +9,10 @@
 
 #include "core/board.h"
 
-/* Most upstreams that one choice looks at.  With more, those with the highest
-   rendezvous score for this entry VM are kept, which bounds the number of
-   connections it holds.  */
+/* Most upstreams that one choice looks at, which bounds the number of
+   connections an entry VM holds.  With more, those of its subset are looked at
+   (core/subset.h); if none of them is free, those of the others with the
+   highest rendezvous score for this entry VM.  */
 #define AM_CANDIDATES_MAX 64
 
 enum am_work
--- a/src/core/credit.c
+++ b/src/core/credit.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "core/lending.h"
 #include "core/policy.h"
+#include "core/subset.h"
 
 /* Rounds of scaling; the sums are then within 1 % for 7 VMs and 15 upstreams.
  */
@@ -362,6 +363,7 @@
   {
     note_home_set (b, s);
     split_service (b, s);
+    am_subset_recompute (b, s);
   }
 }
 
