--- a/scripts/experiments/overload.py
+++ b/scripts/experiments/overload.py
@@ -213,7 +213,7 @@
         loss(x, product, "no_retry_budget")
         x.bound("loss_retries_over_budget", "<=", 1)
         x.bound("loss_retries_denied", ">=", 1)
-        for figure in ("loss_amplification", "loss_p50_ms",
-                       "loss_light_answered_share"):
+        for figure in ("loss_amplification", "loss_goodput",
+                       "loss_heavy_answered_share"):
             x.compare(figure, "no_retry_budget")
     return x.result()
--- a/src/core/borrower.c
+++ b/src/core/borrower.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 
-#include "base/error.h"
 #include "core/admission.h"
 #include "core/credit.h"
 #include "core/lending.h"
