--- a/scripts/experiments/one_time.py
+++ b/scripts/experiments/one_time.py
@@ -10,7 +10,7 @@
 DESCRIPTION = "no doubled run, no false NOT-RUN, no crossed or partial answer"
 POLICIES = ("local", "two_choices", "tracked")
 
-# An agent acquires the key of no owner in its first 30 s.
+# Limit for the first owner, which waits for 10 s of an unchanged home set.
 OWNER_WAIT_SECONDS = 45
 
 FAULTS = ["loss 0.05", "duplicate 0.05", "reorder 0.1"]
@@ -92,7 +92,8 @@
         x.bound(name, "==", 0)
     x.bound("requests", ">=", count)
     # After each restart or long pause of the owner its requests are UNKNOWN
-    # until another VM owns them (20 s) and its grace is over (12 s).
+    # until another VM owns them (a session of 10 s, 20 s at most) and what may
+    # be older than its acquisition has expired (4 s with an age, 14 s without).
     if x.policy != "tracked":
         x.bound("answered", ">=", count // 2)
     return x.result()
--- a/scripts/lib/owners.py
+++ b/scripts/lib/owners.py
@@ -14,7 +14,8 @@
 
 LOAD = ["--requests", "dispatch:0:one_time:40"]
 
-# An agent acquires no key in its first 30 s; 20 s are the TTL of a session.
+# Limit for the first owner: 10 s of an unchanged home set, or 30 s of an agent's
+# life for a key that an owner held before, and a session of 10 to 20 s.
 FIRST_OWNER_SECONDS = 45
 
 
