Record the figures of one experiment in the table

Cause: only a run of all experiments could renew the table of measurements, so medians of several runs took one stretch of an hour.

Conclusion: experiments can be recorded apart, each with its own number of runs.

--- a/scripts/lib/measurements.py
+++ b/scripts/lib/measurements.py
@@ -80,21 +80,39 @@
     return "| " + " | ".join(cells) + " |"
 
 
-def table(results, options):
-    names = list(dict.fromkeys(r["name"] for r in results))
-    lines = [BEGIN, "", f"Machine: {machine()}, shared. "
-             f"Median of {options.runs} run(s), seeds {options.seed} to "
-             f"{options.seed + options.runs - 1}.", "", line(HEAD),
-             line(["---"] * len(HEAD))]
+def kept_rows(old, names):
+    """{experiment: its lines} of the table OLD, but for NAMES.  A table with
+    other columns is dropped."""
+    kept = {}
+    if line(HEAD) in old:
+        for text in old.split(line(["---"] * len(HEAD)))[1].splitlines():
+            cells = text.split(" | ")
+            if len(cells) == len(HEAD):
+                kept.setdefault(cells[0].removeprefix("| "), []).append(text)
+    return {name: kept[name] for name in kept if name not in names}
+
+
+def table(results, order, old=""):
+    """The table with the RESULTS of some experiments and the rows that OLD
+    has of the others, in ORDER."""
+    names = {r["name"] for r in results}
+    found = kept_rows(old, names)
     for name in names:
-        lines += map(line, rows([r for r in results if r["name"] == name]))
+        found[name] = [*map(line, rows([r for r in results
+                                        if r["name"] == name]))]
+    lines = [BEGIN, "", f"Machine: {machine()}, shared.", "", line(HEAD),
+             line(["---"] * len(HEAD))]
+    for name in order:
+        lines += found.get(name, [])
     return "\n".join([*lines, "", END])
 
 
-def rewrite(path, results, options):
+def rewrite(path, results, order):
+    """Puts RESULTS into the table of the page at PATH."""
     text = path.read_text(encoding="utf-8")
     if BEGIN not in text or END not in text:
         raise ValueError(f"{path.name}: no markers")
     head, rest = text.split(BEGIN, 1)
-    tail = rest.split(END, 1)[1]
-    path.write_text(head + table(results, options) + tail, encoding="utf-8")
+    old, tail = rest.split(END, 1)
+    path.write_text(head + table(results, order, old) + tail,
+                    encoding="utf-8")
--- a/test/integration/medians.py
+++ b/test/integration/medians.py
@@ -3,7 +3,7 @@
 end, and against a table without the spread."""
 
 import common
-from measurements import rows
+from measurements import rows, table
 from summary import summarize
 
 
@@ -57,7 +57,20 @@
                  f"{found}")
 
 
+def check_other_rows_stay(t):
+    """A table with another experiment keeps its rows, in the given order."""
+    other = [dict(result(1, 3), name="store")]
+    old = table(other, ["drain", "store"])
+    both = table([result(1, 4)], ["drain", "store"], old)
+    new = table([result(1, 5)], ["drain", "store"], both)
+    found = [text.split(" | ")[:3] for text in new.splitlines()
+             if "delay" in text]
+    t.expect(found == [["| drain", "delay", "5 (<= 10)"],
+                       ["| store", "delay", "3 (<= 10)"]], f"{found}")
+
+
 def body(t):
+    check_other_rows_stay(t)
     check_all_hold(t)
     check_one_fails(t)
     check_one_ends_early(t)
