--- a/src/core/control_probe.c
+++ b/src/core/control_probe.c
@@ -3,28 +3,11 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "core/control_gossip.h"
 #include "core/control_members.h"
-#include "core/control_readers.h"
 #include "core/control_spread.h"
 #include "core/control_verdicts.h"
 
-#define UPDATES_MAX 24
-#define EVIDENCE_MAX 40
-
-/* Upper bound of a packed evidence: three ids, a flag, a serial and the
-   field headers.  */
-#define EVIDENCE_SIZE 32
-
-/* Field header and length of an embedded message.  */
-#define EMBEDDED_SIZE 4
-
-/* Budget of updates, in all datagrams.  A change costs about 100 bytes in each
-   of some 16 datagrams, so several changes pass at once and more are paced.
-   Without it, links that lose 20 % took 14.8 KB/s in a fleet of 200, by
-   suspicions and refutations.  */
-#define UPDATE_BYTES_A_SECOND 1200u
-#define UPDATE_BYTES_BURST 9000u
-
 /* One dead member or silent seed is tried this often, so that the sides of a
    healed partition meet again within two seconds.  */
 #define OUTSIDER_US (2 * AM_SECOND_US)
@@ -45,128 +28,6 @@
 #define LATE_WEIGHT 16u
 #define LATE_LIMIT (AM_PROBE_LATE_ALL / 8)
 
-struct message
-{
-  Amaranth__Envelope envelope;
-  Amaranth__Gossip gossip;
-  Amaranth__Member sender;
-  Amaranth__Member members[UPDATES_MAX];
-  Amaranth__Member *member_list[UPDATES_MAX];
-  Amaranth__UpstreamEvidence evidence[EVIDENCE_MAX];
-  Amaranth__UpstreamEvidence *evidence_list[EVIDENCE_MAX];
-  size_t size;
-};
-
-static void
-message_init (struct am_control *c, struct message *m,
-              Amaranth__GossipKind kind, uint32_t sequence)
-{
-  amaranth__envelope__init (&m->envelope);
-  amaranth__gossip__init (&m->gossip);
-  am_members_describe (&c->self, &m->sender);
-  m->sender.config_digest = c->link.acked_config;
-  m->envelope.body_case = AMARANTH__ENVELOPE__BODY_GOSSIP;
-  m->envelope.gossip = &m->gossip;
-  m->gossip.kind = kind;
-  m->gossip.sequence = sequence;
-  m->gossip.sender = &m->sender;
-  m->gossip.config_digest = c->config.digest;
-  m->gossip.store_index = am_readers_index (c);
-  m->gossip.updates = m->member_list;
-  m->gossip.evidence = m->evidence_list;
-  m->size = 0;
-}
-
-static bool
-add_member (struct message *m, const struct am_vm *v)
-{
-  size_t n = m->gossip.n_updates;
-  size_t size;
-
-  if (n == UPDATES_MAX)
-    return false;
-  am_members_describe (v, &m->members[n]);
-  size = amaranth__member__get_packed_size (&m->members[n]) + EMBEDDED_SIZE;
-  if (m->size + size > AM_GOSSIP_MAX)
-    return false;
-  m->size += size;
-  m->member_list[n] = &m->members[n];
-  m->gossip.n_updates++;
-  return true;
-}
-
-/* Adds queued updates and counts them as sent once; the sender's own entry is
-   in every datagram anyway.  */
-static void
-add_queue (struct am_control *c, struct message *m)
-{
-  struct am_list sent;
-
-  am_list_init (&sent);
-  while (!am_list_empty (&c->vms.queue))
-    {
-      struct am_vm *v
-          = am_container_of (c->vms.queue.next, struct am_vm, queue);
-
-      if (v != &c->self && !add_member (m, v))
-        break;
-      am_list_remove (&v->queue);
-      if (--v->transmits > 0)
-        am_list_push_back (&sent, &v->queue);
-    }
-  while (!am_list_empty (&sent))
-    am_list_push_back (&c->vms.queue, am_list_pop_front (&sent));
-}
-
-static void
-add_evidence (struct am_control *c, struct message *m)
-{
-  size_t room = (AM_GOSSIP_MAX - m->size) / EVIDENCE_SIZE;
-
-  if (room > EVIDENCE_MAX)
-    room = EVIDENCE_MAX;
-  m->gossip.n_evidence = am_verdicts_take (c, m->evidence, room);
-  for (size_t i = 0; i < m->gossip.n_evidence; i++)
-    m->evidence_list[i] = &m->evidence[i];
-}
-
-static void
-message_base (struct message *m)
-{
-  m->size = amaranth__envelope__get_packed_size (&m->envelope) + EMBEDDED_SIZE;
-}
-
-/* Adds updates within the budget and sends M.  */
-static void
-send (struct am_control *c, struct message *m, struct am_address to)
-{
-  size_t before = m->size;
-
-  if (c->update_tokens >= AM_GOSSIP_MAX)
-    {
-      add_queue (c, m);
-      add_evidence (c, m);
-      c->update_tokens
-          -= m->size - before + m->gossip.n_evidence * EVIDENCE_SIZE;
-    }
-  am_control_emit (c, AM_CONTROL_SEND_GOSSIP, to, 0, &m->envelope);
-}
-
-/* Sends one gossip message.  ABOUT (may be NULL) is told first.  */
-static void
-gossip (struct am_control *c, struct am_address to, Amaranth__GossipKind kind,
-        uint32_t sequence, uint32_t target_id, const struct am_vm *about)
-{
-  struct message m;
-
-  message_init (c, &m, kind, sequence);
-  m.gossip.target_id = target_id;
-  message_base (&m);
-  if (about)
-    add_member (&m, about);
-  send (c, &m, to);
-}
-
 static uint32_t
 next_sequence (struct am_control *c)
 {
@@ -194,7 +55,8 @@
   if (sender
       && (news_for (sender) || sender->incarnation > g->sender->incarnation))
     about = sender;
-  gossip (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, g->sequence, 0, about);
+  am_gossip_send (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, g->sequence, 0,
+                  about);
 }
 
 static void
@@ -211,8 +73,8 @@
   r->target_id = g->target_id;
   r->requester = from;
   r->requester_sequence = g->sequence;
-  gossip (c, am_vm_gossip (target), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
-          r->sequence, 0, news_for (target));
+  am_gossip_send (c, am_vm_gossip (target), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+                  r->sequence, 0, news_for (target));
 }
 
 static void
@@ -226,8 +88,8 @@
           || r->target_id != g->sender->id)
         continue;
       r->sequence = 0;
-      gossip (c, r->requester, AMARANTH__GOSSIP_KIND__GOSSIP_ACK,
-              r->requester_sequence, r->target_id, NULL);
+      am_gossip_send (c, r->requester, AMARANTH__GOSSIP_KIND__GOSSIP_ACK,
+                      r->requester_sequence, r->target_id, NULL);
     }
 }
 
@@ -253,7 +115,7 @@
   if (am_vm_live (sender) || sender->incarnation < g->sender->incarnation)
     return;
   if (g->kind != AMARANTH__GOSSIP_KIND__GOSSIP_PING)
-    gossip (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, 0, 0, sender);
+    am_gossip_send (c, from, AMARANTH__GOSSIP_KIND__GOSSIP_ACK, 0, 0, sender);
   am_spread_exchange (c, sender);
 }
 
@@ -327,8 +189,8 @@
 ping (struct am_control *c, const struct am_vm *v)
 {
   c->probe.pings++;
-  gossip (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
-          c->probe.sequence, 0, news_for (v));
+  am_gossip_send (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+                  c->probe.sequence, 0, news_for (v));
 }
 
 /* Starts the probe of V; NULL: of the next member in turn.  */
@@ -359,9 +221,9 @@
 
   c->counters.probes_indirect += p->asked++ == 0;
   for (size_t i = 0; i < n; i++)
-    gossip (c, am_vm_gossip (helpers[i]),
-            AMARANTH__GOSSIP_KIND__GOSSIP_PING_REQUEST, p->sequence,
-            p->target_id, NULL);
+    am_gossip_send (c, am_vm_gossip (helpers[i]),
+                    AMARANTH__GOSSIP_KIND__GOSSIP_PING_REQUEST, p->sequence,
+                    p->target_id, NULL);
 }
 
 static void
@@ -438,8 +300,8 @@
 
       if (seed_is_live (c, seed))
         continue;
-      gossip (c, seed, AMARANTH__GOSSIP_KIND__GOSSIP_PING, next_sequence (c),
-              0, NULL);
+      am_gossip_send (c, seed, AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+                      next_sequence (c), 0, NULL);
       return true;
     }
   return false;
@@ -457,8 +319,8 @@
 
       if (am_vm_live (v))
         continue;
-      gossip (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
-              next_sequence (c), 0, v);
+      am_gossip_send (c, am_vm_gossip (v), AMARANTH__GOSSIP_KIND__GOSSIP_PING,
+                      next_sequence (c), 0, v);
       return;
     }
 }
@@ -485,25 +347,14 @@
   n = am_members_random (c, 0, to, AM_FANOUT);
   c->urgent = false;
   for (size_t i = 0; i < n; i++)
-    gossip (c, am_vm_gossip (to[i]), AMARANTH__GOSSIP_KIND__GOSSIP_ACK, 0, 0,
-            NULL);
-}
-
-static void
-fill_tokens (struct am_control *c)
-{
-  uint64_t passed = c->now_us - c->update_filled_us;
-
-  c->update_filled_us = c->now_us;
-  c->update_tokens += passed * UPDATE_BYTES_A_SECOND / AM_SECOND_US;
-  if (c->update_tokens > UPDATE_BYTES_BURST)
-    c->update_tokens = UPDATE_BYTES_BURST;
+    am_gossip_send (c, am_vm_gossip (to[i]), AMARANTH__GOSSIP_KIND__GOSSIP_ACK,
+                    0, 0, NULL);
 }
 
 void
 am_swim_tick (struct am_control *c)
 {
-  fill_tokens (c);
+  am_gossip_fill (c);
   if (c->now_us < c->next_probe_us)
     continue_probe (c);
   else
