Ask for hints while deaths become known, and doubt fresh guesses

An entry VM that is taken for the owner before it knows of the deaths bound unknown flows to the default. And an entry VM that introduced a flow to an owner already dead offered its own guess as a hint to the next one.

Change: an entry VM that is not the owner in its own view asks the others before it binds.

--- a/src/core/tracked.h
+++ b/src/core/tracked.h
@@ -106,9 +106,11 @@
   bool owned;     /* this entry VM decided for it as the owner */
   bool exception; /* counted in the bucket's exceptions */
   bool hint;      /* to be copied as a hint */
+  bool guess;     /* the default, at which nobody confirmed the flow */
   bool silent;    /* reported */
   uint32_t unanswered;
   uint64_t unanswered_since_us;
+  uint64_t added_us;
   uint64_t introduced_us;
   uint64_t unplaced_since_us; /* upstream is not known here; 0: it is */
   uint64_t seen_us;
@@ -180,6 +182,11 @@
 bool am_tracked_is_unplaced (const struct am_board *b, struct am_service *s,
                              const struct am_tracked_flow *f);
 
+/* Returns true if nothing is known of F here but the default of its bucket,
+   with which it was introduced to an owner that may have been gone.  */
+bool am_tracked_is_guess (const struct am_board *b,
+                          const struct am_tracked_flow *f);
+
 /* Recomputes defaults, owners, backups and exceptions.  */
 void am_tracked_recompute (struct am_board *b, struct am_service *s);
 
--- a/src/core/tracked_binding.c
+++ b/src/core/tracked_binding.c
@@ -25,9 +25,10 @@
 /* The owner does not know the flow's upstream yet: the sender delivers.  */
 #define FLAG_DELIVER 8u
 /* With FLAG_ASKED: whoever does not know the flow passes it to the next entry
-   VM.  The guess is the owner that asks; the hint's incarnation is the entry
-   VM that introduced the flow, which knows only its own guess.  */
+   VM; the guess is the owner that asks.  */
 #define FLAG_ROUND 16u
+/* The hint is only what the sender guessed for another owner.  */
+#define FLAG_GUESSED 32u
 
 struct introduction
 {
@@ -189,31 +190,39 @@
       const struct am_member *m = s->home_set[i];
 
       if (m->state == AMARANTH__MEMBER_STATE__MEMBER_ALIVE && m->id > after
-          && m->id != in->guess_id && m->id != in->hint_incarnation
-          && (!next || m->id < next->id))
+          && m->id != in->guess_id && (!next || m->id < next->id))
         next = m;
     }
   return next;
 }
 
+/* Returns true if this entry VM should ask for hints before it binds a flow of
+   K: it is the owner without copies, or others take it for the owner because
+   they know of a change that it does not know yet.  */
+static bool
+lacks_hints (const struct am_board *b, const struct am_tracked_bucket *k)
+{
+  if (!am_tracked_is_owner (b, k))
+    return true;
+  return k->asks && b->now_us - k->owner_since_us <= AM_TRACKED_WARMUP_US;
+}
+
 /* Asks about the unknown flow of IN before it is bound to the default: the
    former owner, or one home VM after the other if owner and backup died
    together.  The packet itself makes the round, so that nothing is kept and
    nothing multiplied.  Returns false if there is nobody to ask.  */
 static bool
-ask (struct am_board *b, struct am_service *s, const struct am_member *sender,
+ask (struct am_board *b, struct am_service *s,
      const struct am_tracked_bucket *k, const struct introduction *in)
 {
   const struct am_member *to = former_owner (b, k, in);
   struct introduction question = *in;
 
   question.flags = FLAG_ASKED;
-  if (!to && k->asks && !(in->flags & (FLAG_ASKED | FLAG_RETURNED))
-      && b->now_us - k->owner_since_us <= AM_TRACKED_WARMUP_US)
+  if (!to && lacks_hints (b, k) && !(in->flags & (FLAG_ASKED | FLAG_RETURNED)))
     {
       question.flags |= FLAG_ROUND;
       question.guess_id = b->self.id;
-      question.hint_incarnation = sender ? sender->id : 0;
       to = next_to_ask (s, &question, 0);
     }
   return to && send_introduction (b, s, to, &question) == AM_OK;
@@ -313,6 +322,26 @@
   return NULL;
 }
 
+/* Returns true if there is no more than a guess at the flow's upstream.  */
+static bool
+is_unsure (const struct am_board *b, const struct am_tracked_flow *f,
+           const struct introduction *in)
+{
+  if (f)
+    return am_tracked_is_guess (b, f);
+  return in->hint_id == 0 || in->flags & FLAG_GUESSED;
+}
+
+/* What others know replaces the guess of this entry VM.  */
+static void
+prefer_hint (struct am_board *b, struct am_service *s,
+             struct am_tracked_flow *f, const struct introduction *in)
+{
+  if (am_tracked_is_guess (b, f)
+      && am_tracked_upstream (s, in->hint_id, in->hint_incarnation))
+    am_tracked_assign (b, s, f, in->hint_id, in->hint_incarnation);
+}
+
 static int
 serve_as_owner (struct am_board *b, struct am_service *s,
                 const struct am_member *sender, const struct introduction *in)
@@ -323,8 +352,10 @@
   struct am_tracked_flow *f = find_owned (b, s, in);
   struct am_upstream *u;
 
-  if (!f && !in->hint_id && ask (b, s, sender, k, in))
+  if (is_unsure (b, f, in) && ask (b, s, k, in))
     return AM_OK;
+  if (f && in->flags & FLAG_RETURNED)
+    prefer_hint (b, s, f, in);
   if (!f)
     f = bind_new (b, s, in);
   if (!f)
@@ -351,6 +382,7 @@
 
   if (in->flags & FLAG_ROUND)
     {
+      f = f && am_tracked_is_guess (b, f) ? NULL : f;
       const struct am_member *next
           = f ? NULL : next_to_ask (s, in, b->self.id);
 
@@ -361,8 +393,11 @@
   if (!owner)
     return AM_E_NOT_FOUND;
   back.flags = FLAG_RETURNED;
-  back.hint_id = f ? f->upstream_id : 0;
-  back.hint_incarnation = f ? f->incarnation : 0;
+  if (f)
+    {
+      back.hint_id = f->upstream_id;
+      back.hint_incarnation = f->incarnation;
+    }
   back.guess_id = back.hint_id;
   return send_introduction (b, s, owner, &back);
 }
@@ -407,12 +442,17 @@
     {
       in->hint_id = f->upstream_id;
       in->hint_incarnation = f->incarnation;
+      if (am_tracked_is_guess (b, f))
+        in->flags |= FLAG_GUESSED;
     }
   else if (u)
     {
       f = am_tracked_add (b, s, in->caller);
       if (f)
-        am_tracked_assign (b, s, f, u->id, u->incarnation);
+        {
+          am_tracked_assign (b, s, f, u->id, u->incarnation);
+          f->guess = true;
+        }
       am_board_decision (
           b, am_address_key (in->caller),
           "event=introduced flow=%llu service=%s owner=%s bucket=%u "
@@ -469,9 +509,9 @@
 {
   struct am_tracked_flow *f = am_tracked_find (s->binding_state, caller);
 
-  (void)u;
   if (f)
     {
+      f->guess = f->guess && f->upstream_id != u->id;
       f->unanswered = 0;
       f->silent = false;
     }
--- a/src/core/tracked_copy.c
+++ b/src/core/tracked_copy.c
@@ -210,7 +210,7 @@
       && !am_tracked_is_newer (s, id, incarnation))
     return;
   f = am_tracked_find (s->binding_state, caller);
-  if (f && r->hints)
+  if (f && r->hints && !am_tracked_is_guess (b, f))
     return;
   if (!f)
     f = am_tracked_add (b, s, caller);
--- a/src/core/tracked_table.c
+++ b/src/core/tracked_table.c
@@ -74,6 +74,7 @@
   am_list_init (&f->copy_node);
   f->key = am_address_key (caller);
   f->bucket = am_tracked_bucket_of (s, caller);
+  f->added_us = b->now_us;
   HASH_ADD (hh, t->flows, key, sizeof f->key, f);
   am_tracked_touch (b, t, f);
   return f;
@@ -133,6 +134,7 @@
 
   f->upstream_id = id;
   f->incarnation = incarnation;
+  f->guess = false;
   if (am_tracked_upstream (s, id, incarnation))
     f->unplaced_since_us = 0;
   else if (!f->unplaced_since_us)
@@ -145,6 +147,12 @@
   set_exception (t, f, exception);
 }
 
+bool
+am_tracked_is_guess (const struct am_board *b, const struct am_tracked_flow *f)
+{
+  return f->guess && b->now_us - f->added_us < AM_TRACKED_SETTLE_US;
+}
+
 /* ---- placement ---------------------------------------------------- */
 
 static uint64_t
@@ -346,7 +354,7 @@
       set_exception (t, f, true);
     f->hint = k->orphaned && !was_owned;
     if (am_tracked_is_owner (b, k) || was_owned || k->owner_restarted
-        || k->orphaned)
+        || (k->orphaned && !am_tracked_is_guess (b, f)))
       am_tracked_copy_plan (t, f);
   }
 }
--- a/test/test_tracked_orphans.c
+++ b/test/test_tracked_orphans.c
@@ -15,6 +15,8 @@
 {
   struct am_address caller;
   struct am_address at;
+  bool known; /* by an entry VM that lives on */
+  bool moved;
 };
 
 static struct flow flows[FLOWS];
@@ -87,38 +89,64 @@
       flows[i].caller.ip = (uint32_t)am_rng_next (&rng);
       flows[i].caller.port = (uint16_t)(1 + am_rng_below (&rng, 60000));
       flows[i].at = packet (live_node (), &flows[i]);
+      flows[i].moved = false;
       for (unsigned p = 1; p < packets; p++)
         packet (live_node (), &flows[i]);
     }
   config.service.revision = 2;
   config.upstream[0].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
   net_apply_all (&net, &config);
-  run (12 * SECOND);
+  run (2 * SECOND);
+  net.now_us += 10 * SECOND;
 }
 
-/* Kills two entry VMs at once; the others learn of the deaths one after the
-   other or together, each in its own order.  */
 static void
-kill_two (size_t dead[2])
+send_on (struct flow *f)
 {
-  dead[0] = live_node ();
-  net.deaf |= 1u << dead[0];
-  dead[1] = live_node ();
-  net.deaf |= 1u << dead[1];
+  struct am_address got = packet (live_node (), f);
+
+  if (got.port && !am_address_equal (got, f->at))
+    f->moved = true;
+}
+
+/* The entry VMs that live apply the configuration one after the other, from a
+   random one on; SENT random flows have a packet after each.  */
+static void
+learn (unsigned sent)
+{
+  for (size_t i = 0, at = am_rng_below (&rng, NODES_MAX); i < NODES_MAX;
+       i++, at = (at + 1) % NODES_MAX)
+    {
+      if (net.deaf >> at & 1)
+        continue;
+      ck_assert_int_eq (net_apply (&net, at, &config), AM_OK);
+      for (unsigned n = 0; n < sent; n++)
+        send_on (&flows[am_rng_below (&rng, FLOWS)]);
+    }
+}
+
+static void
+set_state (size_t node, Amaranth__MemberState state)
+{
+  config.member[node].state = state;
+}
+
+/* Two entry VMs that are already dead are suspected, and then known as dead
+   one after the other or together.  */
+static void
+learn_deaths (const size_t dead[2], unsigned sent)
+{
+  set_state (dead[0], AMARANTH__MEMBER_STATE__MEMBER_SUSPECT);
+  set_state (dead[1], AMARANTH__MEMBER_STATE__MEMBER_SUSPECT);
+  learn (sent);
+  set_state (dead[0], AMARANTH__MEMBER_STATE__MEMBER_DEAD);
   if (am_rng_below (&rng, 2))
     {
-      config.member[dead[0]].state = AMARANTH__MEMBER_STATE__MEMBER_DEAD;
-      for (size_t i = 0; i < NODES_MAX; i++)
-        if (!(net.deaf >> i & 1))
-          ck_assert_int_eq (net_apply (&net, i, &config), AM_OK);
+      learn (sent);
       net.now_us += am_rng_below (&rng, 2 * SECOND);
     }
-  config.member[dead[0]].state = AMARANTH__MEMBER_STATE__MEMBER_DEAD;
-  config.member[dead[1]].state = AMARANTH__MEMBER_STATE__MEMBER_DEAD;
-  for (size_t i = 0, at = am_rng_below (&rng, NODES_MAX); i < NODES_MAX;
-       i++, at = (at + 1) % NODES_MAX)
-    if (!(net.deaf >> at & 1))
-      ck_assert_int_eq (net_apply (&net, at, &config), AM_OK);
+  set_state (dead[1], AMARANTH__MEMBER_STATE__MEMBER_DEAD);
+  learn (sent);
 }
 
 static bool
@@ -146,12 +174,11 @@
 }
 
 static void
-one_run (uint64_t seed, unsigned packets, uint64_t pause_us,
+one_run (uint64_t seed, unsigned packets, uint64_t pause_us, unsigned sent,
          struct outcome *out)
 {
   static uint32_t owner[AM_TRACKED_BUCKETS];
   static uint32_t backup[AM_TRACKED_BUCKETS];
-  static bool known[FLOWS];
   size_t dead[2];
 
   begin (seed, packets);
@@ -160,26 +187,25 @@
       owner[i] = tracked (0)->buckets[i].owner_id;
       backup[i] = tracked (0)->buckets[i].backup_id;
     }
-  kill_two (dead);
+  for (size_t i = 0; i < 2; i++)
+    {
+      dead[i] = live_node ();
+      net.deaf |= 1u << dead[i];
+    }
   for (size_t i = 0; i < FLOWS; i++)
     {
-      known[i] = is_known (&flows[i]);
+      flows[i].known = is_known (&flows[i]);
       out->exceptions += is_orphan (&flows[i], dead, owner, backup);
     }
+  learn_deaths (dead, sent);
   if (pause_us)
     run (pause_us);
   for (size_t i = 0; i < FLOWS; i++)
     {
-      bool moved = false;
-
       for (int repeat = 0; repeat < 3; repeat++)
-        {
-          struct am_address got = packet (live_node (), &flows[i]);
-
-          moved |= got.port && !am_address_equal (got, flows[i].at);
-        }
-      out->moved += moved;
-      out->avoidable += moved && known[i];
+        send_on (&flows[i]);
+      out->moved += flows[i].moved;
+      out->avoidable += flows[i].moved && flows[i].known;
     }
   net_finish (&net);
 }
@@ -188,20 +214,26 @@
 {
   unsigned packets;
   uint64_t pause_us;
-} cases[] = { { 1, 0 }, { 3, 0 }, { 1, 20 * SECOND }, { 3, 20 * SECOND } };
+  unsigned sent; /* packets after each entry VM that learns of the deaths */
+} cases[] = { { 1, 0, 0 },           { 3, 0, 0 },  { 1, 20 * SECOND, 0 },
+              { 3, 20 * SECOND, 0 }, { 1, 0, 40 }, { 3, 0, 40 } };
 
 /* Guards against flows that move when owner and backup of their bucket die
    together although another entry VM knows their upstream, whether their next
-   packet comes at once or long after.  */
+   packet comes while the deaths are still becoming known, at once after or
+   long after.  */
 START_TEST (test_owner_and_backup_die)
 {
   struct outcome out = { 0 };
 
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    one_run (seed, cases[_i].packets, cases[_i].pause_us, &out);
-  printf ("packets=%u pause_s=%u flows=%u orphans=%u moved=%u avoidable=%u\n",
+    one_run (seed, cases[_i].packets, cases[_i].pause_us, cases[_i].sent,
+             &out);
+  printf ("packets=%u pause_s=%u sent=%u flows=%u orphans=%u moved=%u "
+          "avoidable=%u\n",
           cases[_i].packets, (unsigned)(cases[_i].pause_us / SECOND),
-          FLOWS * SEEDS, out.exceptions, out.moved, out.avoidable);
+          cases[_i].sent, FLOWS * SEEDS, out.exceptions, out.moved,
+          out.avoidable);
   fflush (stdout);
   ck_assert_uint_gt (out.exceptions, 0);
   ck_assert_uint_eq (out.avoidable, 0);
@@ -217,7 +249,7 @@
   int failed;
 
   tcase_set_timeout (c, 60);
-  tcase_add_loop_test (c, test_owner_and_backup_die, 0, 4);
+  tcase_add_loop_test (c, test_owner_and_backup_die, 0, 6);
   suite_add_tcase (s, c);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
