Separate the owner's decisions of the tracked binding

The decisions of a bucket's owner and the introductions are now in tracked_owner.c; no behaviour changes.

--- a/src/core/tracked.h
+++ b/src/core/tracked.h
@@ -5,6 +5,7 @@
    tracked_table    buckets and flows
    tracked_copy     copies of flows to the next owner
    tracked_batch    their encoding
+   tracked_owner    decisions of a bucket's owner, introductions
    tracked_binding  path of a packet  */
 
 #ifndef AM_CORE_TRACKED_H
--- a/src/core/tracked_binding.c
+++ b/src/core/tracked_binding.c
@@ -6,41 +6,12 @@
 #include "core/confirm.h"
 #include "core/forward.h"
 #include "core/owned.h"
-#include "core/tracked.h"
+#include "core/tracked_owner.h"
 #include "wire/bytes.h"
 
-/* Introduction: kind, flags, caller (6), hint and its incarnation (8), guess
-   (4), packet.  The hint is the upstream that the sender last used for the
-   flow, 0 if none; the guess is what it will use if it hears nothing.  */
-#define INTRODUCE_HEADER_SIZE 20
 #define BIND_SIZE 15
 #define CLEAR_SIZE 7
 
-/* The sender's bucket changed: it waits for AM_TRACKED_CLEAR.  */
-#define FLAG_CHANGED 1u
-/* A new owner asks the former one.  */
-#define FLAG_ASKED 2u
-/* The former owner does not know the flow either.  */
-#define FLAG_RETURNED 4u
-/* The owner does not know the flow's upstream yet: the sender delivers.  */
-#define FLAG_DELIVER 8u
-/* With FLAG_ASKED: whoever does not know the flow passes it to the next entry
-   VM; the guess is the owner that asks.  */
-#define FLAG_ROUND 16u
-/* The hint is only what the sender guessed for another owner.  */
-#define FLAG_GUESSED 32u
-
-struct introduction
-{
-  uint8_t flags;
-  struct am_address caller;
-  uint32_t hint_id;
-  uint32_t hint_incarnation;
-  uint32_t guess_id;
-  const uint8_t *data;
-  size_t len;
-};
-
 static int
 tracked_init (struct am_board *b, struct am_service *s)
 {
@@ -71,337 +42,6 @@
   s->binding_state = NULL;
 }
 
-/* ---- messages ----------------------------------------------------- */
-
-static void
-put_address (uint8_t *p, struct am_address a)
-{
-  am_put_u32 (p, a.ip);
-  am_put_u16 (p + 4, a.port);
-}
-
-static struct am_address
-get_address (const uint8_t *p)
-{
-  struct am_address a = { am_get_u32 (p), am_get_u16 (p + 4) };
-
-  return a;
-}
-
-static int
-send_introduction (struct am_board *b, const struct am_service *s,
-                   const struct am_member *to, const struct introduction *in)
-{
-  uint8_t body[AM_PEER_BODY_MAX];
-
-  if (in->len > sizeof body - INTRODUCE_HEADER_SIZE)
-    return AM_E_TOO_LARGE;
-  body[0] = AM_TRACKED_INTRODUCE;
-  body[1] = in->flags;
-  put_address (body + 2, in->caller);
-  am_put_u32 (body + 8, in->hint_id);
-  am_put_u32 (body + 12, in->hint_incarnation);
-  am_put_u32 (body + 16, in->guess_id);
-  if (in->len)
-    memcpy (body + INTRODUCE_HEADER_SIZE, in->data, in->len);
-  b->counters.tracked_introduced++;
-  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body,
-                      INTRODUCE_HEADER_SIZE + in->len);
-  return AM_OK;
-}
-
-static int
-read_introduction (struct introduction *in, const uint8_t *body, size_t len)
-{
-  if (len < INTRODUCE_HEADER_SIZE)
-    return AM_E_SHORT;
-  in->flags = body[1];
-  in->caller = get_address (body + 2);
-  in->hint_id = am_get_u32 (body + 8);
-  in->hint_incarnation = am_get_u32 (body + 12);
-  in->guess_id = am_get_u32 (body + 16);
-  in->data = body + INTRODUCE_HEADER_SIZE;
-  in->len = len - INTRODUCE_HEADER_SIZE;
-  return AM_OK;
-}
-
-static void
-send_bind (struct am_board *b, const struct am_service *s,
-           const struct am_member *to, struct am_address caller,
-           const struct am_upstream *u)
-{
-  uint8_t body[BIND_SIZE] = { AM_TRACKED_BIND };
-
-  put_address (body + 1, caller);
-  am_put_u32 (body + 7, u->id);
-  am_put_u32 (body + 11, u->incarnation);
-  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body, sizeof body);
-}
-
-static void
-send_clear (struct am_board *b, const struct am_service *s,
-            const struct am_member *to, uint32_t bucket, uint32_t default_id)
-{
-  uint8_t body[CLEAR_SIZE] = { AM_TRACKED_CLEAR };
-
-  am_put_u16 (body + 1, (uint16_t)bucket);
-  am_put_u32 (body + 3, default_id);
-  am_board_send_peer (b, to, AM_PEER_BINDING, s->id, body, sizeof body);
-}
-
-/* ---- at the owner ------------------------------------------------- */
-
-static void
-deliver (struct am_board *b, struct am_tracked *t, struct am_tracked_flow *f,
-         struct am_upstream *u, const uint8_t *data, size_t len)
-{
-  struct am_address caller = { (uint32_t)(f->key >> 16), (uint16_t)f->key };
-
-  am_tracked_touch (b, t, f);
-  if (!am_confirm_check (b, u))
-    return;
-  if (f->unanswered++ == 0)
-    f->unanswered_since_us = b->now_us;
-  am_send_opaque_upstream (b, u, caller, data, len);
-}
-
-/* Returns the former owner if it should be asked about the unknown flow of
-   IN.  */
-static const struct am_member *
-former_owner (struct am_board *b, const struct am_tracked_bucket *k,
-              const struct introduction *in)
-{
-  if (in->flags & (FLAG_ASKED | FLAG_RETURNED) || k->former_id == 0
-      || k->former_id == b->self.id
-      || b->now_us - k->owner_since_us > AM_TRACKED_WARMUP_US)
-    return NULL;
-  return am_board_member (b, k->former_id);
-}
-
-/* Returns the next home VM above AFTER, by id, that the round of IN asks.  */
-static const struct am_member *
-next_to_ask (const struct am_service *s, const struct introduction *in,
-             uint32_t after)
-{
-  const struct am_member *next = NULL;
-
-  for (size_t i = 0; i < s->home_count; i++)
-    {
-      const struct am_member *m = s->home_set[i];
-
-      if (m->state == AMARANTH__MEMBER_STATE__MEMBER_ALIVE && m->id > after
-          && m->id != in->guess_id && (!next || m->id < next->id))
-        next = m;
-    }
-  return next;
-}
-
-/* Returns true if this entry VM should ask for hints before it binds a flow of
-   K: it is the owner without copies, or others take it for the owner because
-   they know of a change that it does not know yet.  */
-static bool
-lacks_hints (const struct am_board *b, const struct am_tracked_bucket *k)
-{
-  if (!am_tracked_is_owner (b, k))
-    return true;
-  return k->asks && b->now_us - k->owner_since_us <= AM_TRACKED_WARMUP_US;
-}
-
-/* Asks about the unknown flow of IN before it is bound to the default: the
-   former owner, or one home VM after the other if owner and backup died
-   together.  The packet itself makes the round, so that nothing is kept and
-   nothing multiplied.  Returns false if there is nobody to ask.  */
-static bool
-ask (struct am_board *b, struct am_service *s,
-     const struct am_tracked_bucket *k, const struct introduction *in)
-{
-  const struct am_member *to = former_owner (b, k, in);
-  struct introduction question = *in;
-
-  question.flags = FLAG_ASKED;
-  if (!to && lacks_hints (b, k) && !(in->flags & (FLAG_ASKED | FLAG_RETURNED)))
-    {
-      question.flags |= FLAG_ROUND;
-      question.guess_id = b->self.id;
-      to = next_to_ask (s, &question, 0);
-    }
-  return to && send_introduction (b, s, to, &question) == AM_OK;
-}
-
-static const char *
-upstream_name (struct am_service *s, uint32_t id)
-{
-  const struct am_upstream *u = am_service_upstream (s, id);
-
-  return u ? u->name : "unknown";
-}
-
-/* Binds a flow that the owner does not know: by the sender's hint, else to the
-   default.  */
-static struct am_tracked_flow *
-bind_new (struct am_board *b, struct am_service *s,
-          const struct introduction *in)
-{
-  struct am_tracked *t = s->binding_state;
-  uint32_t bucket = am_tracked_bucket_of (s, in->caller);
-  const struct am_upstream *u
-      = am_service_upstream (s, t->buckets[bucket].default_id);
-  bool hint = am_tracked_upstream (s, in->hint_id, in->hint_incarnation)
-              || am_tracked_is_newer (s, in->hint_id, in->hint_incarnation);
-  struct am_tracked_flow *f;
-
-  if (!hint && !u)
-    return NULL;
-  f = am_tracked_add (b, s, in->caller);
-  if (!f)
-    return NULL;
-  f->owned = true;
-  if (hint)
-    am_tracked_assign (b, s, f, in->hint_id, in->hint_incarnation);
-  else
-    am_tracked_assign (b, s, f, u->id, u->incarnation);
-  if (t->handing_over || !am_tracked_is_owner (b, &t->buckets[bucket]))
-    am_tracked_copy_plan (t, f);
-  am_board_decision (
-      b, f->key,
-      "event=bound flow=%llu service=%s upstream=%s policy=tracked bucket=%u "
-      "reason=%s revision=%llu",
-      (unsigned long long)f->key, s->name,
-      !hint ? u->name : upstream_name (s, in->hint_id), bucket,
-      hint ? "hint" : "default", (unsigned long long)s->revision);
-  return f;
-}
-
-/* Tells the sender of IN what its assumption about flow or bucket lacks.  */
-static void
-correct_sender (struct am_board *b, struct am_service *s,
-                const struct am_member *sender, const struct introduction *in,
-                const struct am_tracked_flow *f, const struct am_upstream *u)
-{
-  const struct am_tracked *t = s->binding_state;
-  const struct am_tracked_bucket *k = &t->buckets[f->bucket];
-  uint32_t assumed = in->hint_id ? in->hint_id : in->guess_id;
-
-  if (!sender || in->flags & FLAG_ASKED)
-    return;
-  if (assumed != u->id)
-    send_bind (b, s, sender, in->caller, u);
-  if (in->flags & FLAG_CHANGED && k->exceptions == 0)
-    send_clear (b, s, sender, f->bucket, k->default_id);
-}
-
-/* The flow is at an upstream that only newer configurations have: lets the
-   sender, which may have one, deliver the packet.  */
-static int
-return_to_sender (struct am_board *b, const struct am_service *s,
-                  const struct am_member *sender,
-                  const struct introduction *in,
-                  const struct am_tracked_flow *f)
-{
-  struct introduction back = *in;
-
-  if (!sender)
-    return AM_E_UPSTREAM_UNKNOWN;
-  back.flags = FLAG_DELIVER;
-  back.hint_id = f->upstream_id;
-  back.hint_incarnation = f->incarnation;
-  return send_introduction (b, s, sender, &back);
-}
-
-/* Returns the flow of IN as the owner knows it, or NULL.  */
-static struct am_tracked_flow *
-find_owned (struct am_board *b, struct am_service *s,
-            const struct introduction *in)
-{
-  struct am_tracked *t = s->binding_state;
-  struct am_tracked_flow *f = am_tracked_find (t, in->caller);
-
-  if (!f || am_tracked_upstream_of (s, f) || am_tracked_is_unplaced (b, s, f))
-    return f;
-  am_tracked_forget (t, f);
-  return NULL;
-}
-
-/* Returns true if there is no more than a guess at the flow's upstream.  */
-static bool
-is_unsure (const struct am_board *b, const struct am_tracked_flow *f,
-           const struct introduction *in)
-{
-  if (f)
-    return am_tracked_is_guess (b, f);
-  return in->hint_id == 0 || in->flags & FLAG_GUESSED;
-}
-
-/* What others know replaces the guess of this entry VM.  */
-static void
-prefer_hint (struct am_board *b, struct am_service *s,
-             struct am_tracked_flow *f, const struct introduction *in)
-{
-  if (am_tracked_is_guess (b, f)
-      && am_tracked_upstream (s, in->hint_id, in->hint_incarnation))
-    am_tracked_assign (b, s, f, in->hint_id, in->hint_incarnation);
-}
-
-static int
-serve_as_owner (struct am_board *b, struct am_service *s,
-                const struct am_member *sender, const struct introduction *in)
-{
-  struct am_tracked *t = s->binding_state;
-  struct am_tracked_bucket *k
-      = &t->buckets[am_tracked_bucket_of (s, in->caller)];
-  struct am_tracked_flow *f = find_owned (b, s, in);
-  struct am_upstream *u;
-
-  if (is_unsure (b, f, in) && ask (b, s, k, in))
-    return AM_OK;
-  if (f && in->flags & FLAG_RETURNED)
-    prefer_hint (b, s, f, in);
-  if (!f)
-    f = bind_new (b, s, in);
-  if (!f)
-    return AM_E_NO_UPSTREAM;
-  f->owned = true;
-  am_tracked_assign (b, s, f, f->upstream_id, f->incarnation);
-  u = am_tracked_upstream_of (s, f);
-  if (!u)
-    return return_to_sender (b, s, sender, in, f);
-  deliver (b, t, f, u, in->data, in->len);
-  correct_sender (b, s, sender, in, f, u);
-  return AM_OK;
-}
-
-/* A new owner asks about a flow it does not know.  */
-static int
-serve_as_former (struct am_board *b, struct am_service *s,
-                 const struct am_member *sender, const struct introduction *in)
-{
-  struct am_tracked *t = s->binding_state;
-  const struct am_tracked_flow *f = am_tracked_find (t, in->caller);
-  const struct am_member *owner = sender;
-  struct introduction back = *in;
-
-  if (in->flags & FLAG_ROUND)
-    {
-      f = f && am_tracked_is_guess (b, f) ? NULL : f;
-      const struct am_member *next
-          = f ? NULL : next_to_ask (s, in, b->self.id);
-
-      if (next)
-        return send_introduction (b, s, next, in);
-      owner = am_board_member (b, in->guess_id);
-    }
-  if (!owner)
-    return AM_E_NOT_FOUND;
-  back.flags = FLAG_RETURNED;
-  if (f)
-    {
-      back.hint_id = f->upstream_id;
-      back.hint_incarnation = f->incarnation;
-    }
-  back.guess_id = back.hint_id;
-  return send_introduction (b, s, owner, &back);
-}
-
 /* ---- at the other entry VMs --------------------------------------- */
 
 /* Returns true if the packet may go straight to the flow's upstream.  */
@@ -429,21 +69,21 @@
 static int
 introduce (struct am_board *b, struct am_service *s,
            const struct am_member *owner, struct am_tracked_flow *f,
-           struct introduction *in)
+           struct am_tracked_introduction *in)
 {
   struct am_tracked *t = s->binding_state;
   struct am_tracked_bucket *k
       = &t->buckets[am_tracked_bucket_of (s, in->caller)];
   const struct am_upstream *u = am_service_upstream (s, k->default_id);
 
-  in->flags = k->changed ? FLAG_CHANGED : 0;
+  in->flags = k->changed ? AM_TRACKED_FLAG_CHANGED : 0;
   in->guess_id = k->default_id;
   if (f)
     {
       in->hint_id = f->upstream_id;
       in->hint_incarnation = f->incarnation;
       if (am_tracked_is_guess (b, f))
-        in->flags |= FLAG_GUESSED;
+        in->flags |= AM_TRACKED_FLAG_GUESSED;
     }
   else if (u)
     {
@@ -463,7 +103,7 @@
     }
   if (f)
     note_introduced (b, t, k, f);
-  return send_introduction (b, s, owner, in);
+  return am_tracked_send_introduction (b, s, owner, in);
 }
 
 static int
@@ -472,7 +112,8 @@
 {
   struct am_tracked *t = s->binding_state;
   struct am_tracked_bucket *k = &t->buckets[am_tracked_bucket_of (s, caller)];
-  struct introduction in = { .caller = caller, .data = data, .len = len };
+  struct am_tracked_introduction in
+      = { .caller = caller, .data = data, .len = len };
   const struct am_member *owner;
   struct am_upstream *u = NULL;
   struct am_tracked_flow *f;
@@ -482,7 +123,7 @@
   if (am_owned_is_request (s, data, len))
     return am_owned_from_caller (b, s, caller, data, len);
   if (am_tracked_is_owner (b, k))
-    return serve_as_owner (b, s, NULL, &in);
+    return am_tracked_serve_as_owner (b, s, NULL, &in);
   f = am_tracked_find (t, caller);
   if (f)
     u = am_tracked_upstream (s, f->upstream_id, f->incarnation);
@@ -493,12 +134,12 @@
     }
   if (f && may_go_straight (b, k, f) && am_confirm_check (b, u))
     {
-      deliver (b, t, f, u, data, len);
+      am_tracked_deliver (b, t, f, u, data, len);
       return AM_OK;
     }
   owner = am_board_member (b, k->owner_id);
   if (!owner)
-    return serve_as_owner (b, s, NULL, &in);
+    return am_tracked_serve_as_owner (b, s, NULL, &in);
   return introduce (b, s, owner, f, &in);
 }
 
@@ -522,7 +163,7 @@
 /* The owner leaves the delivery of IN to this entry VM.  */
 static int
 deliver_for_owner (struct am_board *b, struct am_service *s,
-                   const struct introduction *in)
+                   const struct am_tracked_introduction *in)
 {
   struct am_tracked *t = s->binding_state;
   struct am_upstream *u
@@ -536,7 +177,7 @@
   if (!f)
     return AM_E_MEMORY;
   am_tracked_assign (b, s, f, u->id, u->incarnation);
-  deliver (b, t, f, u, in->data, in->len);
+  am_tracked_deliver (b, t, f, u, in->data, in->len);
   return AM_OK;
 }
 
@@ -547,16 +188,16 @@
                    uint32_t sender_id, const uint8_t *body, size_t len)
 {
   const struct am_member *sender = am_board_member (b, sender_id);
-  struct introduction in;
-  int err = read_introduction (&in, body, len);
+  struct am_tracked_introduction in;
+  int err = am_tracked_read_introduction (&in, body, len);
 
   if (err)
     return err;
-  if (in.flags & FLAG_DELIVER)
+  if (in.flags & AM_TRACKED_FLAG_DELIVER)
     return deliver_for_owner (b, s, &in);
-  if (in.flags & FLAG_ASKED)
-    return serve_as_former (b, s, sender, &in);
-  return serve_as_owner (b, s, sender, &in);
+  if (in.flags & AM_TRACKED_FLAG_ASKED)
+    return am_tracked_serve_as_former (b, s, sender, &in);
+  return am_tracked_serve_as_owner (b, s, sender, &in);
 }
 
 /* A flow at an upstream that is not known here is forgotten, so that all its
@@ -572,7 +213,7 @@
   if (len != BIND_SIZE)
     return AM_E_FORMAT;
   u = am_tracked_upstream (s, am_get_u32 (body + 7), am_get_u32 (body + 11));
-  f = am_tracked_find (t, get_address (body + 1));
+  f = am_tracked_find (t, am_tracked_get_address (body + 1));
   if (!f)
     return AM_E_NOT_FOUND;
   if (u)
