Ask an agent only until it has the change

Cause: while amaranthctl waits until a change is in force it asked every live agent in every round, each of which answers with all its records.

Change: an agent that had the change at an earlier look is not asked again; agents never go back to an older revision.

Conclusion: waiting costs one question for each agent and one more for each round in which it lacks the change.

--- a/src/ctl/wait.c
+++ b/src/ctl/wait.c
@@ -17,6 +17,8 @@
   struct ctl *ctl;
   const struct am_record *const *versions;
   size_t version_count;
+  uint32_t *seen; /* ids of VMs that had the versions at an earlier look */
+  size_t seen_count;
   size_t live;
   size_t in_force;
   size_t shown; /* in_force of the last progress line */
@@ -63,39 +65,62 @@
   return true;
 }
 
+static bool
+is_seen (const struct wait *w, uint32_t id)
+{
+  for (size_t i = 0; i < w->seen_count; i++)
+    if (w->seen[i] == id)
+      return true;
+  return false;
+}
+
+/* Moves VMs that were seen to have the versions out of the N at VMS: agents
+   never go back, and an answer lists every record.  Returns how many are
+   left.  */
+static size_t
+leave_unseen (const struct wait *w, struct ctl_vm *vms, size_t n)
+{
+  size_t left = 0;
+
+  for (size_t i = 0; i < n; i++)
+    if (!is_seen (w, vms[i].id))
+      vms[left++] = vms[i];
+  return left;
+}
+
+/* LIST has the answers of the N VMs at VMS.  */
 static void
-judge (struct wait *w, const struct ctl_exchange *list, size_t n)
+judge (struct wait *w, const struct ctl_exchange *list,
+       const struct ctl_vm *vms, size_t n)
 {
   char reason[LINE_SIZE];
 
-  w->live = n;
-  w->in_force = 0;
   json_array_clear (w->behind);
   for (size_t i = 0; i < n; i++)
     if (has_all (w, &list[i], reason, sizeof reason))
-      w->in_force++;
+      {
+        w->in_force++;
+        w->seen[w->seen_count++] = vms[i].id;
+      }
     else
       json_array_append_new (
           w->behind,
           json_pack ("{s:s, s:s}", "vm", list[i].name, "reason", reason));
 }
 
-/* One look at all live entry VMs.  */
+/* Asks the N VMs at VMS.  Returns AM_OK or AM_E_MEMORY.  */
 static int
-look (struct wait *w, uint32_t timeout_ms)
+ask (struct wait *w, const struct ctl_vm *vms, size_t n, uint32_t timeout_ms)
 {
-  struct ctl *c = w->ctl;
-  struct ctl_exchange *list;
-  struct ctl_vm *vms;
-  size_t n;
-  int err = ctl_live_vms (c, &vms, &n);
+  struct ctl_exchange *list = calloc (n + 1, sizeof *list);
+  uint32_t *seen
+      = realloc (w->seen, (w->seen_count + n + 1) * sizeof *w->seen);
 
-  if (err)
-    return err;
-  list = calloc (n, sizeof *list);
-  if (!list)
+  if (seen)
+    w->seen = seen;
+  if (!list || !seen)
     {
-      free (vms);
+      free (list);
       return AM_E_MEMORY;
     }
   for (size_t i = 0; i < n; i++)
@@ -104,13 +129,31 @@
                          AMARANTH__ENVELOPE__BODY_STATUS_REPLY);
       memcpy (list[i].name, vms[i].name, sizeof vms[i].name);
     }
-  free (vms);
-  ctl_exchange_run (list, n, c->key, timeout_ms);
-  judge (w, list, n);
+  ctl_exchange_run (list, n, w->ctl->key, timeout_ms);
+  judge (w, list, vms, n);
   ctl_exchange_list_free (list, n);
   return AM_OK;
 }
 
+/* One look at the live entry VMs.  */
+static int
+look (struct wait *w, uint32_t timeout_ms)
+{
+  struct ctl_vm *vms;
+  size_t n;
+  size_t left;
+  int err = ctl_live_vms (w->ctl, &vms, &n);
+
+  if (err)
+    return err;
+  left = leave_unseen (w, vms, n);
+  w->live = n;
+  w->in_force = n - left;
+  err = ask (w, vms, left, timeout_ms);
+  free (vms);
+  return err;
+}
+
 static void
 show (struct wait *w)
 {
@@ -176,5 +219,6 @@
     }
   err = finish (&w, err);
   json_decref (w.behind);
+  free (w.seen);
   return err;
 }
