Lend the owner of a service's requests all idle slots

One entry VM runs the ticketless requests of a service and has a seventh of the slots. It borrowed the rest as a VM among equals: half of a peer's idle slots, for as many requests as wait, given back when nothing waits. Each short queue cost an ASK, and the limit of 8 a second was used up (495 asks in 60 s) while other home VMs held a third of the slots idle.

A home VM that knows the asking VM as the owner now lends all idle slots and renews the loans that the owner has. The owner keeps loans until their validity ends or it is no longer the owner. A LEND marks renewals, and one that the borrower does not hold is given back, because its RETURN may have overtaken the LEND.

build/test/test_credit: test_owner fails before the change with 696 NOT-RUN. It also fails without the mark of renewals (a slot used twice) and with renewals of more than the lender's share.

--- a/src/core/borrower.c
+++ b/src/core/borrower.c
@@ -6,6 +6,7 @@
 #include "core/admission.h"
 #include "core/credit.h"
 #include "core/lending.h"
+#include "core/owned.h"
 
 /* An ASK costs at most four datagrams of about 90 bytes with their IP and UDP
    headers; at this rate lending stays below 3 KB/s for each side.  */
@@ -163,6 +164,11 @@
   struct am_member *peer;
   size_t wanted = s->queue ? s->queue->count : 1;
 
+  if (am_owned_runs_all (b, s->id))
+    {
+      wanted = AM_CREDIT_ITEMS_MAX;
+      m.renew = 1;
+    }
   if (!b->lending || s->lending == AMARANTH__LENDING__LENDING_OFF
       || s->home_count < 2 || !(w = borrowing_of (b, s->id)))
     return;
@@ -251,14 +257,17 @@
   for (size_t i = 0; i < m->count; i++)
     {
       struct am_upstream *u = am_service_upstream (s, m->items[i].upstream_id);
-      struct loan *x;
+      struct loan *x = find_loan (b, sender_id, m->items[i].loan_id);
+      bool renewed = i + m->renew >= m->count;
 
-      if (find_loan (b, sender_id, m->items[i].loan_id))
+      if (x && x->upstream && renewed && until > x->valid_until_us)
+        x->valid_until_us = until;
+      if (x)
         continue;
       x = add_loan (b, s->id, sender_id, &m->items[i]);
       if (!x)
         continue;
-      if (!u || b->now_us >= until)
+      if (!u || renewed || b->now_us >= until)
         {
           give_back (b, x);
           continue;
@@ -285,7 +294,8 @@
 }
 
 /* Returns true if X is free and either its validity has ended or nothing waits
-   for it.  */
+   for it.  The owner of a service's requests keeps its loans: the lenders run
+   none, and asking again for each short queue exhausted ASKS_PER_SECOND.  */
 static bool
 may_go_back (const struct am_board *b, const struct loan *x)
 {
@@ -293,8 +303,10 @@
 
   if (!x->upstream || !am_credit_slot_free (x->upstream))
     return false;
+  if (b->now_us >= x->valid_until_us)
+    return true;
   q = x->upstream->service->queue;
-  return b->now_us >= x->valid_until_us || !q || q->count == 0;
+  return (!q || q->count == 0) && !am_owned_runs_all (b, x->service_id);
 }
 
 void
--- a/src/core/credit_message.c
+++ b/src/core/credit_message.c
@@ -17,7 +17,7 @@
   am_put_u32 (buf + 4, m->service_id);
   am_put_u32 (buf + 8, m->number);
   am_put_u16 (buf + 12, m->idle);
-  am_put_u16 (buf + 14, 0);
+  am_put_u16 (buf + 14, m->renew);
   for (size_t i = 0; i < m->count; i++)
     {
       am_put_u32 (buf + HEADER_SIZE + i * ITEM_SIZE, m->items[i].loan_id);
@@ -43,6 +43,7 @@
   m->service_id = am_get_u32 (buf + 4);
   m->number = am_get_u32 (buf + 8);
   m->idle = am_get_u16 (buf + 12);
+  m->renew = am_get_u16 (buf + 14);
   for (size_t i = 0; i < m->count; i++)
     {
       m->items[i].loan_id = am_get_u32 (buf + HEADER_SIZE + i * ITEM_SIZE);
--- a/src/core/credit_message.h
+++ b/src/core/credit_message.h
@@ -23,6 +23,7 @@
   uint32_t service_id;
   uint32_t number; /* of the ASK */
   uint16_t idle;   /* LEND: idle slots that are left */
+  uint16_t renew;  /* ASK: 1 to renew loans too; LEND: renewed, last items */
   struct am_credit_item items[AM_CREDIT_ITEMS_MAX];
 };
 
--- a/src/core/lender.c
+++ b/src/core/lender.c
@@ -7,6 +7,7 @@
 #include "core/admission.h"
 #include "core/credit.h"
 #include "core/lending.h"
+#include "core/owned.h"
 #include "core/request_table.h"
 
 /* ASKs that are answered.  Several borrowers may ask the one peer with idle
@@ -39,6 +40,14 @@
   am_list_each_safe (x, after, &l->lent, struct lent, node) free (x);
 }
 
+static bool
+usable (const struct am_board *b, const struct am_upstream *u)
+{
+  return u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
+         && !u->health.ejected && b->now_us >= u->health.avoid_until_us
+         && b->now_us >= u->ramp_next_us;
+}
+
 /* Returns how many own idle slots of U may be lent.  */
 static uint32_t
 lendable (const struct am_board *b, const struct am_upstream *u)
@@ -48,21 +57,25 @@
   uint32_t limit = am_credit_slots (u);
   uint32_t idle = limit > u->use.busy ? limit - u->use.busy : 0;
 
-  if (u->state != AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE
-      || u->health.ejected || b->now_us < u->health.avoid_until_us
-      || b->now_us < u->ramp_next_us)
+  if (!usable (b, u))
     return 0;
   return own < idle ? own : idle;
 }
 
+static bool
+may_lend (const struct am_board *b, const struct am_service *s)
+{
+  return !b->stopping && s->home && !s->credit_due_us
+         && s->lending != AMARANTH__LENDING__LENDING_OFF
+         && !(s->queue && s->queue->count);
+}
+
 static uint32_t
 lendable_total (const struct am_board *b, const struct am_service *s)
 {
   uint32_t total = 0;
 
-  if (b->stopping || !s->home || s->credit_due_us
-      || s->lending == AMARANTH__LENDING__LENDING_OFF
-      || (s->queue && s->queue->count))
+  if (!may_lend (b, s))
     return 0;
   am_list_each (u, &s->upstreams, struct am_upstream, node)
   {
@@ -103,6 +116,13 @@
   return (uint64_t)ms * 1000;
 }
 
+static uint64_t
+lent_until (const struct am_board *b, const struct am_service *s)
+{
+  return b->now_us + AM_LOAN_VALID_MS * (uint64_t)1000
+         + longest_deadline_us (s) + AM_SLOT_GRACE_US + AM_LOAN_MARGIN_US;
+}
+
 static int
 lend_one (struct am_board *b, struct am_upstream *u, uint32_t borrower_id,
           struct am_credit_item *item)
@@ -116,9 +136,7 @@
   x->borrower_id = borrower_id;
   x->borrower_boot_id = m ? m->boot_id : 0;
   x->id = b->lending->lender.next_loan_id++;
-  x->until_us = b->now_us + AM_LOAN_VALID_MS * (uint64_t)1000
-                + longest_deadline_us (u->service) + AM_SLOT_GRACE_US
-                + AM_LOAN_MARGIN_US;
+  x->until_us = lent_until (b, u->service);
   am_list_push_back (&b->lending->lender.lent, &x->node);
   u->credit.lent++;
   b->counters.lent++;
@@ -127,6 +145,52 @@
   return AM_OK;
 }
 
+static bool
+borrower_gone (const struct am_board *b, const struct lent *x)
+{
+  const struct am_member *m
+      = am_board_member ((struct am_board *)b, x->borrower_id);
+
+  if (!m || m->state == AMARANTH__MEMBER_STATE__MEMBER_DEAD
+      || m->state == AMARANTH__MEMBER_STATE__MEMBER_LEFT)
+    return true;
+  return x->borrower_boot_id && m->boot_id
+         && x->borrower_boot_id != m->boot_id;
+}
+
+/* Adds to REPLY the oldest loans of BORROWER_ID, as far as there is room.
+   Loans of an upstream of which the share is now smaller than what is lent run
+   out instead.  */
+static void
+renew (struct am_board *b, const struct am_service *s, uint32_t borrower_id,
+       struct am_credit_message *reply)
+{
+  struct am_list *all = &b->lending->lender.lent;
+  struct am_list renewed;
+
+  am_list_init (&renewed);
+  am_list_each_safe (x, next, all, struct lent, node)
+  {
+    const struct am_upstream *u = x->upstream;
+
+    if (reply->count == AM_CREDIT_ITEMS_MAX)
+      break;
+    if (x->borrower_id != borrower_id || u->service != s || !usable (b, u)
+        || u->credit.lent > u->credit.slots || borrower_gone (b, x))
+      continue;
+    x->until_us = lent_until (b, s);
+    am_list_remove (&x->node);
+    am_list_push_back (&renewed, &x->node);
+    reply->items[reply->count++] = (struct am_credit_item){ x->id, u->id };
+    reply->renew++;
+  }
+  am_list_each_safe (x, next, &renewed, struct lent, node)
+  {
+    am_list_remove (&x->node);
+    am_list_push_back (all, &x->node);
+  }
+}
+
 void
 am_lender_asked (struct am_board *b, struct am_service *s, uint32_t sender_id,
                  const struct am_credit_message *ask)
@@ -136,7 +200,8 @@
                                      .service_id = s->id,
                                      .number = ask->number };
   uint32_t idle = lendable_total (b, s);
-  uint32_t give = (idle + 1) / 2;
+  bool to_owner = am_owned_is_owner (b, s->id, sender_id);
+  uint32_t give = to_owner ? idle : (idle + 1) / 2;
 
   if (!am_credit_bucket_take (&b->lending->lender.lends, b->now_us,
                               LENDS_PER_SECOND, LENDS_BURST))
@@ -152,6 +217,8 @@
       reply.count++;
     }
   reply.idle = (uint16_t)(idle - reply.count);
+  if (to_owner && ask->renew && may_lend (b, s))
+    renew (b, s, sender_id, &reply);
   am_credit_send (b, sender_id, &reply);
 }
 
@@ -179,19 +246,6 @@
   am_credit_send (b, sender_id, &reply);
 }
 
-static bool
-borrower_gone (const struct am_board *b, const struct lent *x)
-{
-  const struct am_member *m
-      = am_board_member ((struct am_board *)b, x->borrower_id);
-
-  if (!m || m->state == AMARANTH__MEMBER_STATE__MEMBER_DEAD
-      || m->state == AMARANTH__MEMBER_STATE__MEMBER_LEFT)
-    return true;
-  return x->borrower_boot_id && m->boot_id
-         && x->borrower_boot_id != m->boot_id;
-}
-
 void
 am_lender_tick (struct am_board *b)
 {
--- a/src/core/owned.c
+++ b/src/core/owned.c
@@ -244,6 +244,24 @@
   return o ? am_owner_not_after (&o->gate, b->now_us) : 0;
 }
 
+bool
+am_owned_runs_all (const struct am_board *b, uint32_t service_id)
+{
+  const struct am_owned *o = find (b, service_id);
+
+  return o && !o->leaving && b->now_us < o->gate.until_us;
+}
+
+bool
+am_owned_is_owner (const struct am_board *b, uint32_t service_id,
+                   uint32_t member_id)
+{
+  const struct am_owned *o = find (b, service_id);
+
+  return o && o->owner_id == member_id && b->now_us < o->known_until_us
+         && b->now_us >= o->gate.until_us;
+}
+
 /* ---- grants and claims -------------------------------------------- */
 
 static int
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -66,6 +66,14 @@
    that is sent now, or 0 if none may be sent.  */
 uint64_t am_owned_not_after_us (const struct am_board *b, uint32_t service_id);
 
+/* Returns true if this VM is the owner and takes new requests.  */
+bool am_owned_runs_all (const struct am_board *b, uint32_t service_id);
+
+/* Returns true if this VM knows member MEMBER_ID as the owner and so runs no
+   request of the service itself.  */
+bool am_owned_is_owner (const struct am_board *b, uint32_t service_id,
+                        uint32_t member_id);
+
 void am_owned_tick (struct am_board *b);
 bool am_owned_may_exit (const struct am_board *b);
 
--- a/test/core_board.h
+++ b/test/core_board.h
@@ -12,6 +12,7 @@
 #include "base/hash.h"
 #include "core/choice.h"
 #include "core/credit.h"
+#include "core/owned.h"
 #include "core/request.h"
 
 struct board_options
@@ -133,6 +134,7 @@
 board_free (struct am_board *b)
 {
   am_requests_finish (b);
+  am_owned_finish (b);
   am_board_finish (b);
 }
 
--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -72,7 +72,8 @@
   double request_rate; /* a second */
   double flow_rate;
   double flow_life_us;
-  uint32_t retries; /* of a caller after a refusal or its time limit */
+  uint32_t retries;   /* of a caller after a refusal or its time limit */
+  uint32_t entry_vms; /* requests reach only this many, the first ones */
   bool lending;
   double peer_loss;        /* of datagrams between VMs; as many are doubled */
   uint32_t peer_jitter_us; /* longest extra delay of one */
@@ -248,7 +249,7 @@
 static inline void
 fleet_request (struct fleet *f, const struct fleet_event *e)
 {
-  struct fleet_vm *v = &f->vms[am_rng_below (&f->rng, FLEET_VMS)];
+  struct fleet_vm *v = &f->vms[am_rng_below (&f->rng, f->entry_vms)];
   uint64_t id = f->requests++ << 4 | e->attempt << 1 | e->request_class;
   struct am_request_arrival a = { .service = v->service,
                                   .caller = { 0x7f320301, 4000 },
@@ -343,7 +344,11 @@
   size_t len;
 
   b->now_us = f->now_us;
-  if (!am_peer_decode (&h, b->peer_key, e->data, e->len, &body, &len))
+  if (am_peer_decode (&h, b->peer_key, e->data, e->len, &body, &len))
+    return;
+  if (h.type == AM_PEER_OWNER)
+    am_owned_peer (b, h.sender_id, h.service_id, body, len);
+  else
     am_credit_peer (b, h.sender_id, body, len);
 }
 
@@ -355,6 +360,7 @@
       f->vms[i].board.now_us = f->now_us;
       if (f->no_budget)
         f->vms[i].service->retry_budget = 100000;
+      am_owned_tick (&f->vms[i].board);
       am_credit_tick (&f->vms[i].board);
       am_requests_tick (&f->vms[i].board);
     }
@@ -428,6 +434,7 @@
   memset (f, 0, sizeof *f);
   am_rng_init (&f->rng, seed);
   f->lending = true;
+  f->entry_vms = FLEET_VMS;
   f->now_us = 1000000;
   for (uint32_t i = 0; i < FLEET_VMS; i++)
     {
--- a/test/test_credit.c
+++ b/test/test_credit.c
@@ -170,6 +170,82 @@
 }
 END_TEST
 
+/* Lets VM own the requests for 90 s.  */
+static void
+grant (struct fleet *f, uint32_t vm, uint64_t epoch)
+{
+  struct am_board *b = &f->vms[vm].board;
+  Amaranth__OwnerGrant g = AMARANTH__OWNER_GRANT__INIT;
+  uint8_t buf[64];
+
+  g.service_id = f->vms[vm].service->id;
+  g.boot_id = b->self.boot_id;
+  g.epoch = epoch;
+  g.until_us = f->now_us + 90 * SECOND;
+  b->now_us = f->now_us;
+  am_owned_grant (b, buf, amaranth__owner_grant__pack (&g, buf));
+}
+
+/* Checks that no upstream has more slots over all VMs than its limit.  */
+static void
+check_sums (struct fleet *f, void *limit)
+{
+  for (int u = 0; u < FLEET_UPSTREAMS; u++)
+    {
+      uint32_t sum = 0;
+
+      for (int vm = 0; vm < FLEET_VMS; vm++)
+        sum += am_credit_slots (f->vms[vm].upstreams[u]);
+      ck_assert_uint_le (sum, *(uint32_t *)limit);
+    }
+}
+
+/* Runs for 25 s with SLOTS at each upstream, and checks after the first 5.  */
+static void
+run_checked (struct fleet *f, uint32_t slots)
+{
+  for (int i = 0; i < FLEET_VMS * FLEET_UPSTREAMS; i++)
+    f->vms[i % FLEET_VMS].upstreams[i / FLEET_VMS]->slots = slots;
+  for (int vm = 0; vm < FLEET_VMS; vm++)
+    am_credit_recompute (&f->vms[vm].board);
+  fleet_run_until (f, f->now_us + 5 * SECOND, SECOND, NULL, NULL);
+  fleet_run_until (f, f->now_us + 20 * SECOND, 10000, check_sums, &slots);
+}
+
+/* Guards against an owner that refuses requests while other home VMs have idle
+   slots, against slots used twice when two VMs hold themselves for the owner
+   or a renewal arrives after its loan's return, and against renewals beyond a
+   share that became smaller.  */
+START_TEST (test_owner)
+{
+  struct fleet *f = malloc (sizeof *f);
+
+  for (uint32_t jitter_us = 0; jitter_us <= 20000; jitter_us += 20000)
+    {
+      fleet_init (f, AMARANTH__POLICY__POLICY_LOCAL, 11);
+      f->entry_vms = 1;
+      f->request_rate
+          = 0.7 * FLEET_UPSTREAMS * FLEET_SLOTS * 1e6 / FLEET_SERVICE_US;
+      f->end_us = f->now_us + 100 * SECOND;
+      grant (f, 0, 1);
+      fleet_again (f, FLEET_REQUEST, 0);
+      run_checked (f, FLEET_SLOTS);
+      ck_assert_uint_eq (f->told[1], 0);
+      run_checked (f, FLEET_SLOTS / 2);
+      f->entry_vms = 2;
+      f->request_rate *= LOAD / 0.7;
+      f->peer_loss = 0.2;
+      f->peer_jitter_us = jitter_us;
+      run_checked (f, FLEET_SLOTS);
+      grant (f, 1, 2);
+      run_checked (f, FLEET_SLOTS);
+      ck_assert_uint_eq (f->refusals, 0);
+      fleet_free (f);
+    }
+  free (f);
+}
+END_TEST
+
 /* Guards against actions that differ between two runs of the same events.  */
 START_TEST (test_same_events_same_actions)
 {
@@ -339,7 +415,7 @@
       = { test_split,         test_hold_down,
           test_lossy_lending, test_same_events_same_actions,
           test_random_input,  test_loan_ends_by_itself,
-          test_lending_off };
+          test_lending_off,   test_owner };
 
   return RUN_TESTS ("credit", tests);
 }
