Give each test process loopback addresses of its own

Cause: tests that listen did so at fixed addresses. With address reuse two copies shared a port, so that answers of one reached the other; without it the second copy could not bind.

Change: test/own_address.h takes a block of 16 addresses of 127.60.0.0/16, chosen by the process id and held by binding one port of it without address reuse. "@N" in an address or argument of a stand-in stands for address N of the block. The tests of the agent, amaranthctl, the pool, the store client and the stand-ins use it.

--- a/test/fake_platform.h
+++ b/test/fake_platform.h
@@ -17,12 +17,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/address.h"
+#include "own_address.h"
 #include "record/record.h"
 #include "wire/frame.h"
 
-#define STORE_IP "127.70.2.1"
-#define AGENT_IP 0x7f460301 /* 127.70.3.1, of the first */
+#define STORE_HOST 1
+#define AGENT_HOST 2 /* of the first */
 #define KEYS_MAX 16
 #define AGENTS 3
 
@@ -214,19 +214,21 @@
 static void
 store_start (struct fake_store *s)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip (STORE_HOST), 0 });
+  char ip[INET_ADDRSTRLEN];
   const union MHD_DaemonInfo *info;
 
   memset (s, 0, sizeof *s);
   pthread_mutex_init (&s->lock, NULL);
-  inet_pton (AF_INET, STORE_IP, &sa.sin_addr);
+  inet_ntop (AF_INET, &sa.sin_addr, ip, sizeof ip);
   s->daemon = MHD_start_daemon (
       MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, store_handle, s,
       MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
       MHD_OPTION_NOTIFY_COMPLETED, store_completed, NULL, MHD_OPTION_END);
   ck_assert_ptr_nonnull (s->daemon);
   info = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_BIND_PORT);
-  snprintf (s->url, sizeof s->url, "http://" STORE_IP ":%u", info->port);
+  snprintf (s->url, sizeof s->url, "http://%s:%u", ip, info->port);
 }
 
 static void
@@ -472,18 +474,18 @@
 static void
 agent_start (struct fake_agent *a, unsigned number, const uint8_t *key)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET };
+  uint32_t ip = own_ip (AGENT_HOST + number);
+  struct sockaddr_in sa = own_sockaddr ((struct am_address){ ip, 0 });
   socklen_t size = sizeof sa;
 
   memset (a, 0, sizeof *a);
   a->number = number;
   a->key = key;
-  sa.sin_addr.s_addr = htonl (AGENT_IP + number);
   a->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ck_assert_int_eq (bind (a->fd, (struct sockaddr *)&sa, sizeof sa), 0);
   ck_assert_int_eq (listen (a->fd, 16), 0);
   ck_assert_int_eq (getsockname (a->fd, (struct sockaddr *)&sa, &size), 0);
-  a->address.ip = AGENT_IP + number;
+  a->address.ip = ip;
   a->address.port = ntohs (sa.sin_port);
   am_address_format (a->address, a->address_text);
   ck_assert_int_eq (pthread_create (&a->thread, NULL, agent_run, a), 0);
--- a/test/standin_process.h
+++ b/test/standin_process.h
@@ -1,5 +1,6 @@
 /* Starts stand-ins as processes and speaks to them over loopback, for the
-   tests of stand-ins.  */
+   tests of stand-ins.  "@N" in an address or argument stands for address N of
+   this process (own_address.h).  */
 
 #ifndef AM_TEST_STANDIN_PROCESS_H
 #define AM_TEST_STANDIN_PROCESS_H
@@ -16,8 +17,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "base/address.h"
 #include "base/error.h"
+#include "own_address.h"
 
 #define PROCESS_ARGUMENTS_MAX 48
 
@@ -27,16 +28,21 @@
 /* How long a test listens for a packet that must not come.  */
 #define PROCESS_SILENCE_MS 300
 
-static inline struct sockaddr_in
-process_sockaddr (const char *text)
+static inline struct am_address
+process_address (const char *text)
 {
+  char expanded[64];
   struct am_address a;
-  struct sockaddr_in sa = { .sin_family = AF_INET };
 
-  ck_assert_int_eq (am_address_parse (&a, text), AM_OK);
-  sa.sin_port = htons (a.port);
-  sa.sin_addr.s_addr = htonl (a.ip);
-  return sa;
+  own_text (expanded, sizeof expanded, text);
+  ck_assert_int_eq (am_address_parse (&a, expanded), AM_OK);
+  return a;
+}
+
+static inline struct sockaddr_in
+process_sockaddr (const char *text)
+{
+  return own_sockaddr (process_address (text));
 }
 
 /* Starts standin/NAME with the arguments of the line ARGUMENTS.  */
@@ -44,12 +50,13 @@
 process_start (const char *name, const char *arguments)
 {
   char path[512];
-  char *line = strdup (arguments);
+  char line[1024];
   char *argv[PROCESS_ARGUMENTS_MAX] = { path };
   char *rest = line;
   int n = 1;
   pid_t pid;
 
+  own_text (line, sizeof line, arguments);
   snprintf (path, sizeof path, "%s/standin/%s", AM_BINARY_DIR, name);
   for (char *word; (word = strtok_r (rest, " ", &rest)) != NULL;)
     if (n < PROCESS_ARGUMENTS_MAX - 1)
@@ -61,7 +68,6 @@
       execv (path, argv);
       _exit (127);
     }
-  free (line);
   return pid;
 }
 
@@ -126,19 +132,20 @@
 process_command (const char *address, const char *command)
 {
   static char answer[65536];
+  char text[256];
   int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   ssize_t n = -1;
 
+  own_text (text, sizeof text, command);
   for (int waited = 0; n < 0 && waited < PROCESS_WAIT_MS; waited += 50)
     {
       struct sockaddr_in sa = process_sockaddr (address);
 
-      sendto (fd, command, strlen (command), 0, (struct sockaddr *)&sa,
-              sizeof sa);
+      sendto (fd, text, strlen (text), 0, (struct sockaddr *)&sa, sizeof sa);
       n = udp_receive (fd, answer, sizeof answer - 1, 50, NULL);
     }
   close (fd);
-  ck_assert_msg (n >= 0, "no answer to '%s' at %s", command, address);
+  ck_assert_msg (n >= 0, "no answer to '%s' at %s", text, address);
   answer[n] = '\0';
   return answer;
 }
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "own_address.h"
 #include "wire/amaranth.pb-c.h"
 #include "wire/frame.h"
 
@@ -57,17 +58,19 @@
 {
   char name[32];
   char text[1024];
+  char expanded[1024];
 
   snprintf (name, sizeof name, "vm-%d.yaml", vm);
   snprintf (text, sizeof text,
             "vm: {id: %d, name: vm-%d, region: r, data_centre: dc, "
-            "address: 127.60.5.%d}\n"
-            "fabric: {return_address: 127.60.5.200:7900}\n"
-            "store: {url: \"http://127.60.5.201:8500\", timeout_ms: 500}\n"
+            "address: @%d}\n"
+            "fabric: {return_address: @10:7900}\n"
+            "store: {url: \"http://@11:8500\", timeout_ms: 500}\n"
             "peers: {key_file: peer.key, seeds: [\"%s\"]}\n"
             "log: {level: %s, decisions: true}\n",
             vm, vm, vm, seed, level);
-  write_file (name, text, 0644);
+  own_text (expanded, sizeof expanded, text);
+  write_file (name, expanded, 0644);
 }
 
 static pid_t
@@ -109,7 +112,7 @@
   sodium_bin2hex (hex, sizeof hex, key, sizeof key);
   write_file ("peer.key", hex, 0600);
   for (int i = 0; i < AGENTS; i++)
-    write_settings (i + 1, "127.60.5.1:7100", "info");
+    write_settings (i + 1, "@1:7100", "info");
 }
 
 static void
@@ -141,13 +144,11 @@
 static int
 connect_to (int vm)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (7101) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip ((uint32_t)vm), 7101 });
   struct timeval limit = { 2, 0 };
-  char text[32];
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  snprintf (text, sizeof text, "127.60.5.%d", vm);
-  inet_pton (AF_INET, text, &sa.sin_addr);
   setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) == 0)
     return fd;
@@ -264,11 +265,11 @@
 static void
 send_noise (void)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (7100) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip (1), 7100 });
   int fd = socket (AF_INET, SOCK_DGRAM, 0);
   uint8_t noise[200];
 
-  inet_pton (AF_INET, "127.60.5.1", &sa.sin_addr);
   for (int i = 0; i < 200; i++)
     {
       randombytes_buf (noise, sizeof noise);
@@ -291,7 +292,7 @@
   hand_record (2);
   ck_assert (wait_for (AGENTS - 1, 1, SPREAD_MS));
   send_noise ();
-  write_settings (1, "127.60.5.2:7100", "debug");
+  write_settings (1, "@2:7100", "debug");
   kill (agents[0], SIGHUP);
   ck_assert (wait_for (AGENTS - 1, 1, SPREAD_MS));
   for (int i = 0; i < AGENTS; i++)
@@ -313,7 +314,7 @@
   ck_assert_int_eq (exit_code (start (9, "--check-settings")), AM_EXIT_DATA);
   write_settings (1, "not an address", "info");
   ck_assert_int_eq (exit_code (start (1, "--check-settings")), AM_EXIT_DATA);
-  write_settings (1, "127.60.5.1:7100", "info");
+  write_settings (1, "@1:7100", "info");
   write_file ("peer.key", "12", 0600);
   ck_assert_int_eq (exit_code (start (1, "--check-settings")), AM_EXIT_DATA);
 }
--- a/test/test_caller_standin.c
+++ b/test/test_caller_standin.c
@@ -8,10 +8,10 @@
 #include "wire/packet.h"
 #include "wire/ticket.h"
 
-#define SERVICE "127.80.44.1:8001"
+#define SERVICE "@1:8001"
 #define COMMON                                          \
   "--service s=" SERVICE ":ticket --history /dev/null " \
-  "--address 127.80.44.100 --seconds 30 --ping-ms 1000 "
+  "--address @2 --seconds 30 --ping-ms 1000 "
 
 static pid_t caller;
 static int service;
--- a/test/test_fabric.c
+++ b/test/test_fabric.c
@@ -4,12 +4,12 @@
 #include "standin_process.h"
 #include "wire/proxy_header.h"
 
-#define RETURN "127.80.42.1:7900"
-#define CONTROL "127.80.42.1:7901"
-#define SERVICE "127.80.42.2:8001"
-#define FORWARDER_1 "127.80.42.3:7000"
-#define FORWARDER_2 "127.80.42.4:7000"
-#define CALLER "127.80.42.5:4000"
+#define RETURN "@1:7900"
+#define CONTROL "@1:7901"
+#define SERVICE "@2:8001"
+#define FORWARDER_1 "@3:7000"
+#define FORWARDER_2 "@4:7000"
+#define CALLER "@5:4000"
 #define ARGUMENTS                                                \
   "--return " RETURN " --control " CONTROL " --service " SERVICE \
   " --forwarder " FORWARDER_1 " --forwarder " FORWARDER_2
@@ -59,7 +59,6 @@
 {
   struct am_proxy_header h;
   struct am_proxy_header back;
-  struct am_address expected;
   struct am_address from;
   uint8_t buf[64];
   size_t used;
@@ -70,10 +69,8 @@
   n = udp_receive (forwarders[0], buf, sizeof buf, PROCESS_WAIT_MS, NULL);
   ck_assert_int_eq (n, AM_PROXY_HEADER_SIZE + 5);
   ck_assert_int_eq (am_proxy_decode (&h, buf, (size_t)n, &used), AM_OK);
-  am_address_parse (&expected, CALLER);
-  ck_assert (am_address_equal (h.source, expected));
-  am_address_parse (&expected, SERVICE);
-  ck_assert (am_address_equal (h.destination, expected));
+  ck_assert (am_address_equal (h.source, process_address (CALLER)));
+  ck_assert (am_address_equal (h.destination, process_address (SERVICE)));
   back.source = h.destination;
   back.destination = h.source;
   am_proxy_encode (&back, buf);
@@ -81,7 +78,7 @@
   ck_assert_int_eq (
       udp_receive (caller, buf, sizeof buf, PROCESS_WAIT_MS, &from), 5);
   ck_assert_mem_eq (buf, "hello", 5);
-  ck_assert (am_address_equal (from, expected));
+  ck_assert (am_address_equal (from, process_address (SERVICE)));
 }
 END_TEST
 
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -9,9 +9,9 @@
 #include <unistd.h>
 
 #include "io/pool.h"
+#include "own_address.h"
 #include "wire/packet.h"
 
-#define IP 0x7f320901u /* 127.50.9.1 */
 #define TURNS 400
 #define TURN_US 5000u
 
@@ -84,6 +84,12 @@
     }
 }
 
+static struct am_address
+address (uint16_t port)
+{
+  return (struct am_address){ own_ip (1), port };
+}
+
 static void
 send_request (struct state *t, uint16_t port)
 {
@@ -92,16 +98,13 @@
   size_t len;
 
   ck_assert_int_eq (am_packet_encode (&p, buf, sizeof buf, &len), 0);
-  am_pool_send (&t->pool, key, (struct am_address){ IP, port }, t->now_us, buf,
-                len);
+  am_pool_send (&t->pool, key, address (port), t->now_us, buf, len);
 }
 
 static int
 listen_at (uint16_t port, int backlog)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (port),
-                            .sin_addr = { htonl (IP) } };
+  struct sockaddr_in sa = own_sockaddr (address (port));
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   int one = 1;
 
@@ -153,9 +156,7 @@
 START_TEST (test_silent_address_is_given_up)
 {
   int listener = listen_at (9103, 0);
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (9103),
-                            .sin_addr = { htonl (IP) } };
+  struct sockaddr_in sa = own_sockaddr (address (9103));
   int fillers[4];
   struct state t;
   uint64_t begun_us;
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -7,9 +7,9 @@
 
 #define SEED 20261204
 #define FLOWS 1000
-#define LISTEN "127.80.41.1:7000"
-#define TARGET "127.80.41.2:7000"
-#define CONTROL "127.80.41.3:7901"
+#define LISTEN "@1:7000"
+#define TARGET "@2:7000"
+#define CONTROL "@3:7901"
 
 static const struct am_address caller = { 0x7f502903, 4000 };
 static const struct am_address service = { 0x7f502904, 8001 };
@@ -159,13 +159,11 @@
       = process_start ("standin-relay", "--proto udp --listen " LISTEN
                                         "=" TARGET " --control " CONTROL);
   int target = udp_bind (TARGET);
-  int senders[2]
-      = { udp_bind ("127.80.41.5:4001"), udp_bind ("127.80.41.5:4002") };
+  int senders[2] = { udp_bind ("@5:4001"), udp_bind ("@5:4002") };
   struct am_address from;
-  struct am_address relay;
+  struct am_address relay = process_address (LISTEN);
   char buf[64];
 
-  am_address_parse (&relay, LISTEN);
   process_command (CONTROL, "stats");
   for (int i = 0; i < 2; i++)
     {
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -10,9 +10,9 @@
 
 #include "base/error.h"
 #include "io/store_client.h"
+#include "own_address.h"
 
 #define PORT 18571
-#define URL "http://127.60.3.1:18571"
 #define TIMEOUT_MS 500
 
 /* What the server does with the next calls.  */
@@ -95,15 +95,18 @@
 
 static struct server server;
 
+static char store_url[64];
+
 static void
 start_server (void)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip (1), PORT });
 
   memset (&server, 0, sizeof server);
   server.status = 200;
   server.body = "[]";
-  inet_pton (AF_INET, "127.60.3.1", &sa.sin_addr);
+  own_text (store_url, sizeof store_url, "http://@1:18571");
   server.daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, PORT,
       NULL, NULL, handle, &server, MHD_OPTION_SOCK_ADDR, &sa,
@@ -158,7 +161,8 @@
 
   memset (s, 0, sizeof *s);
   uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, store_url, TIMEOUT_MS),
+                    AM_OK);
   ck_assert_int_eq (
       index ? am_store_watch (c, "amaranth/records/", index, 1000, done, s)
             : am_store_read (c, "amaranth/records/", done, s),
@@ -266,7 +270,7 @@
     {
       server.status = cases[i].status;
       server.body = cases[i].body;
-      ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+      ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                             (const uint8_t *)"text", 4, 12,
                                             &r),
                         cases[i].error);
@@ -279,12 +283,12 @@
   server.status = 200;
   server.body = "true";
   server.delay_ms = 900;
-  ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+  ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                         (const uint8_t *)"", 0, 0, &r),
                     AM_E_STORE_UNSURE);
   MHD_stop_daemon (server.daemon);
   server.daemon = NULL;
-  ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+  ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                         (const uint8_t *)"", 0, 0, &r),
                     AM_E_STORE);
 }
@@ -312,7 +316,8 @@
   uv_loop_t loop;
 
   uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, store_url, TIMEOUT_MS),
+                    AM_OK);
   server.body = "{\"ID\":\"" SESSION "\"}";
   finish_call (&loop, &s, am_store_session_create (c, 20, done, &s));
   ck_assert_int_eq (s.error, AM_OK);
@@ -350,7 +355,8 @@
   uv_loop_t loop;
 
   uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, store_url, TIMEOUT_MS),
+                    AM_OK);
   server.body = "true";
   finish_call (
       &loop, &s,
@@ -386,7 +392,8 @@
 
   server.delay_ms = 200;
   uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  ck_assert_int_eq (am_store_client_new (&c, &loop, store_url, TIMEOUT_MS),
+                    AM_OK);
   for (int i = 0; i < 3; i++)
     am_store_read (c, "a", done, &s);
   am_store_write (c, "a", (const uint8_t *)"x", 1, 0, done, &s);
--- a/test/test_store_standin.c
+++ b/test/test_store_standin.c
@@ -4,7 +4,7 @@
 #include "standin_kv.h"
 #include "standin_process.h"
 
-#define STORE "127.80.40.1:8500"
+#define STORE "@1:8500"
 #define SECOND 1000000u
 
 /* ---- key-value state -------------------------------------------------- */
--- a/test/test_upstream_standin.c
+++ b/test/test_upstream_standin.c
@@ -7,11 +7,11 @@
 #include "standin_process.h"
 #include "wire/bytes.h"
 
-#define TARGET "127.80.43.1:9000"
-#define SERVICE "127.80.43.2:8001"
-#define OTHER_SERVICE "127.80.43.2:8002"
-#define VM "127.80.43.3:7000"
-#define CONTROL "127.80.43.4:7901"
+#define TARGET "@1:9000"
+#define SERVICE "@2:8001"
+#define OTHER_SERVICE "@2:8002"
+#define VM "@3:7000"
+#define CONTROL "@4:7901"
 
 /* Far longer than a test step, so that a running request stays running.  */
 #define SERVICE_MS "1000"
@@ -33,6 +33,7 @@
 {
   char file[96];
   char arguments[512];
+  char text[1024];
   FILE *out;
 
   snprintf (folder, sizeof folder, "/tmp/amaranthcroft-test-XXXXXX");
@@ -41,7 +42,7 @@
   snprintf (history, sizeof history, "%s/h.jsonl", folder);
   out = fopen (file, "we");
   ck_assert_ptr_nonnull (out);
-  fputs (record, out);
+  fputs (own_text (text, sizeof text, record), out);
   fclose (out);
   snprintf (arguments, sizeof arguments,
             "--record %s --history %s --control " CONTROL
@@ -72,7 +73,7 @@
   uint8_t buf[256];
   size_t len = 0;
 
-  am_address_parse (&h.destination, service);
+  h.destination = process_address (service);
   am_proxy_encode (&h, buf);
   am_packet_encode (&p, buf + AM_PROXY_HEADER_SIZE,
                     sizeof buf - AM_PROXY_HEADER_SIZE, &len);
