Share messages to control engines and measuring between tests

Cause: six tests packed envelopes by hand, four built the message that offers a record, and two had the same options, clock and median.

An offer of a record that an operator hands over comes on stream 769 instead of 9999 in test_control_config; both are no node.

--- a/test/control_net.h
+++ b/test/control_net.h
@@ -13,6 +13,7 @@
 #include "base/rng.h"
 #include "core/control.h"
 #include "delta_merge.h"
+#include "record_offer.h"
 
 #define NET_NODES 768
 #define NET_RECORDS 600
@@ -458,6 +459,32 @@
   return err;
 }
 
+/* Returns E packed, LEN bytes in memory that the caller frees.  */
+static uint8_t *
+net_pack (const Amaranth__Envelope *e, size_t *len)
+{
+  uint8_t *data = malloc (amaranth__envelope__get_packed_size (e) + 1);
+
+  *len = amaranth__envelope__pack (e, data);
+  return data;
+}
+
+/* A message of the forwarder or, on a stream, of an operator, who is no node;
+   E may be NULL for events without a message.  */
+static int
+net_message (struct net *n, size_t node, enum am_control_event_type type,
+             const Amaranth__Envelope *e)
+{
+  struct am_control_event event = { .type = type, .stream = NET_NODES + 1 };
+  uint8_t *data = e ? net_pack (e, &event.len) : NULL;
+  int err;
+
+  event.data = data;
+  err = net_event (n, node, &event);
+  free (data);
+  return err;
+}
+
 /* Name of a record as an element of the JSON list that ends a watch.  */
 #define NET_WATCH_NAME_BYTES 35
 
@@ -513,8 +540,6 @@
   Amaranth__UpstreamLoad *loads[] = { &load };
   Amaranth__Report r = AMARANTH__REPORT__INIT;
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t buf[512];
 
   r.boot_id = f->boot_id;
   r.digest = f->digest;
@@ -527,9 +552,7 @@
   r.n_upstreams = f->failing_service != 0;
   e.body_case = AMARANTH__ENVELOPE__BODY_REPORT;
   e.report = &r;
-  event.len = amaranth__envelope__pack (&e, buf);
-  event.data = buf;
-  net_event (n, node, &event);
+  net_message (n, node, AM_CONTROL_FORWARDER, &e);
   net_schedule (n, NET_SECOND, NET_REPORT, node, 0, NULL, 0);
 }
 
@@ -548,19 +571,12 @@
 net_tell_snapshot (struct net *n, size_t node)
 {
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t *buf;
 
   if (!n->nodes[node].forwarder.snapshot)
     return;
   e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
   e.snapshot = n->nodes[node].forwarder.snapshot;
-  event.len = amaranth__envelope__get_packed_size (&e);
-  buf = malloc (event.len + 1);
-  amaranth__envelope__pack (&e, buf);
-  event.data = buf;
-  net_event (n, node, &event);
-  free (buf);
+  net_message (n, node, AM_CONTROL_FORWARDER, &e);
 }
 
 /* The forwarder refuses a delta that does not build on what it has.  */
@@ -569,16 +585,12 @@
 {
   Amaranth__Failure f = AMARANTH__FAILURE__INIT;
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t buf[64];
 
   f.error = error;
   e.body_case = AMARANTH__ENVELOPE__BODY_FAILURE;
   e.failure = &f;
-  event.len = amaranth__envelope__pack (&e, buf);
-  event.data = buf;
   n->nodes[node].forwarder.refused++;
-  net_event (n, node, &event);
+  net_message (n, node, AM_CONTROL_FORWARDER, &e);
 }
 
 static void
@@ -701,6 +713,24 @@
 
 /* ---- nodes -------------------------------------------------------- */
 
+/* Returns the engine of VM 1, outside any net; NULL without memory.  */
+NET_UNUSED static struct am_control *
+net_engine (const char *name, const char *data_centre, uint64_t incarnation,
+            struct am_control_sink sink)
+{
+  struct am_control_options o = { .self = { .id = 1,
+                                            .name = name,
+                                            .data_centre = data_centre,
+                                            .region = "r",
+                                            .ip = NET_IP + 1,
+                                            .agent_port = 7100 },
+                                  .incarnation = incarnation,
+                                  .sink = sink };
+  struct am_control *c = NULL;
+
+  return am_control_new (&c, &o) == AM_OK ? c : NULL;
+}
+
 static void
 net_start (struct net *n, size_t node)
 {
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -17,7 +17,7 @@
 
 #include "base/error.h"
 #include "own_address.h"
-#include "wire/amaranth.pb-c.h"
+#include "record_offer.h"
 #include "wire/frame.h"
 
 #define AGENT AM_BINARY_DIR "/amaranth-agent"
@@ -235,30 +235,18 @@
 static void
 hand_record (int vm)
 {
-  static char text[]
+  static const char text[]
       = "{\"schema\":2,\"kind\":\"service\",\"name\":\"dispatch\",\"region\":"
         "\"r\",\"address\":\"127.60.6.1:8001\",\"revision\":1,\"write_id\":"
         "\"00000000000000000000000000000001\",\"binding\":\"ticket\","
         "\"upstreams\":[{\"name\":\"d-1\",\"address\":\"127.60.6.2:9000\","
         "\"data_centre\":\"dc\",\"incarnation\":1,\"state\":\"active\","
         "\"slots\":2,\"connections\":2000}]}";
-  Amaranth__RecordVersion v = AMARANTH__RECORD_VERSION__INIT;
-  Amaranth__Record r = AMARANTH__RECORD__INIT;
-  Amaranth__Record *list[] = { &r };
-  Amaranth__RecordList l = AMARANTH__RECORD_LIST__INIT;
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct record_offer o;
   int fd = connect_to (vm);
 
-  v.name = (char *)"dispatch";
-  v.revision = 1;
-  r.version = &v;
-  r.text.data = (uint8_t *)text;
-  r.text.len = strlen (text);
-  l.records = list;
-  l.n_records = 1;
-  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
-  e.record_list = &l;
-  send_envelope (fd, &e);
+  record_offer_init (&o, "dispatch", 1, text);
+  send_envelope (fd, &o.envelope);
   close (fd);
 }
 
--- a/test/test_control_config.c
+++ b/test/test_control_config.c
@@ -54,27 +54,10 @@
 static int
 hand (struct net *n, size_t node, const char *name, const char *text)
 {
-  Amaranth__RecordVersion v = AMARANTH__RECORD_VERSION__INIT;
-  Amaranth__Record r = AMARANTH__RECORD__INIT;
-  Amaranth__Record *list[] = { &r };
-  Amaranth__RecordList l = AMARANTH__RECORD_LIST__INIT;
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event
-      = { .type = AM_CONTROL_STREAM, .stream = 9999 };
-  uint8_t buf[8192];
-
-  v.name = (char *)name;
-  v.revision = 1;
-  r.version = &v;
-  r.text.data = (uint8_t *)text;
-  r.text.len = strlen (text);
-  l.records = list;
-  l.n_records = 1;
-  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
-  e.record_list = &l;
-  event.len = amaranth__envelope__pack (&e, buf);
-  event.data = buf;
-  return net_event (n, node, &event);
+  struct record_offer o;
+
+  record_offer_init (&o, name, 1, text);
+  return net_message (n, node, AM_CONTROL_STREAM, &o.envelope);
 }
 
 static int
--- a/test/test_control_delta.c
+++ b/test/test_control_delta.c
@@ -33,22 +33,6 @@
   ck_assert_uint_eq (f->lowered, 0);
 }
 
-static void
-lose_forwarder (void)
-{
-  struct am_control_event e = { .type = AM_CONTROL_FORWARDER_LOST };
-
-  net_event (&net, 0, &e);
-}
-
-static void
-connect_forwarder (void)
-{
-  struct am_control_event e = { .type = AM_CONTROL_FORWARDER_UP };
-
-  net_event (&net, 0, &e);
-}
-
 /* Guards against an agent that goes on sending everything.  */
 START_TEST (changes_go_as_deltas)
 {
@@ -72,16 +56,16 @@
 START_TEST (new_connection_begins_whole)
 {
   begin (2);
-  lose_forwarder ();
+  net_message (&net, 0, AM_CONTROL_FORWARDER_LOST, NULL);
   amaranth__snapshot__free_unpacked (f->snapshot, NULL);
   f->snapshot = NULL;
   f->digest = 0;
   f->boot_id++;
-  connect_forwarder ();
+  net_message (&net, 0, AM_CONTROL_FORWARDER_UP, NULL);
   change (2, 3 * NET_SECOND);
-  lose_forwarder ();
+  net_message (&net, 0, AM_CONTROL_FORWARDER_LOST, NULL);
   f->digest++;
-  connect_forwarder ();
+  net_message (&net, 0, AM_CONTROL_FORWARDER_UP, NULL);
   change (3, 3 * NET_SECOND);
   ck_assert_uint_eq (f->refused, 0);
   net_finish (&net);
--- a/test/test_control_membership.c
+++ b/test/test_control_membership.c
@@ -154,19 +154,17 @@
    planned stop that waits for suspicion.  */
 START_TEST (stop_is_announced)
 {
-  struct am_control_event e = { .type = AM_CONTROL_STOP };
   struct net n;
 
   start (&n, 7, 5);
   n.nodes[2].forwarder.life = AMARANTH__LIFE_STATE__LIFE_STOPPING;
   net_run (&n, 2 * NET_SECOND);
   all_see (&n, 2, LEAVING);
-  net_event (&n, 2, &e);
+  net_message (&n, 2, AM_CONTROL_STOP, NULL);
   net_run (&n, 3 * NET_SECOND);
   ck_assert_uint_eq (n.nodes[2].exits, 0);
   all_see (&n, 2, LEAVING);
-  e.type = AM_CONTROL_FORWARDER_LOST;
-  net_event (&n, 2, &e);
+  net_message (&n, 2, AM_CONTROL_FORWARDER_LOST, NULL);
   net_run (&n, NET_SECOND / 2);
   ck_assert_uint_gt (n.nodes[2].exits, 0);
   net_kill (&n, 2);
@@ -180,11 +178,10 @@
    of the fleet as left.  */
 START_TEST (agent_alone_is_not_left)
 {
-  struct am_control_event e = { .type = AM_CONTROL_STOP };
   struct net n;
 
   start (&n, 7, 6);
-  net_event (&n, 2, &e);
+  net_message (&n, 2, AM_CONTROL_STOP, NULL);
   net_run (&n, 2 * NET_SECOND);
   ck_assert_uint_gt (n.nodes[2].exits, 0);
   all_see (&n, 2, LEAVING);
@@ -195,12 +192,11 @@
 /* Guards against a VM without a forwarder that is given new work.  */
 START_TEST (lost_forwarder_is_leaving)
 {
-  struct am_control_event e = { .type = AM_CONTROL_FORWARDER_LOST };
   struct net n;
 
   start (&n, 7, 7);
   n.nodes[4].life++;
-  net_event (&n, 4, &e);
+  net_message (&n, 4, AM_CONTROL_FORWARDER_LOST, NULL);
   net_schedule (&n, 1000, NET_TICK, 4, 0, NULL, 0);
   net_run (&n, 4 * NET_SECOND);
   all_see (&n, 4, LEAVING);
--- a/test/test_control_recovery.c
+++ b/test/test_control_recovery.c
@@ -219,8 +219,6 @@
   Amaranth__UpstreamLoad *list[15];
   Amaranth__Report r = AMARANTH__REPORT__INIT;
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t buf[2048];
   char name[32];
   struct net n;
 
@@ -242,9 +240,7 @@
     {
       r.boot_id = n.nodes[node].forwarder.boot_id;
       r.digest = n.nodes[node].forwarder.digest;
-      event.len = amaranth__envelope__pack (&e, buf);
-      event.data = buf;
-      net_event (&n, node, &event);
+      net_message (&n, node, AM_CONTROL_FORWARDER, &e);
     }
   net_run (&n, 8 * NET_SECOND);
   for (size_t i = 0; i < 7; i++)
@@ -267,8 +263,6 @@
   Amaranth__Service *services[] = { &service };
   Amaranth__Snapshot s = AMARANTH__SNAPSHOT__INIT;
   Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  struct am_control_event event = { .type = AM_CONTROL_FORWARDER };
-  uint8_t buf[512];
   struct net n;
 
   net_init (&n, 1, 1, 9);
@@ -282,9 +276,7 @@
   s.n_services = 1;
   e.body_case = AMARANTH__ENVELOPE__BODY_SNAPSHOT;
   e.snapshot = &s;
-  event.len = amaranth__envelope__pack (&e, buf);
-  event.data = buf;
-  ck_assert_int_eq (net_event (&n, 0, &event), AM_OK);
+  ck_assert_int_eq (net_message (&n, 0, AM_CONTROL_FORWARDER, &e), AM_OK);
   net_run (&n, 20 * NET_SECOND);
   ck_assert_uint_eq (am_control_revision (n.nodes[0].control, "s0"), 3);
   ck_assert_uint_eq (n.nodes[0].forwarder.snapshot->services[0]->revision, 5);
--- a/test/test_control_scale.c
+++ b/test/test_control_scale.c
@@ -7,9 +7,9 @@
 
 #include <check.h>
 #include <malloc.h>
-#include <time.h>
 
 #include "control_net.h"
+#include "measure.h"
 
 #define TARGET_NODES 730
 #define TARGET_SERVICES 580
@@ -83,24 +83,6 @@
   return sum;
 }
 
-static double
-processor_seconds (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
-  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
-}
-
-static int
-by_value (const void *a, const void *b)
-{
-  const double *x = a;
-  const double *y = b;
-
-  return *x < *y ? -1 : *x > *y;
-}
-
 static void
 fill_store (struct net *n, size_t records)
 {
@@ -133,8 +115,7 @@
       net_run (n, 5 * NET_SECOND);
     }
   quiet = ((double)n->now - start) / 1e6;
-  qsort (times, CHANGES, sizeof times[0], by_value);
-  f->spread_median_s = times[CHANGES / 2];
+  f->spread_median_s = measure_median (times, CHANGES);
   f->spread_max_s = times[CHANGES - 1];
   f->bytes_change = (total_bytes (n) - bytes) / (double)n->count / CHANGES
                     - f->bytes_quiet * quiet / CHANGES;
@@ -172,7 +153,7 @@
   f.joined_s = (double)(n.now - NET_SECOND) / 1e6;
   net_run (&n, SETTLE_SECONDS * NET_SECOND);
   bytes = total_bytes (&n);
-  processor = processor_seconds ();
+  processor = measure_processor ();
   for (uint64_t i = 0; i < seconds; i++)
     {
       net_run (&n, NET_SECOND);
@@ -182,7 +163,7 @@
   f.missing /= (double)seconds;
   f.bytes_quiet = (total_bytes (&n) - bytes) / (double)nodes / (double)seconds;
   f.processor
-      = (processor_seconds () - processor) / (double)nodes / (double)seconds;
+      = (measure_processor () - processor) / (double)nodes / (double)seconds;
   f.memory = (double)(mallinfo2 ().uordblks - before.uordblks) / (double)nodes;
   measure_changes (&n, &f);
   f.bytes_total = f.bytes_quiet + f.bytes_change / CHANGE_SECONDS;
@@ -304,28 +285,19 @@
 report (int argc, char **argv)
 {
   struct figures f[8];
-  const char *sizes = "7,50,200";
-  uint64_t seed = 1;
-  uint64_t seconds = 30;
+  const char *sizes = measure_option (argc, argv, "--sizes", "7,50,200");
+  const char *spread = measure_option (argc, argv, "--fanout", "0");
+  uint64_t seed
+      = strtoull (measure_option (argc, argv, "--seed", "1"), NULL, 10);
+  uint64_t seconds
+      = strtoull (measure_option (argc, argv, "--seconds", "30"), NULL, 10);
   size_t n = 0;
 
-  for (int i = 1; i + 1 < argc; i += 2)
-    {
-      if (strcmp (argv[i], "--sizes") == 0)
-        sizes = argv[i + 1];
-      else if (strcmp (argv[i], "--seed") == 0)
-        seed = strtoull (argv[i + 1], NULL, 10);
-      else if (strcmp (argv[i], "--fanout") == 0)
-        fanout = strcmp (argv[i + 1], "none") == 0
-                     ? AM_FANOUT_NONE
-                     : (uint32_t)strtoul (argv[i + 1], NULL, 10);
-      else if (strcmp (argv[i], "--readers") == 0)
-        readers = (uint32_t)strtoul (argv[i + 1], NULL, 10);
-      else if (strcmp (argv[i], "--loss") == 0)
-        loss = strtod (argv[i + 1], NULL);
-      else if (strcmp (argv[i], "--seconds") == 0)
-        seconds = strtoull (argv[i + 1], NULL, 10);
-    }
+  fanout = strcmp (spread, "none") == 0 ? AM_FANOUT_NONE
+                                        : (uint32_t)strtoul (spread, NULL, 10);
+  readers = (uint32_t)strtoul (measure_option (argc, argv, "--readers", "0"),
+                               NULL, 10);
+  loss = strtod (measure_option (argc, argv, "--loss", "0"), NULL);
   while (*sizes && n < 8)
     {
       char *end;
--- a/test/test_control_states.c
+++ b/test/test_control_states.c
@@ -55,17 +55,10 @@
 static struct am_control *
 engine (void)
 {
-  struct am_control_options o = { .self = { .id = 1,
-                                            .name = "vm-1",
-                                            .data_centre = "dc-0",
-                                            .region = "r",
-                                            .ip = 0x7f3c0001,
-                                            .agent_port = 7100 },
-                                  .incarnation = 10,
-                                  .sink = { drop_action, NULL } };
-  struct am_control *c;
-
-  ck_assert_int_eq (am_control_new (&c, &o), AM_OK);
+  struct am_control *c = net_engine (
+      "vm-1", "dc-0", 10, (struct am_control_sink){ drop_action, NULL });
+
+  ck_assert_ptr_nonnull (c);
   c->now_us = 1000 * AM_SECOND_US;
   return c;
 }
--- a/test/test_explore_config.c
+++ b/test/test_explore_config.c
@@ -68,31 +68,20 @@
   struct net *n = &s->n;
   size_t node = below (s, (uint32_t)n->count);
   struct net_record *r;
-  Amaranth__RecordVersion v = AMARANTH__RECORD_VERSION__INIT;
-  Amaranth__Record record = AMARANTH__RECORD__INIT;
-  Amaranth__Record *list[] = { &record };
-  Amaranth__RecordList l = AMARANTH__RECORD_LIST__INIT;
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
-  uint8_t buf[8192];
+  struct record_offer o;
+  uint8_t *buf;
   size_t len;
 
   if (!n->store.count)
     return;
   r = &n->store.records[below (s, (uint32_t)n->store.count)];
-  v.name = r->name;
-  v.revision = r->revision;
-  record.version = &v;
-  record.text.data = (uint8_t *)r->text;
-  record.text.len = strlen (r->text);
-  l.records = list;
-  l.n_records = 1;
-  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
-  e.record_list = &l;
-  len = amaranth__envelope__pack (&e, buf);
+  record_offer_init (&o, r->name, r->revision, r->text);
+  buf = net_pack (&o.envelope, &len);
   net_schedule (n, below (s, 5000000), NET_STREAM, node, NET_NODES, buf, len);
   if (below (s, 3) == 0)
     net_schedule (n, below (s, 5000000), NET_STREAM, node, NET_NODES, buf,
                   len);
+  free (buf);
 }
 
 static void
--- a/test/test_snapshot_cost.c
+++ b/test/test_snapshot_cost.c
@@ -11,9 +11,9 @@
    at two numbers of rounds, for the difference.  */
 
 #include <check.h>
-#include <time.h>
 
 #include "control_net.h"
+#include "measure.h"
 
 #include "core/control_board.h"
 #include "core/control_members.h"
@@ -76,15 +76,9 @@
              const Amaranth__Envelope *e)
 {
   struct am_control_event event = { .type = type, .now_us = p->now_us };
-  uint8_t *data = NULL;
+  uint8_t *data = e ? net_pack (e, &event.len) : NULL;
 
-  if (e)
-    {
-      event.len = amaranth__envelope__get_packed_size (e);
-      data = malloc (event.len + 1);
-      amaranth__envelope__pack (e, data);
-      event.data = data;
-    }
+  event.data = data;
   must (am_control_event (p->agent, &event) == AM_OK);
   free (data);
 }
@@ -92,11 +86,7 @@
 static void
 offer (struct pair *p, size_t number, uint64_t revision)
 {
-  Amaranth__RecordList list = AMARANTH__RECORD_LIST__INIT;
-  Amaranth__Record record = AMARANTH__RECORD__INIT;
-  Amaranth__RecordVersion version = AMARANTH__RECORD_VERSION__INIT;
-  Amaranth__Record *records[] = { &record };
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct record_offer o;
   char name[32];
   char write_id[40];
   char *text;
@@ -105,17 +95,9 @@
   snprintf (write_id, sizeof write_id, "%032llx",
             (unsigned long long)revision);
   text = net_text (name, revision, revision, TARGETS_A_SERVICE);
-  version.name = name;
-  version.revision = revision;
-  version.write_id = write_id;
-  record.version = &version;
-  record.text.data = (uint8_t *)text;
-  record.text.len = strlen (text);
-  list.records = records;
-  list.n_records = 1;
-  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
-  e.record_list = &list;
-  agent_event (p, AM_CONTROL_STREAM, &e);
+  record_offer_init (&o, name, revision, text);
+  o.version.write_id = write_id;
+  agent_event (p, AM_CONTROL_STREAM, &o.envelope);
   free (text);
 }
 
@@ -206,20 +188,14 @@
   struct am_dispatch_options d
       = { .self = { .id = SELF, .name = "vm1", .region = "r", .boot_id = 77 },
           .sink = { from_forwarder, p } };
-  struct am_control_options o = { .self = { .id = SELF,
-                                            .name = "vm1",
-                                            .data_centre = "a",
-                                            .region = "r",
-                                            .ip = 0x7f3c0001,
-                                            .agent_port = 7100 },
-                                  .incarnation = 1,
-                                  .sink = { from_agent, p } };
 
   memset (p, 0, sizeof *p);
   d.peer_key = p->key;
   p->now_us = 100 * AM_SECOND_US;
   must (am_dispatch_init (&p->forwarder, &d) == AM_OK);
-  must (am_control_new (&p->agent, &o) == AM_OK);
+  p->agent
+      = net_engine ("vm1", "a", 1, (struct am_control_sink){ from_agent, p });
+  must (p->agent != NULL);
   agent_event (p, AM_CONTROL_TICK, NULL);
   for (size_t i = 0; i < services; i++)
     offer (p, i, 1);
@@ -266,24 +242,6 @@
   must (am_control_event (p->agent, &e) == AM_OK);
 }
 
-static double
-seconds (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
-  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
-}
-
-static int
-by_value (const void *a, const void *b)
-{
-  const double *x = a;
-  const double *y = b;
-
-  return *x < *y ? -1 : *x > *y;
-}
-
 struct cost
 {
   size_t bytes;
@@ -305,19 +263,17 @@
       double from;
 
       make_change (&p, change, i);
-      from = seconds ();
+      from = measure_processor ();
       agent_send (&p);
-      agent[i] = seconds () - from;
+      agent[i] = measure_processor () - from;
       c.bytes = p.len;
-      from = seconds ();
+      from = measure_processor ();
       forwarder_take (&p);
-      forwarder[i] = seconds () - from;
+      forwarder[i] = measure_processor () - from;
       acknowledge (&p);
     }
-  qsort (agent, rounds, sizeof agent[0], by_value);
-  qsort (forwarder, rounds, sizeof forwarder[0], by_value);
-  c.agent_s = agent[rounds / 2];
-  c.forwarder_s = forwarder[rounds / 2];
+  c.agent_s = measure_median (agent, rounds);
+  c.forwarder_s = measure_median (forwarder, rounds);
   finish (&p);
   return c;
 }
@@ -344,12 +300,11 @@
     }
   for (size_t i = 0; i < rounds; i++)
     {
-      double from = seconds ();
+      double from = measure_processor ();
 
       agent_read (&p, &store);
-      times[i] = seconds () - from;
+      times[i] = measure_processor () - from;
     }
-  qsort (times, rounds, sizeof times[0], by_value);
   for (size_t i = 0; i < services; i++)
     {
       free ((char *)(uintptr_t)values[i].name);
@@ -357,27 +312,20 @@
     }
   free (values);
   finish (&p);
-  return times[rounds / 2];
+  return measure_median (times, rounds);
 }
 
 static int
 report (int argc, char **argv)
 {
-  size_t services = TARGET_SERVICES;
-  size_t rounds = 20;
-  const char *name = "config";
+  const char *wanted = measure_option (argc, argv, "--services", NULL);
+  const char *name = measure_option (argc, argv, "--change", "config");
+  size_t rounds
+      = strtoul (measure_option (argc, argv, "--rounds", "20"), NULL, 10);
+  size_t services = wanted ? strtoul (wanted, NULL, 10) : TARGET_SERVICES;
   enum change change = CHANGE_CONFIG;
   struct cost c;
 
-  for (int i = 1; i + 1 < argc; i += 2)
-    {
-      if (strcmp (argv[i], "--services") == 0)
-        services = strtoul (argv[i + 1], NULL, 10);
-      else if (strcmp (argv[i], "--rounds") == 0)
-        rounds = strtoul (argv[i + 1], NULL, 10);
-      else if (strcmp (argv[i], "--change") == 0)
-        name = argv[i + 1];
-    }
   if (strcmp (name, "member") == 0)
     change = CHANGE_MEMBER;
   if (rounds == 0 || rounds > ROUNDS_MAX)
