--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -16,7 +16,8 @@
 #include <unistd.h>
 
 #include "base/error.h"
-#include "wire/amaranth.pb-c.h"
+#include "own_address.h"
+#include "record_offer.h"
 #include "wire/frame.h"
 
 #define AGENT AM_BINARY_DIR "/amaranth-agent"
@@ -57,17 +58,19 @@
 {
   char name[32];
   char text[1024];
+  char expanded[1024];
 
   snprintf (name, sizeof name, "vm-%d.yaml", vm);
   snprintf (text, sizeof text,
             "vm: {id: %d, name: vm-%d, region: r, data_centre: dc, "
-            "address: 127.60.5.%d}\n"
-            "fabric: {return_address: 127.60.5.200:7900}\n"
-            "store: {url: \"http://127.60.5.201:8500\", timeout_ms: 500}\n"
+            "address: @%d}\n"
+            "fabric: {return_address: @10:7900}\n"
+            "store: {url: \"http://@11:8500\", timeout_ms: 500}\n"
             "peers: {key_file: peer.key, seeds: [\"%s\"]}\n"
             "log: {level: %s, decisions: true}\n",
             vm, vm, vm, seed, level);
-  write_file (name, text, 0644);
+  own_text (expanded, sizeof expanded, text);
+  write_file (name, expanded, 0644);
 }
 
 static pid_t
@@ -109,7 +112,7 @@
   sodium_bin2hex (hex, sizeof hex, key, sizeof key);
   write_file ("peer.key", hex, 0600);
   for (int i = 0; i < AGENTS; i++)
-    write_settings (i + 1, "127.60.5.1:7100", "info");
+    write_settings (i + 1, "@1:7100", "info");
 }
 
 static void
@@ -141,13 +144,11 @@
 static int
 connect_to (int vm)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (7101) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip ((uint32_t)vm), 7101 });
   struct timeval limit = { 2, 0 };
-  char text[32];
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  snprintf (text, sizeof text, "127.60.5.%d", vm);
-  inet_pton (AF_INET, text, &sa.sin_addr);
   setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) == 0)
     return fd;
@@ -234,41 +235,29 @@
 static void
 hand_record (int vm)
 {
-  static char text[]
+  static const char text[]
       = "{\"schema\":2,\"kind\":\"service\",\"name\":\"dispatch\",\"region\":"
         "\"r\",\"address\":\"127.60.6.1:8001\",\"revision\":1,\"write_id\":"
         "\"00000000000000000000000000000001\",\"binding\":\"ticket\","
         "\"upstreams\":[{\"name\":\"d-1\",\"address\":\"127.60.6.2:9000\","
         "\"data_centre\":\"dc\",\"incarnation\":1,\"state\":\"active\","
         "\"slots\":2,\"connections\":2000}]}";
-  Amaranth__RecordVersion v = AMARANTH__RECORD_VERSION__INIT;
-  Amaranth__Record r = AMARANTH__RECORD__INIT;
-  Amaranth__Record *list[] = { &r };
-  Amaranth__RecordList l = AMARANTH__RECORD_LIST__INIT;
-  Amaranth__Envelope e = AMARANTH__ENVELOPE__INIT;
+  struct record_offer o;
   int fd = connect_to (vm);
 
-  v.name = (char *)"dispatch";
-  v.revision = 1;
-  r.version = &v;
-  r.text.data = (uint8_t *)text;
-  r.text.len = strlen (text);
-  l.records = list;
-  l.n_records = 1;
-  e.body_case = AMARANTH__ENVELOPE__BODY_RECORD_LIST;
-  e.record_list = &l;
-  send_envelope (fd, &e);
+  record_offer_init (&o, "dispatch", 1, text);
+  send_envelope (fd, &o.envelope);
   close (fd);
 }
 
 static void
 send_noise (void)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (7100) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip (1), 7100 });
   int fd = socket (AF_INET, SOCK_DGRAM, 0);
   uint8_t noise[200];
 
-  inet_pton (AF_INET, "127.60.5.1", &sa.sin_addr);
   for (int i = 0; i < 200; i++)
     {
       randombytes_buf (noise, sizeof noise);
@@ -291,7 +280,7 @@
   hand_record (2);
   ck_assert (wait_for (AGENTS - 1, 1, SPREAD_MS));
   send_noise ();
-  write_settings (1, "127.60.5.2:7100", "debug");
+  write_settings (1, "@2:7100", "debug");
   kill (agents[0], SIGHUP);
   ck_assert (wait_for (AGENTS - 1, 1, SPREAD_MS));
   for (int i = 0; i < AGENTS; i++)
@@ -313,7 +302,7 @@
   ck_assert_int_eq (exit_code (start (9, "--check-settings")), AM_EXIT_DATA);
   write_settings (1, "not an address", "info");
   ck_assert_int_eq (exit_code (start (1, "--check-settings")), AM_EXIT_DATA);
-  write_settings (1, "127.60.5.1:7100", "info");
+  write_settings (1, "@1:7100", "info");
   write_file ("peer.key", "12", 0600);
   ck_assert_int_eq (exit_code (start (1, "--check-settings")), AM_EXIT_DATA);
 }
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -10,9 +10,9 @@
 
 #include "base/error.h"
 #include "io/store_client.h"
+#include "own_address.h"
 
 #define PORT 18571
-#define URL "http://127.60.3.1:18571"
 #define TIMEOUT_MS 500
 
 /* What the server does with the next calls.  */
@@ -95,15 +95,18 @@
 
 static struct server server;
 
+static char store_url[64];
+
 static void
 start_server (void)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+  struct sockaddr_in sa
+      = own_sockaddr ((struct am_address){ own_ip (1), PORT });
 
   memset (&server, 0, sizeof server);
   server.status = 200;
   server.body = "[]";
-  inet_pton (AF_INET, "127.60.3.1", &sa.sin_addr);
+  own_text (store_url, sizeof store_url, "http://@1:18571");
   server.daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, PORT,
       NULL, NULL, handle, &server, MHD_OPTION_SOCK_ADDR, &sa,
@@ -150,24 +153,40 @@
     }
 }
 
+static struct am_store_client *
+client_open (uv_loop_t *loop)
+{
+  struct am_store_client *c;
+
+  uv_loop_init (loop);
+  ck_assert_int_eq (am_store_client_new (&c, loop, store_url, TIMEOUT_MS),
+                    AM_OK);
+  return c;
+}
+
+/* Frees C; nothing of it may stay on LOOP.  */
+static void
+client_close (struct am_store_client *c, uv_loop_t *loop)
+{
+  am_store_client_free (c);
+  uv_run (loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (loop), 0);
+}
+
 static void
 read_once (struct seen *s, uint64_t index)
 {
-  struct am_store_client *c;
   uv_loop_t loop;
+  struct am_store_client *c = client_open (&loop);
 
   memset (s, 0, sizeof *s);
-  uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
   ck_assert_int_eq (
       index ? am_store_watch (c, "amaranth/records/", index, 1000, done, s)
             : am_store_read (c, "amaranth/records/", done, s),
       AM_OK);
   while (s->calls == 0)
     uv_run (&loop, UV_RUN_ONCE);
-  am_store_client_free (c);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  client_close (c, &loop);
 }
 
 /* Guards against values that are decoded wrongly, and a lost index.  */
@@ -266,7 +285,7 @@
     {
       server.status = cases[i].status;
       server.body = cases[i].body;
-      ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+      ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                             (const uint8_t *)"text", 4, 12,
                                             &r),
                         cases[i].error);
@@ -279,12 +298,12 @@
   server.status = 200;
   server.body = "true";
   server.delay_ms = 900;
-  ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+  ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                         (const uint8_t *)"", 0, 0, &r),
                     AM_E_STORE_UNSURE);
   MHD_stop_daemon (server.daemon);
   server.daemon = NULL;
-  ck_assert_int_eq (am_store_write_now (URL, TIMEOUT_MS, "k/a",
+  ck_assert_int_eq (am_store_write_now (store_url, TIMEOUT_MS, "k/a",
                                         (const uint8_t *)"", 0, 0, &r),
                     AM_E_STORE);
 }
@@ -307,12 +326,10 @@
    a lost or ended session taken for a live one.  */
 START_TEST (session_calls)
 {
-  struct am_store_client *c;
   struct seen s = { 0 };
   uv_loop_t loop;
+  struct am_store_client *c = client_open (&loop);
 
-  uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
   server.body = "{\"ID\":\"" SESSION "\"}";
   finish_call (&loop, &s, am_store_session_create (c, 20, done, &s));
   ck_assert_int_eq (s.error, AM_OK);
@@ -335,9 +352,7 @@
   ck_assert_str_eq (server.url, "/v1/session/destroy/" SESSION);
   ck_assert_int_eq (am_store_session_renew (c, "a/b", done, &s),
                     AM_E_ARGUMENT);
-  am_store_client_free (c);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  uv_loop_close (&loop);
+  client_close (c, &loop);
 }
 END_TEST
 
@@ -345,12 +360,10 @@
    against a lost lock index, which shows acquisitions in between.  */
 START_TEST (lock_calls)
 {
-  struct am_store_client *c;
   struct seen s = { 0 };
   uv_loop_t loop;
+  struct am_store_client *c = client_open (&loop);
 
-  uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
   server.body = "true";
   finish_call (
       &loop, &s,
@@ -370,9 +383,7 @@
   finish_call (&loop, &s, am_store_read (c, "k/a", done, &s));
   ck_assert_uint_eq (s.lock_index, 3);
   ck_assert (s.locked);
-  am_store_client_free (c);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  uv_loop_close (&loop);
+  client_close (c, &loop);
 }
 END_TEST
 
@@ -385,16 +396,13 @@
   uv_loop_t loop;
 
   server.delay_ms = 200;
-  uv_loop_init (&loop);
-  ck_assert_int_eq (am_store_client_new (&c, &loop, URL, TIMEOUT_MS), AM_OK);
+  c = client_open (&loop);
   for (int i = 0; i < 3; i++)
     am_store_read (c, "a", done, &s);
   am_store_write (c, "a", (const uint8_t *)"x", 1, 0, done, &s);
   for (int i = 0; i < 20; i++)
     uv_run (&loop, UV_RUN_NOWAIT);
-  am_store_client_free (c);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  client_close (c, &loop);
   ck_assert_uint_eq (s.calls, 0);
 }
 END_TEST
--- a/test/test_tracked_orphans.c
+++ b/test/test_tracked_orphans.c
@@ -62,27 +62,13 @@
   return node;
 }
 
-/* Lets US pass and copies travel.  */
-static void
-run (uint64_t us)
-{
-  for (uint64_t done = 0; done < us; done += 100 * MS)
-    {
-      net_run (&net, 100 * MS);
-      net_pump (&net);
-      net_report_all (&net, &config);
-    }
-}
-
 /* Each flow has PACKETS packets through VMs taken at random; then its upstream
    may leave, which makes exceptions.  */
 static void
 begin (uint64_t seed, unsigned packets)
 {
   am_rng_init (&rng, seed);
-  net_init (&net, NODES_MAX);
-  config_init (&config, AMARANTH__BINDING__BINDING_TRACKED, 3, NODES_MAX);
-  net_apply_all (&net, &config);
+  net_begin (&net, &config, NODES_MAX, AMARANTH__BINDING__BINDING_TRACKED, 3);
   net.now_us += AM_TRACKED_WARMUP_US + SECOND;
   for (size_t i = 0; i < FLOWS; i++)
     {
@@ -93,10 +79,8 @@
       for (unsigned p = 1; p < packets; p++)
         packet (live_node (), &flows[i]);
     }
-  config.service.revision = 2;
-  config.upstream[0].state = AMARANTH__UPSTREAM_STATE__UPSTREAM_LEAVING;
-  net_apply_all (&net, &config);
-  run (2 * SECOND);
+  net_drain_first (&net, &config);
+  net_travel (&net, &config, 2 * SECOND);
   net.now_us += 10 * SECOND;
 }
 
@@ -199,7 +183,7 @@
     }
   learn_deaths (dead, sent);
   if (pause_us)
-    run (pause_us);
+    net_travel (&net, &config, pause_us);
   for (size_t i = 0; i < FLOWS; i++)
     {
       for (int repeat = 0; repeat < 3; repeat++)
