Run test suites in one place

Cause: 34 test programs ended with the same ten lines that run a suite.

Change: test/suite.h.

Conclusion: a test's main lists its cases and nothing else.

--- a/test/core_board.h
+++ b/test/core_board.h
@@ -4,7 +4,6 @@
 #ifndef AM_TEST_CORE_BOARD_H
 #define AM_TEST_CORE_BOARD_H
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +13,7 @@
 #include "core/credit.h"
 #include "core/owned.h"
 #include "core/request.h"
+#include "suite.h"
 
 struct board_options
 {
@@ -113,18 +113,12 @@
 {
   Suite *suite = suite_create (name);
   TCase *tc = tcase_create (name);
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 250);
   for (size_t i = 0; i < n; i++)
     tcase_add_test (tc, tests[i]);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
 
 #define RUN_TESTS(name, tests) \
--- a/test/core_fixture.h
+++ b/test/core_fixture.h
@@ -6,7 +6,6 @@
 #ifndef TEST_CORE_FIXTURE_H
 #define TEST_CORE_FIXTURE_H
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +16,7 @@
 #include "wire/bytes.h"
 #include "wire/frame.h"
 #include "wire/proxy_header.h"
+#include "suite.h"
 
 #ifndef NODES_MAX
 #define NODES_MAX 3
@@ -515,18 +515,12 @@
 {
   Suite *s = suite_create (name);
   TCase *c = tcase_create (name);
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (c, 60);
   for (size_t i = 0; i < n; i++)
     tcase_add_test (c, tests[i]);
   suite_add_tcase (s, c);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
 
 #define RUN_TESTS(name, ...)                                      \
--- a/test/test_address.c
+++ b/test/test_address.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <string.h>
 
 #include "base/address.h"
 #include "base/error.h"
+#include "suite.h"
 
 /* Guards against bytes in the wrong order.  */
 START_TEST (parse)
@@ -64,16 +64,10 @@
 {
   Suite *suite = suite_create ("address");
   TCase *tc = tcase_create ("address");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, parse);
   tcase_add_test (tc, refuse);
   tcase_add_test (tc, equal);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -1,7 +1,6 @@
 /* The agent as a process: settings, sockets, signals.  */
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdbool.h>
@@ -19,6 +18,7 @@
 #include "own_address.h"
 #include "record_offer.h"
 #include "wire/frame.h"
+#include "suite.h"
 
 #define AGENT AM_BINARY_DIR "/amaranth-agent"
 #define AGENTS 3
@@ -313,8 +313,6 @@
 {
   Suite *s = suite_create ("agent");
   TCase *t = tcase_create ("process");
-  SRunner *r;
-  int failed;
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
@@ -323,9 +321,5 @@
   tcase_add_test (t, three_agents);
   tcase_add_test (t, settings_are_checked);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_caller_standin.c
+++ b/test/test_caller_standin.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 #include "standin_process.h"
 #include "wire/packet.h"
 #include "wire/ticket.h"
+#include "suite.h"
 
 #define SERVICE "@1:8001"
 #define COMMON                                          \
@@ -249,8 +249,6 @@
 {
   Suite *suite = suite_create ("caller_standin");
   TCase *tc = tcase_create ("caller");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, test_reset_opens_anew);
@@ -258,9 +256,5 @@
   tcase_add_test (tc, test_missing_segment_is_asked_for);
   tcase_add_test (tc, test_unknown_stays_unknown);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_control_config.c
+++ b/test/test_control_config.c
@@ -1,10 +1,9 @@
 /* Configuration: order of versions, spread, readers, a store that is down or
    older than its past.  */
 
-#include <check.h>
-
 #include "control_net.h"
 #include "core/control_readers.h"
+#include "suite.h"
 
 static void
 start (struct net *n, size_t nodes, uint64_t seed)
@@ -307,8 +306,6 @@
 {
   Suite *s = suite_create ("control_config");
   TCase *t = tcase_create ("records");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (t, 100);
   tcase_add_test (t, newest_version_wins);
@@ -321,9 +318,5 @@
   tcase_add_test (t, outage_backs_off);
   tcase_add_test (t, refused_record_costs_little);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_control_delta.c
+++ b/test/test_control_delta.c
@@ -1,9 +1,8 @@
 /* Deltas that an agent sends to its forwarder.  */
 
-#include <check.h>
-
 #include "base/hash.h"
 #include "control_net.h"
+#include "suite.h"
 
 static struct net net;
 static struct net_forwarder *f;
@@ -123,8 +122,6 @@
 {
   Suite *s = suite_create ("control_delta");
   TCase *t = tcase_create ("delta");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (t, 60);
   tcase_add_test (t, changes_go_as_deltas);
@@ -133,9 +130,5 @@
   tcase_add_test (t, lost_delta_is_made_good);
   tcase_add_test (t, old_forwarder_gets_whole);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_control_membership.c
+++ b/test/test_control_membership.c
@@ -1,9 +1,8 @@
 /* Membership: failure detection, refutation, leaving, partitions.  */
 
-#include <check.h>
-
 #include "control_net.h"
 #include "core/control_board.h"
+#include "suite.h"
 
 #define ALIVE AMARANTH__MEMBER_STATE__MEMBER_ALIVE
 #define SUSPECT AMARANTH__MEMBER_STATE__MEMBER_SUSPECT
@@ -276,8 +275,6 @@
 {
   Suite *s = suite_create ("control_membership");
   TCase *t = tcase_create ("members");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (t, 100);
   tcase_add_loop_test (t, all_meet, 0, 5);
@@ -293,9 +290,5 @@
   tcase_add_test (t, dead_are_forgotten);
   tcase_add_test (t, datagrams_are_bounded);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_control_recovery.c
+++ b/test/test_control_recovery.c
@@ -1,9 +1,8 @@
 /* Forwarder link, health verdicts, and what a fresh agent may do.  */
 
-#include <check.h>
-
 #include "base/hash.h"
 #include "control_net.h"
+#include "suite.h"
 
 static void
 start (struct net *n, size_t nodes, uint64_t seed)
@@ -293,8 +292,6 @@
 {
   Suite *s = suite_create ("control_recovery");
   TCase *t = tcase_create ("recovery");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (t, 100);
   tcase_add_test (t, snapshot_has_everything);
@@ -307,9 +304,5 @@
   tcase_add_test (t, ejections_are_limited);
   tcase_add_test (t, forwarder_floor_is_kept);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_control_scale.c
+++ b/test/test_control_scale.c
@@ -5,11 +5,11 @@
    [--readers N] [--loss P] prints one JSON object a size, and last the slopes
    and the values extrapolated to 730.  */
 
-#include <check.h>
 #include <malloc.h>
 
 #include "control_net.h"
 #include "measure.h"
+#include "suite.h"
 
 #define TARGET_NODES 730
 #define TARGET_SERVICES 580
@@ -316,8 +316,6 @@
 {
   Suite *s = suite_create ("control_scale");
   TCase *t = tcase_create ("bounds");
-  SRunner *r;
-  int failed;
 
   if (argc > 1)
     return report (argc, argv);
@@ -326,9 +324,5 @@
   tcase_add_test (t, announcement_reaches_all);
   tcase_add_test (t, stays_within_bounds_with_loss);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_control_states.c
+++ b/test/test_control_states.c
@@ -1,11 +1,10 @@
 /* Every event in every state: entry VM, record, key.  */
 
-#include <check.h>
-
 #include "control_net.h"
 #include "core/control_board.h"
 #include "core/control_config.h"
 #include "core/control_members.h"
+#include "suite.h"
 
 /* ---- entry VM ----------------------------------------------------- */
 
@@ -384,8 +383,6 @@
 {
   Suite *s = suite_create ("control_states");
   TCase *t = tcase_create ("tables");
-  SRunner *r;
-  int failed;
 
   tcase_add_loop_test (t, vm_events, 0, sizeof vm_table / sizeof vm_table[0]);
   tcase_add_test (t, self_refutes);
@@ -395,9 +392,5 @@
   tcase_add_test (t, key_states_reach_the_forwarder);
   tcase_add_test (t, malformed_messages);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "fake_platform.h"
+#include "suite.h"
 
 #define ARGUMENTS_MAX 24
 #define TEXT_SIZE 65536
@@ -836,8 +837,6 @@
 {
   Suite *suite = suite_create ("ctl");
   TCase *tc = tcase_create ("ctl");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_set_timeout (tc, 60);
@@ -866,9 +865,5 @@
   tcase_add_test (tc, agent_commands);
   tcase_add_test (tc, json_output);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_error.c
+++ b/test/test_error.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "io/program.h"
+#include "suite.h"
 
 static const struct
 {
@@ -73,17 +73,11 @@
 {
   Suite *suite = suite_create ("error");
   TCase *tc = tcase_create ("error");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, unique);
   tcase_add_test (tc, named);
   tcase_add_test (tc, stable);
   tcase_add_test (tc, exit_codes);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_explore_config.c
+++ b/test/test_explore_config.c
@@ -10,9 +10,8 @@
    Usage: test_explore_config [--schedules N] [--seed S]; with --seed only that
    schedule runs, with its decision lines.  */
 
-#include <check.h>
-
 #include "control_net.h"
+#include "suite.h"
 
 #define SCHEDULES 600
 #define STEPS 40
@@ -333,8 +332,6 @@
 {
   Suite *s = suite_create ("explore_config");
   TCase *t = tcase_create ("schedules");
-  SRunner *r;
-  int failed;
 
   for (int i = 1; i + 1 < argc; i += 2)
     {
@@ -354,9 +351,5 @@
   tcase_set_timeout (t, 110);
   tcase_add_test (t, all_schedules_hold);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_explore_owner.c
+++ b/test/test_explore_owner.c
@@ -7,7 +7,6 @@
    calls that take effect after they failed, lost promises, copies of requests
    that are late or go through another VM.  AM_SEED replays one schedule.  */
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +14,7 @@
 #include "base/error.h"
 #include "base/rng.h"
 #include "core/owner.h"
+#include "suite.h"
 
 #define NODES 4
 #define HOME 3
@@ -920,17 +920,11 @@
 {
   Suite *s = suite_create ("explore_owner");
   TCase *t = tcase_create ("schedules");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (t, 100);
   tcase_add_test (t, no_faults);
   tcase_add_test (t, explore);
   tcase_add_test (t, explore_gates);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_fabric.c
+++ b/test/test_fabric.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 
 #include "standin_process.h"
 #include "wire/proxy_header.h"
+#include "suite.h"
 
 #define RETURN "@1:7900"
 #define CONTROL "@1:7901"
@@ -107,17 +107,11 @@
 {
   Suite *suite = suite_create ("fabric");
   TCase *tc = tcase_create ("fabric");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_checked_fixture (tc, start, stop);
   tcase_add_test (tc, test_packet_and_reply);
   tcase_add_test (tc, test_spray_follows_the_forwarders);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_hash.c
+++ b/test/test_hash.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <math.h>
 #include <stdio.h>
 
 #include "base/hash.h"
+#include "suite.h"
 
 #define KEYS 20000
 #define NODES 7
@@ -81,17 +81,11 @@
 {
   Suite *suite = suite_create ("hash");
   TCase *tc = tcase_create ("hash");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, stable_ids);
   tcase_add_test (tc, minimal_movement);
   tcase_add_test (tc, weights);
   tcase_add_test (tc, seeds);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_list.c
+++ b/test/test_list.c
@@ -1,6 +1,6 @@
-#include <check.h>
 
 #include "base/list.h"
+#include "suite.h"
 
 struct item
 {
@@ -87,17 +87,11 @@
 {
   Suite *suite = suite_create ("list");
   TCase *tc = tcase_create ("list");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, order);
   tcase_add_test (tc, remove_twice);
   tcase_add_test (tc, remove_in_walk);
   tcase_add_test (tc, pop);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "base/error.h"
 #include "base/log.h"
+#include "suite.h"
 
 #define TEXT_SIZE 4096
 
@@ -84,17 +84,11 @@
 {
   Suite *suite = suite_create ("log");
   TCase *tc = tcase_create ("log");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, line);
   tcase_add_test (tc, long_line);
   tcase_add_test (tc, levels);
   tcase_add_test (tc, limiter);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_merge.c
+++ b/test/test_merge.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "record/record.h"
+#include "suite.h"
 
 #define HEAD_1                                                       \
   "{\"schema\":1,\"kind\":\"service\",\"name\":\"archive\","         \
@@ -243,8 +243,6 @@
 {
   Suite *suite = suite_create ("merge");
   TCase *tc = tcase_create ("merge");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_add_test (tc, different_fields);
@@ -256,9 +254,5 @@
   tcase_add_test (tc, no_base);
   tcase_add_test (tc, compare);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_open_rate.c
+++ b/test/test_open_rate.c
@@ -4,6 +4,7 @@
 #include "base/rng.h"
 #include "core/open_rate.h"
 #include "core_board.h"
+#include "suite.h"
 
 #define HOMES 7
 #define SECONDS 20
@@ -92,16 +93,10 @@
 {
   Suite *suite = suite_create ("open_rate");
   TCase *tc = tcase_create ("open_rate");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, test_bound_holds_for_the_fleet);
   tcase_add_loop_test (tc, test_caller_within_the_bound, 0, 5);
   tcase_add_test (tc, test_services_are_apart);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_owned.c
+++ b/test/test_owned.c
@@ -4,6 +4,7 @@
 
 #include "core/admission.h"
 #include "core/owned.h"
+#include "suite.h"
 
 #define ID 4711u
 
@@ -333,8 +334,6 @@
 {
   Suite *s = suite_create ("owned");
   TCase *t = tcase_create ("owned");
-  SRunner *r;
-  int failed;
 
   tcase_add_test (t, runs_at_the_owner);
   tcase_add_test (t, outside_the_home_set);
@@ -345,9 +344,5 @@
   tcase_add_test (t, cancel_and_payload);
   tcase_add_test (t, queues_for_all_home_vms);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -1,11 +1,11 @@
 /* Lease of the owner and gate of the forwarder: every event in every state. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "core/owner.h"
+#include "suite.h"
 
 #define SECOND UINT64_C (1000000)
 #define NOW_US (100u * SECOND)
@@ -552,8 +552,6 @@
 {
   Suite *s = suite_create ("owner");
   TCase *t = tcase_create ("owner");
-  SRunner *r;
-  int failed;
 
   tcase_add_test (t, lease_states);
   tcase_add_test (t, validity_counts_from_sending);
@@ -568,9 +566,5 @@
   tcase_add_test (t, gate_grants);
   tcase_add_test (t, gate_memory);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -2,7 +2,6 @@
    lost (requests may have run) and which as unopened (nothing has left).  */
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -11,6 +10,7 @@
 #include "io/pool.h"
 #include "own_address.h"
 #include "wire/packet.h"
+#include "suite.h"
 
 #define TURNS 400
 #define TURN_US 5000u
@@ -204,8 +204,6 @@
 {
   Suite *suite = suite_create ("pool");
   TCase *tc = tcase_create ("pool");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, test_refused_connection_is_unopened);
@@ -213,9 +211,5 @@
   tcase_add_test (tc, test_silent_address_is_given_up);
   tcase_add_test (tc, test_changed_address_is_lost);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_record.c
+++ b/test/test_record.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,6 +5,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "record/record.h"
+#include "suite.h"
 
 #define TEXT_SIZE 65536
 
@@ -345,8 +345,6 @@
 {
   Suite *suite = suite_create ("record");
   TCase *tc = tcase_create ("record");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_set_timeout (tc, 60);
@@ -361,9 +359,5 @@
   tcase_add_test (tc, cut_short);
   tcase_add_test (tc, fault_line);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 
 #include "standin_datagram.h"
 #include "standin_process.h"
 #include "standin_relay.h"
+#include "suite.h"
 
 #define SEED 20261204
 #define FLOWS 1000
@@ -222,8 +222,6 @@
 {
   Suite *suite = suite_create ("relay");
   TCase *tc = tcase_create ("relay");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, test_silence_drops_only_old_ids);
@@ -233,9 +231,5 @@
   tcase_add_test (tc, test_replies_find_their_way);
   tcase_add_test (tc, test_cut_stream_goes_on);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +7,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "io/settings.h"
+#include "suite.h"
 
 static const char sample[] = "vm:\n"
                              "  id: 1\n"
@@ -197,8 +197,6 @@
 {
   Suite *suite = suite_create ("settings");
   TCase *tc = tcase_create ("settings");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, defaults);
@@ -208,9 +206,5 @@
   tcase_add_test (tc, unreadable);
   tcase_add_test (tc, peer_key);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/test/test_snapshot_cost.c
+++ b/test/test_snapshot_cost.c
@@ -10,8 +10,6 @@
 
    at two numbers of rounds, for the difference.  */
 
-#include <check.h>
-
 #include "control_net.h"
 #include "measure.h"
 
@@ -19,6 +17,7 @@
 #include "core/control_members.h"
 #include "core/dispatch.h"
 #include "wire/frame.h"
+#include "suite.h"
 
 #define TARGETS_A_SERVICE 10
 #define TARGET_SERVICES 580
@@ -360,17 +359,11 @@
 {
   Suite *s = suite_create ("snapshot_cost");
   TCase *t = tcase_create ("cost");
-  SRunner *r;
-  int failed;
 
   if (argc > 1)
     return report (argc, argv);
   tcase_set_timeout (t, 60);
   tcase_add_loop_test (t, bytes_do_not_grow, CHANGE_CONFIG, CHANGE_MEMBER + 1);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -1,7 +1,6 @@
 /* Store client against a small HTTP server in the same process.  */
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <curl/curl.h>
 #include <microhttpd.h>
 #include <pthread.h>
@@ -11,6 +10,7 @@
 #include "base/error.h"
 #include "io/store_client.h"
 #include "own_address.h"
+#include "suite.h"
 
 #define PORT 18571
 #define TIMEOUT_MS 500
@@ -412,8 +412,6 @@
 {
   Suite *s = suite_create ("store_client");
   TCase *t = tcase_create ("calls");
-  SRunner *r;
-  int failed;
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   tcase_set_timeout (t, 30);
@@ -426,9 +424,5 @@
   tcase_add_test (t, lock_calls);
   tcase_add_test (t, free_ends_calls);
   suite_add_tcase (s, t);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_store_standin.c
+++ b/test/test_store_standin.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 
 #include "standin_kv.h"
 #include "standin_process.h"
+#include "suite.h"
 
 #define STORE "@1:8500"
 #define SECOND 1000000u
@@ -256,8 +256,6 @@
   Suite *suite = suite_create ("store_standin");
   TCase *state = tcase_create ("state");
   TCase *process = tcase_create ("process");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (state, test_compare_and_swap);
   tcase_add_test (state, test_delete_raises_the_index);
@@ -271,9 +269,5 @@
   tcase_add_test (process, test_outage_ends);
   suite_add_tcase (suite, state);
   suite_add_tcase (suite, process);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_tracked_copy.c
+++ b/test/test_tracked_copy.c
@@ -1,6 +1,7 @@
 #include "core_fixture.h"
 
 #include "core/tracked_batch.h"
+#include "suite.h"
 
 /* Bound for a configuration to be in force everywhere (design 1.2).  */
 #define IN_FORCE_US (6 * SECOND)
@@ -206,17 +207,11 @@
 {
   Suite *s = suite_create ("tracked_copy");
   TCase *c = tcase_create ("tracked_copy");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (c, 60);
   tcase_add_test (c, test_round_trip);
   tcase_add_test (c, test_malformed_batches);
   tcase_add_loop_test (c, test_time_and_traffic, 0, 3);
   suite_add_tcase (s, c);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_tracked_orphans.c
+++ b/test/test_tracked_orphans.c
@@ -3,6 +3,7 @@
 #include "core_fixture.h"
 
 #include "core/tracked.h"
+#include "suite.h"
 
 #define FLOWS 400
 #define SEEDS 40
@@ -229,15 +230,9 @@
 {
   Suite *s = suite_create ("tracked_orphans");
   TCase *c = tcase_create ("tracked_orphans");
-  SRunner *r;
-  int failed;
 
   tcase_set_timeout (c, 60);
   tcase_add_loop_test (c, test_owner_and_backup_die, 0, 6);
   suite_add_tcase (s, c);
-  r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (s);
 }
--- a/test/test_upstream_standin.c
+++ b/test/test_upstream_standin.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdbool.h>
 #include <stdlib.h>
 
@@ -6,6 +5,7 @@
 #include "standin_datagram.h"
 #include "standin_process.h"
 #include "wire/bytes.h"
+#include "suite.h"
 
 #define TARGET "@1:9000"
 #define SERVICE "@2:8001"
@@ -265,8 +265,6 @@
 {
   Suite *suite = suite_create ("upstream_standin");
   TCase *tc = tcase_create ("upstream");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_checked_fixture (tc, start, stop);
@@ -276,9 +274,5 @@
   tcase_add_test (tc, test_drain);
   tcase_add_test (tc, test_refusals_did_not_run);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/test/test_validate.c
+++ b/test/test_validate.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
 #include "record/record.h"
+#include "suite.h"
 
 #define NOW 1000000
 #define SET_MAX 4
@@ -155,8 +155,6 @@
 {
   Suite *suite = suite_create ("validate");
   TCase *tc = tcase_create ("validate");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_add_test (tc, apart);
@@ -165,9 +163,5 @@
   tcase_add_test (tc, retired_service_and_upstream);
   tcase_add_test (tc, id_collision);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
