--- a/src/core/request_arrival.c
+++ b/src/core/request_arrival.c
@@ -18,26 +18,6 @@
   return NULL;
 }
 
-int
-am_requests_issue (struct am_board *b, struct am_service *s,
-                   uint8_t request_class, struct am_ticket *t)
-{
-  if (b->stopping)
-    return AM_E_STOPPING;
-  if (!find_class (s, request_class))
-    return AM_E_FIELD_VALUE;
-  *t = (struct am_ticket){ .kind = AM_OPEN_REQUEST,
-                           .request_class = request_class,
-                           .service_id = s->id,
-                           .issuer_id = b->self.id,
-                           .issuer_boot_id = b->self.boot_id,
-                           .serial = am_serial_issue (&b->requests->serials),
-                           .issued_ms = b->now_us / 1000 };
-  b->requests->last_issue_us = b->now_us;
-  b->requests->issued = true;
-  return AM_OK;
-}
-
 void
 am_requests_assign (struct am_board *b, const struct am_service *s,
                     uint8_t request_class, struct am_ticket *t)
@@ -51,6 +31,20 @@
                            .issued_ms = b->now_us / 1000 };
 }
 
+int
+am_requests_issue (struct am_board *b, struct am_service *s,
+                   uint8_t request_class, struct am_ticket *t)
+{
+  if (b->stopping)
+    return AM_E_STOPPING;
+  if (!find_class (s, request_class))
+    return AM_E_FIELD_VALUE;
+  am_requests_assign (b, s, request_class, t);
+  b->requests->last_issue_us = b->now_us;
+  b->requests->issued = true;
+  return AM_OK;
+}
+
 bool
 am_requests_known (const struct am_board *b, uint64_t serial)
 {
