--- a/test/core_board.h
+++ b/test/core_board.h
@@ -107,22 +107,8 @@
   return s;
 }
 
-/* Runs the N tests as suite NAME.  Returns the exit status.  */
-static inline int
-run_tests (const char *name, const TTest *const *tests, size_t n)
-{
-  Suite *suite = suite_create (name);
-  TCase *tc = tcase_create (name);
-
-  tcase_set_timeout (tc, 250);
-  for (size_t i = 0; i < n; i++)
-    tcase_add_test (tc, tests[i]);
-  suite_add_tcase (suite, tc);
-  return suite_run (suite);
-}
-
 #define RUN_TESTS(name, tests) \
-  run_tests (name, tests, sizeof (tests) / sizeof (tests)[0])
+  suite_run_tests (name, tests, sizeof (tests) / sizeof (tests)[0], 250)
 
 static inline void
 board_free (struct am_board *b)
--- a/test/core_fixture.h
+++ b/test/core_fixture.h
@@ -509,26 +509,12 @@
   return net_from_caller (n, node, &p);
 }
 
-/* Runs the N test functions as one suite.  */
-HELPER int
-run_tests (const char *name, const TTest *const *tests, size_t n)
-{
-  Suite *s = suite_create (name);
-  TCase *c = tcase_create (name);
-
-  tcase_set_timeout (c, 60);
-  for (size_t i = 0; i < n; i++)
-    tcase_add_test (c, tests[i]);
-  suite_add_tcase (s, c);
-  return suite_run (s);
-}
-
-#define RUN_TESTS(name, ...)                                      \
-  int main (void)                                                 \
-  {                                                               \
-    const TTest *const tests[] = { __VA_ARGS__ };                 \
-                                                                  \
-    return run_tests (name, tests, sizeof tests / sizeof *tests); \
+#define RUN_TESTS(name, ...)                                                \
+  int main (void)                                                           \
+  {                                                                         \
+    const TTest *const tests[] = { __VA_ARGS__ };                           \
+                                                                            \
+    return suite_run_tests (name, tests, sizeof tests / sizeof *tests, 60); \
   }
 
 #endif
