Note the first proof of an address where the upstream is made

Change: a new upstream is noted as seen when it is added; the pass, its special case and its step in the dispatcher are gone. Boards that tests make by hand get a proof that does not end, as they had before.

--- a/src/core/board.h
+++ b/src/core/board.h
@@ -121,7 +121,7 @@
 /* Proof that the address is the upstream's.  Owner: confirm.  */
 struct am_upstream_confirm
 {
-  uint64_t at_us;    /* time of the last proof; 0: none yet */
+  uint64_t at_us;    /* time of the last proof */
   uint64_t asked_us; /* time of the last PROBE for one */
   bool denied;       /* another service answered there since */
 };
--- a/src/core/confirm.c
+++ b/src/core/confirm.c
@@ -2,16 +2,10 @@
 
 #include "core/probe.h"
 
-static uint64_t
-present (const struct am_board *b)
-{
-  return b->now_us ? b->now_us : 1;
-}
-
 void
 am_confirm_seen (const struct am_board *b, struct am_upstream *u)
 {
-  u->confirm.at_us = present (b);
+  u->confirm.at_us = b->now_us;
   u->confirm.denied = false;
 }
 
@@ -31,25 +25,11 @@
   }
 }
 
-void
-am_confirm_added (struct am_board *b)
-{
-  am_list_each (s, &b->services, struct am_service, node)
-  {
-    am_list_each (u, &s->upstreams, struct am_upstream, node)
-    {
-      if (u->confirm.at_us == 0)
-        u->confirm.at_us = present (b);
-    }
-  }
-}
-
-/* An upstream that the present snapshot adds has no time yet.  */
 static bool
 is_within (const struct am_board *b, const struct am_upstream *u,
            uint64_t life_us)
 {
-  return u->confirm.at_us == 0 || b->now_us - u->confirm.at_us < life_us;
+  return b->now_us < u->confirm.at_us + life_us;
 }
 
 bool
--- a/src/core/confirm.h
+++ b/src/core/confirm.h
@@ -26,16 +26,14 @@
 /* Pause between two probes that packets without proof cause.  */
 #define AM_CONFIRM_ASK_US 200000u
 
-/* Notes a datagram of U under the address of its service.  */
+/* Notes a datagram of U under the address of its service.  A snapshot that
+   adds U counts as one.  */
 void am_confirm_seen (const struct am_board *b, struct am_upstream *u);
 
 /* Notes an answer to a PROBE from ADDRESS under the address of a service that
    is not known here: upstreams at ADDRESS lose their proof.  */
 void am_confirm_denied (struct am_board *b, struct am_address address);
 
-/* Upstreams that a snapshot has added count as proven from its time on.  */
-void am_confirm_added (struct am_board *b);
-
 /* Returns true if U has a proof.  */
 bool am_confirm_holds (const struct am_board *b, const struct am_upstream *u);
 
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -162,17 +162,6 @@
   return am_requests_stream (b, u, &p);
 }
 
-static int
-take_snapshot (struct am_board *b, const struct am_event *e)
-{
-  int err = e->type == AM_EVENT_DELTA
-                ? am_snapshot_apply_delta (b, e->data, e->len)
-                : am_snapshot_apply (b, e->data, e->len);
-
-  am_confirm_added (b);
-  return err;
-}
-
 /* ---- time --------------------------------------------------------- */
 
 static void
@@ -232,8 +221,9 @@
       am_requests_stream_unopened (b, e->service_id, e->upstream_id);
       return AM_OK;
     case AM_EVENT_SNAPSHOT:
+      return am_snapshot_apply (b, e->data, e->len);
     case AM_EVENT_DELTA:
-      return take_snapshot (b, e);
+      return am_snapshot_apply_delta (b, e->data, e->len);
     case AM_EVENT_TICK:
       tick (d);
       return AM_OK;
--- a/src/core/snapshot_upstreams.c
+++ b/src/core/snapshot_upstreams.c
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "core/binding.h"
+#include "core/confirm.h"
 #include "core/request.h"
 #include "core/snapshot_parts.h"
 
@@ -38,7 +39,8 @@
 }
 
 static struct am_upstream *
-add_upstream (struct am_service *s, const Amaranth__Upstream *in)
+add_upstream (const struct am_board *b, struct am_service *s,
+              const Amaranth__Upstream *in)
 {
   struct am_upstream *u = calloc (1, sizeof *u);
 
@@ -51,6 +53,7 @@
   u->address_key = am_address_key (u->address);
   u->incarnation = in->incarnation;
   u->state = AMARANTH__UPSTREAM_STATE__UPSTREAM_RETIRED;
+  am_confirm_seen (b, u);
   link_by_id (s, u);
   HASH_ADD (by_id, s->upstreams_by_id, id, sizeof u->id, u);
   HASH_ADD (by_address, s->upstreams_by_address, address_key,
@@ -132,7 +135,7 @@
       struct am_upstream *u = am_service_upstream (s, in->upstreams[i]->id);
 
       if (!u)
-        u = add_upstream (s, in->upstreams[i]);
+        u = add_upstream (b, s, in->upstreams[i]);
       if (!u)
         return AM_E_MEMORY;
       update_upstream (b, u, in->upstreams[i], ramp);
--- a/test/core_board.h
+++ b/test/core_board.h
@@ -40,6 +40,7 @@
   u->slots = o->slots;
   u->connections = o->connections;
   u->weight = 100;
+  u->confirm.at_us = UINT64_MAX / 2; /* a proof that does not end */
   am_list_push_back (&s->upstreams, &u->node);
   HASH_ADD (by_id, s->upstreams_by_id, id, sizeof u->id, u);
   return u;
