Look a record up once when it is offered

Cause: the check for a text in force looked the record up a second time and repeated the first comparison of same_content.

Conclusion: one look-up, one comparison; behaviour is the same.

--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -149,6 +149,12 @@
   return AM_E_STORE_OLD;
 }
 
+static bool
+same_text (const uint8_t *a, size_t a_len, const uint8_t *b, size_t b_len)
+{
+  return a_len == b_len && memcmp (a, b, a_len) == 0;
+}
+
 static bool
 same_content (const uint8_t *a, size_t a_len, const uint8_t *b, size_t b_len)
 {
@@ -156,7 +162,7 @@
   json_t *y;
   bool same;
 
-  if (a_len == b_len && memcmp (a, b, a_len) == 0)
+  if (same_text (a, a_len, b, b_len))
     return true;
   x = json_loadb ((const char *)a, a_len, 0, NULL);
   y = json_loadb ((const char *)b, b_len, 0, NULL);
@@ -281,21 +287,12 @@
   return err;
 }
 
-static bool
-same_as_in_force (struct am_control *c, const char *name, const uint8_t *text,
-                  size_t len)
-{
-  const struct am_config_entry *e = am_config_find (c, name);
-
-  return e && e->len == len && memcmp (e->text, text, len) == 0;
-}
-
 int
 am_config_offer (struct am_control *c, const char *name, const uint8_t *text,
                  size_t len, enum am_config_source source, bool *newer)
 {
+  struct am_config_entry *e = am_config_find (c, name);
   char write_id[AM_WRITE_ID_SIZE];
-  struct am_config_entry *e;
   uint64_t revision;
   int order;
   int err;
@@ -304,7 +301,7 @@
     *newer = false;
   /* A reader of the store offers every record at each change; parsing 580
      that are in force took 26 ms.  */
-  if (same_as_in_force (c, name, text, len))
+  if (e && same_text (text, len, e->text, e->len))
     return AM_OK;
   if (strlen (name) >= AM_RECORD_NAME_SIZE || len > AM_RECORD_TEXT_MAX
       || peek (text, len, &revision, write_id))
@@ -314,7 +311,6 @@
     }
   if (was_refused (c, name, revision, write_id))
     return AM_E_FORMAT;
-  e = am_config_find (c, name);
   order = e ? am_record_compare (revision, write_id, e->revision, e->write_id)
             : 1;
   if (e && revision == e->revision
