Read the clocks in one place

Cause: agent, forwarder, amaranthctl and two stand-ins had six functions for two clocks.

Change: io/clock.h. The argument of am_agent_now, which was not used, is gone with it.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -3,9 +3,9 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "base/error.h"
+#include "io/clock.h"
 
 #define SEEDS_MAX 64
 
@@ -15,31 +15,12 @@
 #define RECONNECT_MS 250
 #define TICK_MS (AM_CONTROL_TICK_US / 1000u)
 
-uint64_t
-am_agent_now (const struct am_agent *a)
-{
-  struct timespec t;
-
-  (void)a;
-  clock_gettime (CLOCK_MONOTONIC, &t);
-  return (uint64_t)t.tv_sec * 1000000u + (uint64_t)t.tv_nsec / 1000u;
-}
-
-static uint64_t
-time_of_day_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (uint64_t)t.tv_sec * 1000u + (uint64_t)t.tv_nsec / 1000000u;
-}
-
 void
 am_agent_event (struct am_agent *a, struct am_control_event *e)
 {
   int err;
 
-  e->now_us = am_agent_now (a);
+  e->now_us = am_clock_us ();
   err = am_control_event (a->control, e);
   if (err && e->type != AM_CONTROL_STORE)
     am_log_line (&a->log, AM_LOG_DEBUG, "event=refused type=%d error=%s",
@@ -196,7 +177,7 @@
   struct am_control_event e = { .type = AM_CONTROL_TICK };
 
   am_agent_event (a, &e);
-  am_agent_expire_streams (a, am_agent_now (a));
+  am_agent_expire_streams (a, am_clock_us ());
 }
 
 static void
@@ -238,7 +219,7 @@
 ask_for_vms (struct am_agent *a)
 {
   struct am_control_view v;
-  uint64_t now_us = am_agent_now (a);
+  uint64_t now_us = am_clock_us ();
 
   am_control_look (a->control, &v);
   if (v.members_alive > 0 || now_us < a->list_next_us)
@@ -310,7 +291,7 @@
               .agent_port = s->ports.gossip,
               .control_port = s->ports.agent,
               .peer_port = s->ports.peer },
-    .incarnation = time_of_day_ms (),
+    .incarnation = am_clock_wall_ms (),
     .sink = { am_agent_action, a },
   };
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -71,9 +71,6 @@
 
 /* ---- parts, used by each other ------------------------------------ */
 
-/* Time for the engine, in microseconds.  */
-uint64_t am_agent_now (const struct am_agent *a);
-
 /* Hands an event to the engine; sets its time.  */
 void am_agent_event (struct am_agent *a, struct am_control_event *e);
 
--- a/src/agent/streams.c
+++ b/src/agent/streams.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "io/clock.h"
 
 /* An outgoing connection without messages is closed after this time; pulls
    that follow one another use one connection.  */
@@ -30,7 +31,7 @@
   n->number = ++a->stream_numbers;
   n->stream = s;
   n->to = to;
-  n->used_us = am_agent_now (a);
+  n->used_us = am_clock_us ();
   am_list_push_back (&a->streams, &n->node);
   return n;
 }
@@ -137,7 +138,7 @@
       am_stream_close (s);
       return;
     }
-  n->used_us = am_agent_now (a);
+  n->used_us = am_clock_us ();
   handled = handle_operator (a, n, e, data, len);
   amaranth__envelope__free_unpacked (e, NULL);
   if (handled)
@@ -214,7 +215,7 @@
 
   if (!n)
     return;
-  n->used_us = am_agent_now (a);
+  n->used_us = am_clock_us ();
   if (am_stream_send (n->stream, data, len) == AM_OK)
     a->sent_bytes += AM_FRAME_HEADER_SIZE + len;
 }
--- a/src/ctl/exchange.c
+++ b/src/ctl/exchange.c
@@ -7,25 +7,21 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "base/error.h"
+#include "io/clock.h"
 
 /* Bounds open sockets; 128 x 2 s covers 730 entry VMs within 12 s even if none
    answers.  */
 #define AT_ONCE 128
 #define READ_SIZE 65536
-#define MS_PER_S 1000
-#define NS_PER_MS 1000000
+#define US_PER_MS 1000
 
 uint64_t
 ctl_now_ms (void)
 {
-  struct timespec t;
-
-  clock_gettime (CLOCK_MONOTONIC, &t);
-  return (uint64_t)t.tv_sec * MS_PER_S + (uint64_t)t.tv_nsec / NS_PER_MS;
+  return am_clock_us () / US_PER_MS;
 }
 
 void
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "forwarder/control.h"
 #include "forwarder/forwarder_metrics.h"
+#include "io/clock.h"
 
 #define PROGRAM "amaranth-forwarder"
 #define TICK_MS (AM_TICK_US / 1000)
@@ -62,15 +63,6 @@
   f->recording = false;
 }
 
-static uint64_t
-wall_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (uint64_t)t.tv_sec * 1000u + (uint64_t)t.tv_nsec / 1000000u;
-}
-
 int
 am_forwarder_event (struct am_forwarder *f, struct am_event *e)
 {
@@ -78,7 +70,7 @@
   int err;
 
   /* First, so that a pause here makes times on the wall clock early.  */
-  e->wall_ms = wall_ms ();
+  e->wall_ms = am_clock_wall_ms ();
   start_ns = uv_hrtime ();
 
   e->now_us = start_ns / NANOSECONDS_PER_US;
--- a/standin/standin_program.c
+++ b/standin/standin_program.c
@@ -7,12 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
-#include <time.h>
 
 #include "base/error.h"
-
-#define US_PER_SECOND 1000000u
-#define NS_PER_US 1000u
+#include "io/clock.h"
 
 static void
 on_signal (uv_signal_t *handle, int number)
@@ -95,11 +92,7 @@
 uint64_t
 standin_now_us (void)
 {
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * US_PER_SECOND
-         + (uint64_t)now.tv_nsec / NS_PER_US;
+  return am_clock_us ();
 }
 
 int
--- a/standin/standin_run.c
+++ b/standin/standin_run.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "io/clock.h"
 #include "standin_upstream.h"
 
 #define US_PER_MS 1000u
@@ -247,15 +248,6 @@
   to[n] = '\0';
 }
 
-static uint64_t
-wall_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (uint64_t)t.tv_sec * 1000u + (uint64_t)t.tv_nsec / 1000000u;
-}
-
 /* Returns why a request is refused, or AM_OK.  */
 static int
 refusal (struct standin_upstream *u, const struct am_run_body *body)
@@ -272,7 +264,7 @@
       return AM_E_SERVICE_UNKNOWN;
     }
   if (!body->remaining_ms
-      || (body->not_after_ms && wall_ms () > body->not_after_ms))
+      || (body->not_after_ms && am_clock_wall_ms () > body->not_after_ms))
     return AM_E_DEADLINE;
   if (u->drained)
     return AM_E_DRAINING;
