--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -26,6 +26,9 @@
 from cluster import ROOT, Cluster, now_us, wait_until
 from poller import Poller
 
+sys.path.append(str(ROOT / "test" / "lib"))
+from partition_env import partition_environment  # noqa: E402
+
 OPERATORS = {"<=": operator.le, ">=": operator.ge, "==": operator.eq}
 
 # Address blocks 127.N.0.0/16 of experiments and of integration tests.  Each
@@ -219,12 +222,7 @@
         """Calls start(vm) with the partition preloaded."""
         if not self.cut_file:
             return start(vm)
-        added = {"LD_PRELOAD": str(self.build / "test" / "libam_cut.so"),
-                 "AM_CUT_FILE": str(self.cut_file),
-                 "AM_CUT_SELF": vm.address + ".",
-                 "ASAN_OPTIONS": ":".join(filter(None, [
-                     os.environ.get("ASAN_OPTIONS"),
-                     "verify_asan_link_order=0"]))}
+        added = partition_environment(self.build, self.cut_file, vm.address)
         before = {k: os.environ.get(k) for k in added}
         os.environ.update(added)
         try:
--- /dev/null
+++ b/src/entry/items.c
@@ -0,0 +1,138 @@
+#include <inttypes.h>
+
+#include "base/error.h"
+#include "entry/entry.h"
+#include "io/clock.h"
+
+/* What the items of the store mean to this VM.  */
+
+static const char *const state_names[] = {
+  [AM_TARGET_READY] = "ready",
+  [AM_TARGET_DRAINING] = "draining",
+  [AM_TARGET_GONE] = "gone",
+};
+
+static void
+target_changed (struct am_entry *e, const struct am_replica_item *item,
+                uint64_t now_us)
+{
+  struct am_target_spec spec;
+  struct am_target *before;
+  struct am_target *target;
+  char address[AM_ADDRESS_TEXT_SIZE];
+  enum am_target_state state;
+  int err = e->adapter->target_read (&spec, item->key, item->value,
+                                     item->value_len);
+
+  if (err)
+    {
+      e->counters.bad_items++;
+      am_line_log_add (&e->log, AM_LINE_BELIEF, now_us,
+                       "target-unusable key=%s revision=%" PRIu64 " error=%s",
+                       item->key, item->revision, am_error_name (err));
+      am_target_table_absent (&e->targets, e->adapter->target_id (item->key),
+                              now_us);
+      return;
+    }
+  before = am_target_by_id (&e->targets, spec.id);
+  state = before ? before->state : AM_TARGET_GONE;
+  err = am_target_table_put (&e->targets, &spec, now_us, &target);
+  if (err)
+    {
+      am_line_log_add (&e->log, AM_LINE_STATE, now_us, "target-lost error=%s",
+                       am_error_name (err));
+      return;
+    }
+  if (state != target->state)
+    am_line_log_add (&e->log, AM_LINE_BELIEF, now_us,
+                     "target id=%" PRIx64 " ticket=%08" PRIx32
+                     " address=%s state=%s before=%s revision=%" PRIu64,
+                     spec.id, target->ticket,
+                     am_address_format (spec.address, address),
+                     state_names[target->state],
+                     before ? state_names[state] : "unknown", item->revision);
+}
+
+static void
+configuration_changed (struct am_entry *e, const struct am_replica_item *item,
+                       uint64_t now_us)
+{
+  struct am_configuration c;
+  uint64_t version;
+  int err = e->adapter->configuration_read (&c, item->value, item->value_len);
+
+  if (!err)
+    {
+      version = c.version;
+      err = am_route_table_accept (&e->routes, &c);
+      am_configuration_finish (&c);
+      if (!err)
+        {
+          e->configured_us = now_us;
+          am_line_log_add (
+              &e->log, AM_LINE_BELIEF, now_us,
+              "configuration version=%" PRIu64 " routes=%zu revision=%" PRIu64,
+              version, e->routes.in_force.route_count, item->revision);
+          return;
+        }
+    }
+  am_line_log_add (&e->log, AM_LINE_BELIEF, now_us,
+                   "configuration-refused error=%s revision=%" PRIu64
+                   " version_in_force=%" PRIu64,
+                   am_error_name (err), item->revision,
+                   e->routes.in_force.version);
+}
+
+void
+am_entry_item_changed (void *userdata, const struct am_replica_item *item)
+{
+  struct am_entry *e = userdata;
+  uint64_t now_us = am_clock_us ();
+
+  switch (e->adapter->item_kind (item->key))
+    {
+    case AM_ITEM_TARGET:
+      if (item->removed)
+        am_target_table_absent (&e->targets, e->adapter->target_id (item->key),
+                                now_us);
+      else
+        target_changed (e, item, now_us);
+      break;
+    case AM_ITEM_CONFIGURATION:
+      if (!item->removed)
+        configuration_changed (e, item, now_us);
+      break;
+    case AM_ITEM_OTHER:
+      break;
+    }
+}
+
+static void
+on_gone (void *userdata, const struct am_target *target)
+{
+  struct am_entry *e = userdata;
+
+  am_line_log_add (&e->log, AM_LINE_BELIEF, am_clock_us (),
+                   "target id=%" PRIx64 " ticket=%08" PRIx32
+                   " state=gone absent_ms=%" PRIu64,
+                   target->spec.id, target->ticket,
+                   (target->gone_us - target->absent_us) / 1000);
+}
+
+static void
+on_forgotten (void *userdata, const struct am_target *target)
+{
+  struct am_entry *e = userdata;
+
+  am_flow_table_target_forgotten (&e->path.flows, target);
+}
+
+void
+am_entry_items_tick (struct am_entry *e, uint64_t now_us)
+{
+  struct am_target_events events
+      = { .gone = on_gone, .forgotten = on_forgotten, .userdata = e };
+
+  am_target_table_sweep (&e->targets, now_us,
+                         am_contact_grace_end (&e->contact), &events);
+}
--- /dev/null
+++ b/src/entry/line_log.c
@@ -0,0 +1,99 @@
+#include "entry/line_log.h"
+
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_SIZE 320
+
+/* Lines a second.  */
+static const uint32_t budgets[AM_LINE_CLASS_COUNT] = {
+  [AM_LINE_STATE] = 20,
+  [AM_LINE_BELIEF] = 40,
+  [AM_LINE_FLOW] = 20,
+  [AM_LINE_REFUSE] = 20,
+};
+
+static const char *const class_names[AM_LINE_CLASS_COUNT] = {
+  [AM_LINE_STATE] = "state",
+  [AM_LINE_BELIEF] = "belief",
+  [AM_LINE_FLOW] = "flow",
+  [AM_LINE_REFUSE] = "refuse",
+};
+
+void
+am_line_log_init (struct am_line_log *l, int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+
+  l->fd = fd;
+  l->len = 0;
+  l->lost = 0;
+  memset (l->limiters, 0, sizeof l->limiters);
+  for (int i = 0; i < AM_LINE_CLASS_COUNT; i++)
+    l->limiters[i].limit = budgets[i];
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+/* Adds "TIME TEXT\n", or counts the line as lost.  */
+static void
+append (struct am_line_log *l, const char *text)
+{
+  struct timespec t;
+  char line[LINE_SIZE + 32];
+  int n;
+
+  clock_gettime (CLOCK_REALTIME, &t);
+  n = snprintf (line, sizeof line, "%" PRIu64 ".%03u %s\n", (uint64_t)t.tv_sec,
+                (unsigned)(t.tv_nsec / 1000000), text);
+  if (l->len + (size_t)n > sizeof l->data)
+    {
+      l->lost++;
+      return;
+    }
+  memcpy (l->data + l->len, line, (size_t)n);
+  l->len += (size_t)n;
+}
+
+void
+am_line_log_add (struct am_line_log *l, enum am_line_class class,
+                 uint64_t now_us, const char *format, ...)
+{
+  char text[LINE_SIZE];
+  uint32_t held_back;
+  bool allowed = am_log_allow (&l->limiters[class], now_us, &held_back);
+  va_list ap;
+
+  if (held_back)
+    {
+      snprintf (text, sizeof text, "lines-held-back class=%s count=%" PRIu32,
+                class_names[class], held_back);
+      append (l, text);
+    }
+  if (!allowed)
+    return;
+  va_start (ap, format);
+  vsnprintf (text, sizeof text, format, ap);
+  va_end (ap);
+  append (l, text);
+}
+
+void
+am_line_log_flush (struct am_line_log *l)
+{
+  ssize_t n;
+
+  if (!l->len)
+    return;
+  n = write (l->fd, l->data, l->len);
+  if (n <= 0)
+    return;
+  l->len -= (size_t)n;
+  memmove (l->data, l->data + n, l->len);
+}
--- /dev/null
+++ b/src/entry/packets.c
@@ -0,0 +1,115 @@
+#include <inttypes.h>
+
+#include "base/error.h"
+#include "entry/entry.h"
+#include "io/clock.h"
+
+/* Packets between the socket and the decisions.  */
+
+static void
+log_decision (struct am_entry *e, const struct am_packet *p,
+              const struct am_decision *d, uint64_t now_us)
+{
+  char caller[AM_ADDRESS_TEXT_SIZE];
+  char route[AM_ADDRESS_TEXT_SIZE];
+  const struct am_target *t = d->target;
+  enum am_line_class class = d->verdict == AM_VERDICT_FORWARD ? AM_LINE_FLOW
+                                                              : AM_LINE_REFUSE;
+
+  if (d->reason == AM_REASON_TICKET)
+    return;
+  am_line_log_add (
+      &e->log, class, now_us,
+      "flow caller=%s route=%s seq=%" PRIu32 " ticket=%08" PRIx32
+      " reason=%s target=%" PRIx64 " busy=%" PRIu32 " open=%" PRIu32
+      " version=%" PRIu64 " config_age_ms=%" PRIu64 " store_age_ms=%" PRIu64,
+      am_address_format (p->caller, caller),
+      am_address_format (p->route, route), p->seq, p->ticket,
+      am_reason_name (d->reason), t ? t->spec.id : 0,
+      t ? t->load.busy + t->peers_load.busy : 0,
+      t ? t->load.open_flows + t->peers_load.open_flows : 0,
+      e->routes.in_force.version, (now_us - e->configured_us) / 1000,
+      (now_us - e->contact.fresh_us) / 1000);
+}
+
+static void
+forward (struct am_entry *e, const struct am_target *t, const uint8_t *data,
+         size_t len)
+{
+  uint8_t *out = am_udp_batch_room (&e->packets_out, t->spec.address,
+                                    len + AM_ADAPTER_ROOM);
+  size_t n;
+
+  if (!out)
+    return;
+  n = e->adapter->packet_forward (out, data, len, t->spec.id, t->ticket);
+  am_udp_batch_cut (&e->packets_out, n);
+}
+
+/* Callers receive at their address, on the port of this VM's packets.  */
+static void
+reset (struct am_entry *e, const struct am_packet *p)
+{
+  struct am_address to = { p->caller.ip, e->settings.packets.port };
+  uint8_t *out = am_udp_batch_room (&e->packets_out, to, AM_ADAPTER_ROOM);
+
+  e->counters.resets++;
+  if (out)
+    am_udp_batch_cut (&e->packets_out, e->adapter->packet_reset (out, p));
+}
+
+static void
+on_packet (void *userdata, struct am_address from, const uint8_t *data,
+           size_t len)
+{
+  struct am_entry *e = userdata;
+  uint64_t now_us = am_clock_us ();
+  struct am_packet p;
+  struct am_decision d;
+
+  (void)from;
+  e->counters.packets++;
+  e->last_packet_us = now_us;
+  if (e->adapter->packet_read (&p, data, len))
+    {
+      e->counters.malformed++;
+      return;
+    }
+  d = am_path_packet (&e->path, &p, now_us);
+  e->counters.reasons[d.reason]++;
+  log_decision (e, &p, &d, now_us);
+  switch (d.verdict)
+    {
+    case AM_VERDICT_FORWARD:
+      forward (e, d.target, data, len);
+      break;
+    case AM_VERDICT_RESET:
+      reset (e, &p);
+      break;
+    case AM_VERDICT_DROP:
+      e->counters.drops++;
+      break;
+    }
+}
+
+int
+am_entry_packets_open (struct am_entry *e)
+{
+  int err
+      = am_udp_open (&e->packets, e->loop, e->settings.packets, on_packet, e);
+
+  if (!err)
+    err = am_udp_batch_init (&e->packets_out, e->loop, &e->packets);
+  e->carrying = !err;
+  return err;
+}
+
+void
+am_entry_packets_close (struct am_entry *e)
+{
+  if (!e->carrying)
+    return;
+  e->carrying = false;
+  am_udp_batch_finish (&e->packets_out);
+  am_udp_close (&e->packets);
+}
--- /dev/null
+++ b/src/entry/reader.c
@@ -0,0 +1,235 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "entry/entry.h"
+#include "io/clock.h"
+
+/* Reading of the store: one listing, then watches from its revision.  */
+
+/* A watch that changes nothing ends after this.  A connection may fall silent
+   without a reset; with the time-out it is noticed within 2.5 s, before
+   configuration is late.  */
+#define WATCH_MS 1500
+#define WATCH_TIMEOUT_MS 2300
+#define LIST_TIMEOUT_MS 1500
+
+/* Pause after a failed call; doubles with each one in a row.  */
+#define RETRY_MS 150
+#define RETRY_MAX_MS 1200
+
+static void next_call (struct am_entry *e, uint64_t now_us);
+
+static uint64_t
+retry_pause_us (struct am_entry *e, uint32_t failures)
+{
+  uint64_t pause_ms = RETRY_MS;
+
+  while (failures-- > 1 && pause_ms < RETRY_MAX_MS)
+    pause_ms *= 2;
+  /* Readers that failed together come back apart.  */
+  return pause_ms * 1000u * (75 + am_rng_below (&e->path.rng, 50)) / 100;
+}
+
+static void
+failed (struct am_entry *e, int error, uint64_t now_us)
+{
+  struct am_entry_reader *r = &e->reader;
+
+  e->counters.store_failures++;
+  r->failures++;
+  r->retry_us = now_us + retry_pause_us (e, r->failures);
+  if (r->works || r->failures == 1)
+    am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                     "store-lost error=%s revision=%" PRIu64
+                     " answer_age_ms=%" PRIu64,
+                     am_error_name (error), e->replica.revision,
+                     r->ok_us ? (now_us - r->ok_us) / 1000 : 0);
+  r->works = false;
+}
+
+static void
+succeeded (struct am_entry *e, uint64_t now_us)
+{
+  struct am_entry_reader *r = &e->reader;
+
+  if (!r->works)
+    am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                     "store-regained revision=%" PRIu64 " failures=%" PRIu32,
+                     e->replica.revision, r->failures);
+  r->works = true;
+  r->failures = 0;
+  r->ok_us = now_us;
+  am_contact_fresh (&e->contact, now_us);
+}
+
+static int
+on_item (void *userdata, const struct am_store_item *i)
+{
+  struct am_entry *e = userdata;
+
+  if (!i->value)
+    return am_replica_remove (&e->replica, i->key, i->key_len, i->revision);
+  return am_replica_write (&e->replica, i->key, i->key_len, i->value,
+                           i->value_len, i->revision);
+}
+
+/* ---- listing ------------------------------------------------------ */
+
+struct page
+{
+  struct am_entry *e;
+  char *last_key; /* owned */
+};
+
+static int
+on_listed (void *userdata, const struct am_store_item *i)
+{
+  struct page *page = userdata;
+
+  free (page->last_key);
+  page->last_key = strdup (i->key);
+  if (!page->last_key)
+    return AM_E_MEMORY;
+  return on_item (page->e, i);
+}
+
+static void
+end_listing (struct am_entry *e)
+{
+  e->reader.listing = false;
+  free (e->reader.list_after);
+  e->reader.list_after = NULL;
+}
+
+static void
+on_list (void *userdata, const struct am_http_answer *a)
+{
+  struct am_entry *e = userdata;
+  struct am_entry_reader *r = &e->reader;
+  struct page page = { .e = e };
+  struct am_store_reply reply;
+  uint64_t now_us = am_clock_us ();
+  int err = a->error;
+
+  if (!err)
+    err = e->adapter->answer_read (&reply, a->status, a->body, a->body_len,
+                                   on_listed, &page);
+  if (!err && reply.more && !page.last_key)
+    err = AM_E_FORMAT;
+  if (err)
+    {
+      free (page.last_key);
+      end_listing (e);
+      failed (e, err, now_us);
+      return;
+    }
+  if (!r->list_after)
+    r->list_revision = reply.revision;
+  free (r->list_after);
+  r->list_after = page.last_key;
+  if (!reply.more)
+    {
+      am_replica_list_end (&e->replica, r->list_revision);
+      end_listing (e);
+      succeeded (e, now_us);
+      am_entry_peers_announce (e, now_us);
+    }
+  next_call (e, now_us);
+}
+
+static void
+list (struct am_entry *e)
+{
+  struct am_entry_reader *r = &e->reader;
+  char path[AM_HTTP_PATH_SIZE];
+
+  if (!r->listing)
+    am_replica_list_begin (&e->replica);
+  r->listing = true;
+  e->adapter->list_path (path, sizeof path, r->list_after);
+  e->counters.store_calls++;
+  am_http_get (&r->client, path, LIST_TIMEOUT_MS, on_list, e);
+}
+
+/* ---- watch -------------------------------------------------------- */
+
+static void
+on_watch (void *userdata, const struct am_http_answer *a)
+{
+  struct am_entry *e = userdata;
+  struct am_store_reply reply;
+  uint64_t now_us = am_clock_us ();
+  uint64_t before = e->replica.revision;
+  int err = a->error;
+
+  if (!err)
+    err = e->adapter->answer_read (&reply, a->status, a->body, a->body_len,
+                                   on_item, e);
+  if (err == AM_E_EXPIRED)
+    {
+      am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                       "history-expired revision=%" PRIu64, before);
+      list (e);
+      return;
+    }
+  if (err)
+    {
+      failed (e, err, now_us);
+      return;
+    }
+  am_replica_advance (&e->replica, reply.revision);
+  succeeded (e, now_us);
+  if (e->replica.revision > before)
+    am_entry_peers_announce (e, now_us);
+  next_call (e, now_us);
+}
+
+static void
+watch (struct am_entry *e)
+{
+  char path[AM_HTTP_PATH_SIZE];
+
+  e->adapter->watch_path (path, sizeof path, e->replica.revision, WATCH_MS);
+  e->counters.store_calls++;
+  am_http_get (&e->reader.client, path, WATCH_TIMEOUT_MS, on_watch, e);
+}
+
+static void
+next_call (struct am_entry *e, uint64_t now_us)
+{
+  struct am_entry_reader *r = &e->reader;
+
+  if (!e->settings.store.port || am_http_client_busy (&r->client)
+      || now_us < r->retry_us)
+    return;
+  if (r->listing || !e->replica.revision)
+    list (e);
+  else if (am_fleet_should_read (&e->fleet, now_us))
+    watch (e);
+  else
+    r->works = false;
+}
+
+void
+am_entry_reader_init (struct am_entry *e)
+{
+  memset (&e->reader, 0, sizeof e->reader);
+  am_http_client_init (&e->reader.client, e->loop, e->settings.store);
+}
+
+void
+am_entry_reader_tick (struct am_entry *e, uint64_t now_us)
+{
+  next_call (e, now_us);
+}
+
+void
+am_entry_reader_wake (struct am_entry *e)
+{
+  am_http_client_reset (&e->reader.client);
+  end_listing (e);
+  e->reader.works = false;
+  e->reader.retry_us = 0;
+}
--- /dev/null
+++ b/src/entry/settings.c
@@ -0,0 +1,175 @@
+#include "entry/settings.h"
+
+#include <cyaml/cyaml.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "flow/fleet.h"
+#include "io/yaml_file.h"
+
+#define STOP_DEFAULT_S 6
+/* The process ends this much before the platform would kill it.  */
+#define STOP_MARGIN_MS 500
+
+/* The file as it is written.  */
+struct file_vm
+{
+  char *name;
+  char *data_centre;
+};
+
+struct file_listen
+{
+  char *packets;
+  char *readiness;
+  char *peers;
+  char *metrics;
+};
+
+struct file
+{
+  struct file_vm vm;
+  struct file_listen listen;
+  char *store;
+  char **seeds;
+  unsigned seeds_count;
+  uint32_t stop_s;
+  char *log_level;
+};
+
+#define TEXT(flags, type, member)                                      \
+  CYAML_FIELD_STRING_PTR (#member, CYAML_FLAG_POINTER | (flags), type, \
+                          member, 1, PATH_MAX)
+
+static const cyaml_schema_field_t vm_fields[]
+    = { TEXT (0, struct file_vm, name), TEXT (0, struct file_vm, data_centre),
+        CYAML_FIELD_END };
+
+static const cyaml_schema_field_t listen_fields[] = {
+  TEXT (0, struct file_listen, packets),
+  TEXT (0, struct file_listen, readiness), TEXT (0, struct file_listen, peers),
+  TEXT (CYAML_FLAG_OPTIONAL, struct file_listen, metrics), CYAML_FIELD_END
+};
+
+static const cyaml_schema_value_t seed_value
+    = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 1, PATH_MAX) };
+
+static const cyaml_schema_field_t root_fields[] = {
+  CYAML_FIELD_MAPPING ("vm", CYAML_FLAG_DEFAULT, struct file, vm, vm_fields),
+  CYAML_FIELD_MAPPING ("listen", CYAML_FLAG_DEFAULT, struct file, listen,
+                       listen_fields),
+  TEXT (CYAML_FLAG_OPTIONAL, struct file, store),
+  CYAML_FIELD_SEQUENCE ("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                        struct file, seeds, &seed_value, 0,
+                        AM_ENTRY_SEEDS_MAX),
+  CYAML_FIELD_UINT ("stop_s", CYAML_FLAG_OPTIONAL, struct file, stop_s),
+  TEXT (CYAML_FLAG_OPTIONAL, struct file, log_level),
+  CYAML_FIELD_END
+};
+
+static const cyaml_schema_value_t root_value
+    = { CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, struct file, root_fields) };
+
+static int
+fault (struct am_fault *f, int error, const char *field, const char *allowed)
+{
+  f->error = error;
+  snprintf (f->field, sizeof f->field, "%s", field);
+  snprintf (f->allowed, sizeof f->allowed, "%s", allowed);
+  return error;
+}
+
+/* Reads TEXT, which may be missing, into A.  */
+static int
+read_address (struct am_address *a, const char *text, const char *field,
+              struct am_fault *f)
+{
+  if (text && am_address_parse (a, text))
+    return fault (f, AM_E_FIELD_VALUE, field, "A.B.C.D:PORT");
+  return AM_OK;
+}
+
+static int
+read_addresses (struct am_entry_settings *s, const struct file *file,
+                struct am_fault *f)
+{
+  int err
+      = read_address (&s->packets, file->listen.packets, "listen.packets", f);
+
+  if (!err)
+    err = read_address (&s->readiness, file->listen.readiness,
+                        "listen.readiness", f);
+  if (!err)
+    err = read_address (&s->peers, file->listen.peers, "listen.peers", f);
+  if (!err)
+    err = read_address (&s->metrics, file->listen.metrics, "listen.metrics",
+                        f);
+  if (!err)
+    err = read_address (&s->store, file->store, "store", f);
+  for (unsigned i = 0; !err && i < file->seeds_count; i++)
+    {
+      err = read_address (&s->seeds[i], file->seeds[i], "seeds", f);
+      s->seed_count = i + 1;
+    }
+  return err;
+}
+
+static int
+check (struct am_entry_settings *s, const struct file *file,
+       struct am_fault *f)
+{
+  uint32_t stop_s = file->stop_s ? file->stop_s : STOP_DEFAULT_S;
+
+  if (strlen (file->vm.name) >= AM_FLEET_NAME_SIZE)
+    return fault (f, AM_E_FIELD_RANGE, "vm.name", "up to 63 bytes");
+  if (stop_s > UINT32_MAX / 1000)
+    return fault (f, AM_E_FIELD_RANGE, "stop_s", "seconds, 1 to 4294967");
+  s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
+  s->log_level = AM_LOG_INFO;
+  if (file->log_level && am_log_level_parse (&s->log_level, file->log_level))
+    return fault (f, AM_E_FIELD_VALUE, "log_level",
+                  "error, warning, notice, info, debug");
+  return read_addresses (s, file, f);
+}
+
+int
+am_entry_settings_load (struct am_entry_settings *s, const char *path,
+                        struct am_fault *f)
+{
+  struct file *file;
+  char *text;
+  void *data;
+  int err;
+
+  memset (s, 0, sizeof *s);
+  err = am_yaml_file_load (path, &root_value, &data, &text, f);
+  if (err)
+    return err;
+  file = data;
+  err = check (s, file, f);
+  if (!err)
+    {
+      s->name = strdup (file->vm.name);
+      s->data_centre = strdup (file->vm.data_centre);
+      if (!s->name || !s->data_centre)
+        err = fault (f, AM_E_MEMORY, "vm", "");
+    }
+  if (err)
+    am_entry_settings_finish (s);
+  am_yaml_file_free (&root_value, data);
+  free (text);
+  return err;
+}
+
+void
+am_entry_settings_finish (struct am_entry_settings *s)
+{
+  free (s->name);
+  free (s->data_centre);
+  s->name = NULL;
+  s->data_centre = NULL;
+}
--- /dev/null
+++ b/src/entry/status.c
@@ -0,0 +1,100 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/metrics.h"
+#include "entry/entry.h"
+#include "io/clock.h"
+
+#define METRICS_PATH "/metrics"
+#define OK 200
+#define NOT_FOUND 404
+#define UNAVAILABLE 503
+
+bool
+am_entry_is_ready (const struct am_entry *e, uint64_t now_us)
+{
+  return am_readiness_ready (&e->readiness, e->routes.in_force.route_count > 0,
+                             e->targets.ready_count > 0, now_us);
+}
+
+static void
+add_value (struct am_metrics_text *t, const char *name,
+           enum am_metric_type type, const char *help, double value)
+{
+  struct am_metric_info m
+      = { .name = name, .type = type, .unit = "", .help = help };
+
+  am_metrics_head (t, &m);
+  am_metrics_value (t, &m, NULL, value);
+}
+
+static void
+add_decisions (const struct am_entry *e, struct am_metrics_text *t)
+{
+  struct am_metric_info m = { .name = "decisions",
+                              .type = AM_METRIC_COUNTER,
+                              .unit = "",
+                              .help = "Packets by what decided them." };
+  char label[64];
+
+  am_metrics_head (t, &m);
+  for (int i = 0; i < AM_REASON_COUNT; i++)
+    {
+      snprintf (label, sizeof label, "reason=\"%s\"",
+                am_reason_name ((enum am_reason)i));
+      am_metrics_value (t, &m, label, (double)e->counters.reasons[i]);
+    }
+}
+
+static void
+render (const struct am_entry *e, struct am_metrics_text *t)
+{
+  uint64_t now_us = am_clock_us ();
+
+#define ADD_COUNTER(field, name, help) \
+  add_value (t, name, AM_METRIC_COUNTER, help, (double)e->counters.field);
+  AM_ENTRY_COUNTERS (ADD_COUNTER)
+#undef ADD_COUNTER
+  add_decisions (e, t);
+  add_value (t, "ready", AM_METRIC_GAUGE, "Whether callers may be sent here.",
+             am_entry_is_ready (e, now_us));
+  add_value (t, "store_contact", AM_METRIC_GAUGE,
+             "Whether the copy of the store is kept up to date.",
+             e->contact.present);
+  add_value (t, "store_age_ms", AM_METRIC_GAUGE,
+             "Time since the copy of the store was confirmed.",
+             (double)(now_us - e->contact.fresh_us) / 1e3);
+  add_value (t, "configuration_version", AM_METRIC_GAUGE,
+             "Version of the configuration in force.",
+             (double)e->routes.in_force.version);
+  add_value (t, "targets_ready", AM_METRIC_GAUGE,
+             "Targets that take new flows.", (double)e->targets.ready_count);
+  add_value (t, "flows", AM_METRIC_GAUGE, "Flows seen lately.",
+             (double)e->path.flows.count);
+  add_value (t, "peers", AM_METRIC_GAUGE, "Other VMs known.",
+             (double)e->fleet.count);
+  add_value (t, "lines_lost", AM_METRIC_COUNTER,
+             "Log lines for which there was no room.", (double)e->log.lost);
+}
+
+void
+am_entry_status_handle (void *userdata, const char *path,
+                        struct am_http_reply *reply)
+{
+  struct am_entry *e = userdata;
+  struct am_metrics_text t;
+
+  if (strcmp (path, e->adapter->ready_path) == 0)
+    {
+      reply->status = am_entry_is_ready (e, am_clock_us ()) ? OK : UNAVAILABLE;
+      return;
+    }
+  reply->status = NOT_FOUND;
+  if (strcmp (path, METRICS_PATH) != 0)
+    return;
+  am_metrics_text_init (&t);
+  render (e, &t);
+  reply->status = t.failed ? UNAVAILABLE : OK;
+  reply->body = (uint8_t *)t.data;
+  reply->body_len = t.len;
+}
--- /dev/null
+++ b/src/flow/fleet.c
@@ -0,0 +1,125 @@
+#include "flow/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define RANK_SEED 0x72616e6bu
+
+static uint64_t
+rank (const char *name)
+{
+  return am_hash_bytes (name, strlen (name), RANK_SEED);
+}
+
+void
+am_fleet_init (struct am_fleet *f, const char *name, uint32_t data_centre)
+{
+  memset (f, 0, sizeof *f);
+  am_list_init (&f->peers);
+  snprintf (f->name, sizeof f->name, "%s", name);
+  f->rank = rank (f->name);
+  f->data_centre = data_centre;
+}
+
+static void
+forget (struct am_fleet *f, struct am_peer *p)
+{
+  am_list_remove (&p->node);
+  f->count--;
+  free (p);
+}
+
+void
+am_fleet_finish (struct am_fleet *f)
+{
+  am_list_each_safe (p, next, &f->peers, struct am_peer, node) forget (f, p);
+}
+
+struct am_peer *
+am_fleet_peer (struct am_fleet *f, const char *name, uint64_t now_us)
+{
+  struct am_peer *p;
+
+  if (strlen (name) >= AM_FLEET_NAME_SIZE || strcmp (name, f->name) == 0)
+    return NULL;
+  am_list_each (known, &f->peers, struct am_peer,
+                node) if (strcmp (known->name, name) == 0) return known;
+  p = calloc (1, sizeof *p);
+  if (!p)
+    return NULL;
+  snprintf (p->name, sizeof p->name, "%s", name);
+  p->rank = rank (name);
+  p->known_us = now_us;
+  am_list_push_back (&f->peers, &p->node);
+  f->count++;
+  return p;
+}
+
+bool
+am_fleet_hears (const struct am_peer *p, uint64_t now_us)
+{
+  return p->heard_us && now_us - p->heard_us < AM_FLEET_SILENCE_US;
+}
+
+bool
+am_fleet_should_read (const struct am_fleet *f, uint64_t now_us)
+{
+  unsigned better = 0;
+
+  am_list_each (p, &f->peers, struct am_peer,
+                node) if (p->data_centre == f->data_centre && p->reads
+                          && p->rank < f->rank && am_fleet_hears (p, now_us))
+      better++;
+  return better < AM_FLEET_READERS;
+}
+
+struct am_peer *
+am_fleet_ahead (const struct am_fleet *f, uint64_t revision, uint64_t now_us)
+{
+  struct am_peer *best = NULL;
+  bool best_near = false;
+
+  am_list_each (p, &f->peers, struct am_peer, node)
+  {
+    bool near = p->data_centre == f->data_centre;
+
+    if (p->revision <= revision || !am_fleet_hears (p, now_us))
+      continue;
+    if (best
+        && (near < best_near
+            || (near == best_near && p->revision <= best->revision)))
+      continue;
+    best = p;
+    best_near = near;
+  }
+  return best;
+}
+
+bool
+am_fleet_confirms (const struct am_fleet *f, uint64_t revision,
+                   uint64_t now_us)
+{
+  if (!revision)
+    return false;
+  am_list_each (p, &f->peers, struct am_peer,
+                node) if (p->reads && p->revision <= revision && p->revision
+                          && am_fleet_hears (p, now_us)) return true;
+  return false;
+}
+
+void
+am_fleet_tick (struct am_fleet *f, struct am_target_table *t, uint64_t now_us)
+{
+  am_list_each_safe (p, next, &f->peers, struct am_peer, node)
+  {
+    uint64_t last = p->heard_us > p->known_us ? p->heard_us : p->known_us;
+
+    if (!am_fleet_hears (p, now_us))
+      am_peer_load_set (&p->load, t, NULL, 0);
+    if (now_us - last > AM_FLEET_FORGET_US)
+      forget (f, p);
+  }
+}
--- /dev/null
+++ b/src/flow/fleet.h
@@ -0,0 +1,82 @@
+/* The other entry VMs, and which VMs read the store.
+
+   Each VM sends digests.  In each data centre the AM_FLEET_READERS VMs of the
+   lowest rank that are heard and in contact with the store read it; the others
+   take changes from peers.  The rule needs no message of its own: a VM reads
+   until it hears enough better readers, so a reader that dies, freezes or is
+   cut off is replaced when its digests stop.  */
+
+#ifndef AM_FLOW_FLEET_H
+#define AM_FLOW_FLEET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/address.h"
+#include "base/list.h"
+#include "flow/peer_load.h"
+
+#define AM_FLEET_READERS 2
+#define AM_FLEET_NAME_SIZE 64
+
+/* A peer not heard for this time counts as absent: three digests.  */
+#define AM_FLEET_SILENCE_US 750000u
+
+/* A peer that was neither heard nor named for this time is forgotten.  */
+#define AM_FLEET_FORGET_US 30000000u
+
+struct am_peer
+{
+  struct am_list node; /* in am_fleet.peers */
+  char name[AM_FLEET_NAME_SIZE];
+  uint64_t rank;             /* of the name; the lowest ones read */
+  uint32_t data_centre;      /* am_hash_name */
+  struct am_address address; /* digests over UDP, changes over TCP */
+  bool reads;                /* it is in contact with the store itself */
+  uint64_t revision;         /* of its copy of the store */
+  uint64_t heard_us;         /* last digest; 0: none */
+  uint64_t known_us;         /* last named by another peer */
+  struct am_peer_load load;
+};
+
+struct am_fleet
+{
+  struct am_list peers;
+  size_t count;
+  char name[AM_FLEET_NAME_SIZE]; /* of this VM */
+  uint64_t rank;
+  uint32_t data_centre;
+};
+
+void am_fleet_init (struct am_fleet *f, const char *name,
+                    uint32_t data_centre);
+void am_fleet_finish (struct am_fleet *f);
+
+/* Returns the peer NAME, added if it is new.  NULL: it is this VM, the name is
+   too long, or memory fails.  */
+struct am_peer *am_fleet_peer (struct am_fleet *f, const char *name,
+                               uint64_t now_us);
+
+/* Returns true if P has sent a digest in the last AM_FLEET_SILENCE_US.  */
+bool am_fleet_hears (const struct am_peer *p, uint64_t now_us);
+
+/* Returns true if this VM is to read the store.  */
+bool am_fleet_should_read (const struct am_fleet *f, uint64_t now_us);
+
+/* Returns the peer, heard lately, with the highest revision above REVISION, or
+   NULL.  Peers of this data centre go first.  */
+struct am_peer *am_fleet_ahead (const struct am_fleet *f, uint64_t revision,
+                                uint64_t now_us);
+
+/* Returns true if a peer that reads the store was heard lately with a copy no
+   newer than REVISION: the copy is confirmed.  */
+bool am_fleet_confirms (const struct am_fleet *f, uint64_t revision,
+                        uint64_t now_us);
+
+/* Takes back the load of silent peers from T and forgets those not heard of
+   for AM_FLEET_FORGET_US.  */
+void am_fleet_tick (struct am_fleet *f, struct am_target_table *t,
+                    uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/flow/liveness.c
@@ -0,0 +1,58 @@
+#include "flow/liveness.h"
+
+static uint64_t
+retry_pause_us (uint32_t failures)
+{
+  uint64_t pause = AM_LIVENESS_RETRY_US;
+
+  while (failures > 1 && pause < AM_LIVENESS_RETRY_MAX_US)
+    {
+      pause *= 2;
+      failures--;
+    }
+  return pause;
+}
+
+void
+am_liveness_asked (struct am_target *t, uint64_t now_us)
+{
+  if (!t->silent_us)
+    t->silent_us = now_us;
+  else if (t->retry_us && now_us >= t->retry_us)
+    t->retry_us = now_us + retry_pause_us (t->failures + 1);
+}
+
+void
+am_liveness_progress (struct am_target *t, uint64_t now_us)
+{
+  t->progress_us = now_us;
+  t->silent_us = 0;
+  t->retry_us = 0;
+  t->failures = 0;
+}
+
+void
+am_liveness_failure (struct am_target *t, uint64_t now_us)
+{
+  t->failures++;
+  if (!t->silent_us)
+    t->silent_us = now_us;
+  if (t->retry_us <= now_us)
+    t->retry_us = now_us + retry_pause_us (t->failures);
+}
+
+bool
+am_liveness_silent (const struct am_target *t, uint64_t now_us)
+{
+  if (!t->silent_us)
+    return false;
+  return t->failures || now_us - t->silent_us > AM_LIVENESS_SILENCE_US;
+}
+
+bool
+am_liveness_usable (const struct am_target *t, uint64_t now_us)
+{
+  if (!am_liveness_silent (t, now_us))
+    return true;
+  return t->retry_us && now_us >= t->retry_us;
+}
--- /dev/null
+++ b/src/flow/packet_path.c
@@ -0,0 +1,218 @@
+#include "flow/packet_path.h"
+
+#include "flow/liveness.h"
+#include "flow/placement.h"
+
+const char *
+am_reason_name (enum am_reason r)
+{
+  static const char *const names[] = {
+#define AM_REASON_NAME(symbol, name) name,
+    AM_REASON_LIST (AM_REASON_NAME)
+#undef AM_REASON_NAME
+  };
+
+  return r < AM_REASON_COUNT ? names[r] : "unknown";
+}
+
+void
+am_path_init (struct am_path *p, struct am_target_table *targets,
+              struct am_route_table *routes, uint32_t data_centre,
+              uint64_t seed)
+{
+  p->targets = targets;
+  p->routes = routes;
+  p->data_centre = data_centre;
+  p->settled = false;
+  am_rng_init (&p->rng, seed);
+  am_flow_table_init (&p->flows);
+}
+
+void
+am_path_finish (struct am_path *p)
+{
+  am_flow_table_finish (&p->flows);
+}
+
+static struct am_decision
+decide (enum am_verdict v, enum am_reason r, const struct am_target *target)
+{
+  return (struct am_decision){ v, r, target };
+}
+
+/* ---- new flows ---------------------------------------------------- */
+
+static struct am_target *
+choose (struct am_path *p, const struct am_packet *packet, uint32_t service,
+        const struct am_target *avoid, uint64_t now_us)
+{
+  struct am_placement placement = { .rng = &p->rng,
+                                    .service = service,
+                                    .data_centre = p->data_centre,
+                                    .avoid = avoid,
+                                    .now_us = now_us };
+
+  (void)packet;
+  return am_placement_choose (p->targets, &placement);
+}
+
+/* The SYN of F came again.  Its target is asked again only if the first copy
+   had no time to be answered.  */
+static struct am_decision
+place_again (struct am_path *p, const struct am_packet *packet,
+             struct am_flow *f, uint32_t service, uint64_t now_us)
+{
+  struct am_target *before = f->target;
+  struct am_target *target;
+
+  am_flow_seen (&p->flows, f, now_us);
+  if (before && now_us - f->asked_us < AM_PATH_COPY_US)
+    return decide (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, before);
+  if (before)
+    am_liveness_failure (before, now_us);
+  target = choose (p, packet, service, before, now_us);
+  if (!target)
+    return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
+  am_flow_set_target (f, target);
+  f->asked_us = now_us;
+  am_liveness_asked (target, now_us);
+  return decide (AM_VERDICT_FORWARD,
+                 target == before ? AM_REASON_SAME_TARGET
+                                  : AM_REASON_PLACED_AGAIN,
+                 target);
+}
+
+static struct am_decision
+open_flow (struct am_path *p, const struct am_packet *packet, uint64_t now_us)
+{
+  const struct am_route *route = am_route_find (p->routes, packet->route);
+  struct am_flow *f = am_flow_find (&p->flows, packet);
+  struct am_target *target;
+  uint32_t service;
+
+  if (!route)
+    return decide (AM_VERDICT_RESET, AM_REASON_NO_ROUTE, NULL);
+  service = am_route_service (route, am_flow_hash (packet));
+  if (f && f->state == AM_FLOW_OPENING && f->syn_seq == packet->seq)
+    return place_again (p, packet, f, service, now_us);
+  if (f)
+    am_flow_remove (&p->flows, f);
+  target = choose (p, packet, service, NULL, now_us);
+  if (!target)
+    return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
+  am_flow_add (&p->flows, packet, target, AM_FLOW_OPENING, now_us);
+  am_liveness_asked (target, now_us);
+  return decide (AM_VERDICT_FORWARD,
+                 packet->ack ? AM_REASON_PLACED_AGAIN : AM_REASON_PLACED,
+                 target);
+}
+
+/* ---- packets of flows --------------------------------------------- */
+
+/* Returns true if sequence number A is after B.  */
+static bool
+after (uint32_t a, uint32_t b)
+{
+  return (int32_t)(a - b) > 0;
+}
+
+/* Notes what PACKET says of its target.  */
+static void
+note (struct am_flow *f, const struct am_packet *packet, uint64_t now_us)
+{
+  struct am_target *target = f->target;
+  uint32_t end = packet->seq + packet->data_len;
+
+  if (f->state == AM_FLOW_OPENING)
+    {
+      am_flow_set_state (f, AM_FLOW_OPEN);
+      am_liveness_progress (target, now_us);
+      f->ack = packet->ack;
+    }
+  else if (packet->acknowledges && after (packet->ack, f->ack))
+    {
+      f->ack = packet->ack;
+      f->unanswered = 0;
+      am_flow_set_busy (f, false);
+      am_liveness_progress (target, now_us);
+    }
+  if (packet->data_len && after (end, f->next_seq))
+    {
+      f->next_seq = end;
+      f->asked_us = now_us;
+      am_flow_set_busy (f, true);
+    }
+  else if (packet->data_len)
+    f->unanswered++;
+  if (packet->finishes)
+    {
+      am_flow_set_busy (f, false);
+      am_flow_set_state (f, AM_FLOW_CLOSING);
+    }
+}
+
+/* The target of PACKET is not in the table.  */
+static struct am_decision
+unknown_target (struct am_path *p, const struct am_packet *packet)
+{
+  if (!packet->ticket)
+    return decide (AM_VERDICT_RESET, AM_REASON_NO_TICKET, NULL);
+  if (p->settled && packet->data_len)
+    return decide (AM_VERDICT_RESET, AM_REASON_UNKNOWN_TICKET, NULL);
+  return decide (AM_VERDICT_DROP, AM_REASON_UNKNOWN_TICKET, NULL);
+}
+
+/* Returns true if TARGET ended and showed no sign of life since.  */
+static bool
+has_ended (const struct am_target *target)
+{
+  return target->state == AM_TARGET_GONE
+         && target->progress_us < target->gone_us;
+}
+
+static struct am_decision
+carry (struct am_path *p, const struct am_packet *packet, uint64_t now_us)
+{
+  struct am_target *target
+      = am_target_by_ticket (p->targets, packet->ticket, 0);
+  struct am_flow *f = am_flow_find (&p->flows, packet);
+
+  if (packet->resets)
+    {
+      if (f)
+        am_flow_remove (&p->flows, f);
+      return decide (target ? AM_VERDICT_FORWARD : AM_VERDICT_DROP,
+                     AM_REASON_TICKET, target);
+    }
+  if (!target)
+    return unknown_target (p, packet);
+  if (!f)
+    f = am_flow_add (&p->flows, packet, target, AM_FLOW_OPEN, now_us);
+  if (!f)
+    return decide (AM_VERDICT_FORWARD, AM_REASON_TICKET, target);
+  if (f->target != target)
+    am_flow_set_target (f, target);
+  am_flow_seen (&p->flows, f, now_us);
+  note (f, packet, now_us);
+  if (packet->data_len && p->settled && has_ended (target))
+    {
+      am_flow_remove (&p->flows, f);
+      return decide (AM_VERDICT_RESET, AM_REASON_TARGET_GONE, target);
+    }
+  return decide (AM_VERDICT_FORWARD, AM_REASON_TICKET, target);
+}
+
+struct am_decision
+am_path_packet (struct am_path *p, const struct am_packet *packet,
+                uint64_t now_us)
+{
+  if (packet->opens)
+    return open_flow (p, packet, now_us);
+  return carry (p, packet, now_us);
+}
+
+void
+am_path_tick (struct am_path *p, uint64_t now_us)
+{
+  am_flow_table_expire (&p->flows, now_us, AM_PATH_FLOW_IDLE_US);
+}
--- /dev/null
+++ b/src/flow/packet_path.h
@@ -0,0 +1,89 @@
+/* What becomes of one packet of a caller.
+
+   State and owner: the path owns its flow table; the target and route tables
+   belong to the driver and are changed by discovery and configuration.  No
+   clock, socket or allocation but that of flows.  */
+
+#ifndef AM_FLOW_PACKET_PATH_H
+#define AM_FLOW_PACKET_PATH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/rng.h"
+#include "flow/flow_table.h"
+#include "flow/packet.h"
+#include "flow/route_table.h"
+#include "flow/target_table.h"
+
+/* A copy of a SYN that comes earlier than this after the first was handed on
+   waited in this VM's own queue: the target had no time to answer.  */
+#define AM_PATH_COPY_US 120000u
+
+/* Flows not seen for this time are forgotten; twice the longest pause that
+   targets allow today.  */
+#define AM_PATH_FLOW_IDLE_US 30000000u
+
+enum am_verdict
+{
+  AM_VERDICT_FORWARD,
+  AM_VERDICT_RESET,
+  AM_VERDICT_DROP,
+};
+
+/* X (symbol, name)  */
+#define AM_REASON_LIST(X)                                                     \
+  X (AM_REASON_PLACED, "placed")                 /* new flow */               \
+  X (AM_REASON_PLACED_AGAIN, "placed_again")     /* target did not answer */  \
+  X (AM_REASON_SAME_TARGET, "same_target")       /* copy of a SYN */          \
+  X (AM_REASON_TICKET, "ticket")                 /* packet of a flow */       \
+  X (AM_REASON_NO_ROUTE, "no_route")             /* address not configured */ \
+  X (AM_REASON_NO_TARGET, "no_target")           /* no target takes flows */  \
+  X (AM_REASON_NO_TICKET, "no_ticket")           /* flow was never open */    \
+  X (AM_REASON_UNKNOWN_TICKET, "unknown_ticket") /* target is not known */    \
+  X (AM_REASON_TARGET_GONE, "target_gone")       /* target has ended */       \
+  X (AM_REASON_TARGET_SILENT, "target_silent")   /* target does not answer */
+
+enum am_reason
+{
+#define AM_REASON_ENUM(symbol, name) symbol,
+  AM_REASON_LIST (AM_REASON_ENUM)
+#undef AM_REASON_ENUM
+      AM_REASON_COUNT
+};
+
+/* Returns the stable short name of R.  */
+const char *am_reason_name (enum am_reason r);
+
+struct am_decision
+{
+  enum am_verdict verdict;
+  enum am_reason reason;
+  const struct am_target *target; /* of FORWARD; else what is known or NULL */
+};
+
+struct am_path
+{
+  struct am_target_table *targets; /* not owned */
+  struct am_route_table *routes;   /* not owned */
+  struct am_flow_table flows;
+  struct am_rng rng;
+  uint32_t data_centre; /* of this VM, am_hash_name */
+  bool settled; /* set by the driver: what is missing from the target table
+                   has ended */
+};
+
+void am_path_init (struct am_path *p, struct am_target_table *targets,
+                   struct am_route_table *routes, uint32_t data_centre,
+                   uint64_t seed);
+void am_path_finish (struct am_path *p);
+
+/* Decides what becomes of PACKET and notes it as evidence.  */
+struct am_decision am_path_packet (struct am_path *p,
+                                   const struct am_packet *packet,
+                                   uint64_t now_us);
+
+/* Forgets idle flows.  To be called about once a second.  */
+void am_path_tick (struct am_path *p, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/flow/peer_load.c
@@ -0,0 +1,49 @@
+#include "flow/peer_load.h"
+
+/* Adds SIGN, 1 or -1, times L to the peers' load of the target TICKET.  */
+static void
+add (struct am_target_table *t, const struct am_load_report *r, int sign)
+{
+  struct am_target *g = am_target_by_ticket (t, r->ticket, 0);
+
+  if (!g)
+    return;
+  g->peers_load.opening += (uint32_t)sign * r->load.opening;
+  g->peers_load.open_flows += (uint32_t)sign * r->load.open_flows;
+  g->peers_load.busy += (uint32_t)sign * r->load.busy;
+}
+
+void
+am_peer_load_set (struct am_peer_load *peer, struct am_target_table *t,
+                  const struct am_load_report *reports, size_t count)
+{
+  for (size_t i = 0; i < peer->count; i++)
+    add (t, &peer->reports[i], -1);
+  peer->count = 0;
+  for (size_t i = 0; i < count && peer->count < AM_PEER_LOAD_MAX; i++)
+    {
+      if (!am_target_by_ticket (t, reports[i].ticket, 0))
+        continue;
+      add (t, &reports[i], 1);
+      peer->reports[peer->count++] = reports[i];
+    }
+}
+
+size_t
+am_peer_load_collect (const struct am_target_table *t,
+                      struct am_load_report *reports)
+{
+  size_t n = 0;
+
+  am_list_each (g, &t->targets, struct am_target, node)
+  {
+    const struct am_target_load *l = &g->load;
+
+    if (!l->opening && !l->open_flows && !l->busy)
+      continue;
+    reports[n++] = (struct am_load_report){ g->ticket, *l };
+    if (n == AM_PEER_LOAD_MAX)
+      break;
+  }
+  return n;
+}
--- /dev/null
+++ b/src/flow/peer_load.h
@@ -0,0 +1,36 @@
+/* What one peer last said of the load that its flows put on targets.  */
+
+#ifndef AM_FLOW_PEER_LOAD_H
+#define AM_FLOW_PEER_LOAD_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "flow/target_table.h"
+
+/* Targets in one report.  */
+#define AM_PEER_LOAD_MAX 64
+
+struct am_load_report
+{
+  uint32_t ticket; /* of the target */
+  struct am_target_load load;
+};
+
+struct am_peer_load
+{
+  size_t count;
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+};
+
+/* Replaces what PEER said before by REPORTS, and the peers' load of the
+   targets in T with it.  Reports beyond AM_PEER_LOAD_MAX are dropped.  */
+void am_peer_load_set (struct am_peer_load *peer, struct am_target_table *t,
+                       const struct am_load_report *reports, size_t count);
+
+/* Writes the load of the targets in T by this VM's own flows to REPORTS, which
+   has room for AM_PEER_LOAD_MAX.  Returns their number.  */
+size_t am_peer_load_collect (const struct am_target_table *t,
+                             struct am_load_report *reports);
+
+#endif
--- /dev/null
+++ b/src/flow/replica.c
@@ -0,0 +1,198 @@
+#include "flow/replica.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/hash.h"
+
+#define KEY_SEED 0x6b657973u
+
+void
+am_replica_init (struct am_replica *r, am_replica_changed changed,
+                 void *userdata)
+{
+  memset (r, 0, sizeof *r);
+  for (size_t i = 0; i < AM_REPLICA_BUCKETS; i++)
+    am_list_init (&r->buckets[i]);
+  am_list_init (&r->by_revision);
+  r->changed = changed;
+  r->userdata = userdata;
+}
+
+static void
+item_free (struct am_replica *r, struct am_replica_item *i)
+{
+  if (i->removed)
+    r->removal_count--;
+  am_list_remove (&i->bucket);
+  am_list_remove (&i->node);
+  free (i->value);
+  free (i);
+}
+
+void
+am_replica_finish (struct am_replica *r)
+{
+  am_list_each_safe (i, next, &r->by_revision, struct am_replica_item, node)
+      item_free (r, i);
+}
+
+static struct am_list *
+bucket (struct am_replica *r, const char *key, size_t len)
+{
+  return &r->buckets[am_hash_bytes (key, len, KEY_SEED) % AM_REPLICA_BUCKETS];
+}
+
+static struct am_replica_item *
+find (struct am_replica *r, const char *key, size_t len)
+{
+  am_list_each (i, bucket (r, key, len), struct am_replica_item,
+                bucket) if (i->key_len == len
+                            && memcmp (i->key, key, len) == 0) return i;
+  return NULL;
+}
+
+static struct am_replica_item *
+add (struct am_replica *r, const char *key, size_t len)
+{
+  struct am_replica_item *i = calloc (1, sizeof *i + len + 1);
+
+  if (!i)
+    return NULL;
+  memcpy (i->key, key, len);
+  i->key_len = len;
+  am_list_push_back (bucket (r, key, len), &i->bucket);
+  am_list_init (&i->node);
+  return i;
+}
+
+/* Puts I where its revision belongs; most changes are the newest.  */
+static void
+place (struct am_replica *r, struct am_replica_item *i)
+{
+  am_list_remove (&i->node);
+  am_list_each (other, &r->by_revision, struct am_replica_item,
+                node) if (other->revision <= i->revision)
+  {
+    am_list_insert_between (&i->node, other->node.prev, &other->node);
+    return;
+  }
+  am_list_push_back (&r->by_revision, &i->node);
+}
+
+/* Forgets the oldest removals beyond AM_REPLICA_REMOVALS.  */
+static void
+trim (struct am_replica *r)
+{
+  struct am_list *n = r->by_revision.prev;
+
+  while (r->removal_count > AM_REPLICA_REMOVALS && n != &r->by_revision)
+    {
+      struct am_replica_item *i
+          = am_container_of (n, struct am_replica_item, node);
+
+      n = n->prev;
+      if (!i->removed)
+        continue;
+      r->horizon = i->revision;
+      item_free (r, i);
+    }
+}
+
+/* Sets the state of I; VALUE is owned by it then.  */
+static void
+set (struct am_replica *r, struct am_replica_item *i, uint8_t *value,
+     size_t len, uint64_t revision, bool removed)
+{
+  r->removal_count += (size_t)removed - (size_t)i->removed;
+  free (i->value);
+  i->value = value;
+  i->value_len = len;
+  i->revision = revision;
+  i->removed = removed;
+  place (r, i);
+  r->changed (r->userdata, i);
+  trim (r);
+}
+
+int
+am_replica_write (struct am_replica *r, const char *key, size_t key_len,
+                  const uint8_t *value, size_t value_len, uint64_t revision)
+{
+  struct am_replica_item *i = find (r, key, key_len);
+  uint8_t *copy;
+
+  if (i && i->revision >= revision)
+    {
+      i->listed = true;
+      return AM_OK;
+    }
+  copy = malloc (value_len + 1);
+  if (!copy)
+    return AM_E_MEMORY;
+  if (value_len)
+    memcpy (copy, value, value_len);
+  copy[value_len] = '\0';
+  if (!i)
+    i = add (r, key, key_len);
+  if (!i)
+    {
+      free (copy);
+      return AM_E_MEMORY;
+    }
+  i->listed = true;
+  set (r, i, copy, value_len, revision, false);
+  return AM_OK;
+}
+
+int
+am_replica_remove (struct am_replica *r, const char *key, size_t key_len,
+                   uint64_t revision)
+{
+  struct am_replica_item *i = find (r, key, key_len);
+
+  if (i && i->revision >= revision)
+    return AM_OK;
+  if (!i)
+    i = add (r, key, key_len);
+  if (!i)
+    return AM_E_MEMORY;
+  set (r, i, NULL, 0, revision, true);
+  return AM_OK;
+}
+
+void
+am_replica_advance (struct am_replica *r, uint64_t revision)
+{
+  if (revision > r->revision)
+    r->revision = revision;
+}
+
+void
+am_replica_list_begin (struct am_replica *r)
+{
+  am_list_each (i, &r->by_revision, struct am_replica_item, node) i->listed
+      = false;
+}
+
+int
+am_replica_list_end (struct am_replica *r, uint64_t revision)
+{
+  am_list_each_safe (i, next, &r->by_revision, struct am_replica_item,
+                     node) if (!i->listed && !i->removed
+                               && i->revision <= revision)
+      set (r, i, NULL, 0, revision, true);
+  /* Items that were written and removed before the listing never came
+     here.  */
+  if (revision > r->revision)
+    r->horizon = revision;
+  am_replica_advance (r, revision);
+  return AM_OK;
+}
+
+bool
+am_replica_reaches (const struct am_replica *r, uint64_t revision)
+{
+  return revision && revision >= r->horizon;
+}
--- /dev/null
+++ b/src/flow/route_table.c
@@ -0,0 +1,78 @@
+#include "flow/route_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+
+void
+am_configuration_finish (struct am_configuration *c)
+{
+  free (c->routes);
+  memset (c, 0, sizeof *c);
+}
+
+void
+am_route_table_init (struct am_route_table *t)
+{
+  memset (t, 0, sizeof *t);
+}
+
+void
+am_route_table_finish (struct am_route_table *t)
+{
+  am_configuration_finish (&t->in_force);
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  const struct am_route *x = a;
+  const struct am_route *y = b;
+  uint64_t i = am_address_key (x->address);
+  uint64_t j = am_address_key (y->address);
+
+  return (i > j) - (i < j);
+}
+
+int
+am_route_table_accept (struct am_route_table *t, struct am_configuration *c)
+{
+  if (c->version <= t->in_force.version)
+    return AM_E_REVISION;
+  am_configuration_finish (&t->in_force);
+  t->in_force = *c;
+  memset (c, 0, sizeof *c);
+  if (t->in_force.route_count)
+    qsort (t->in_force.routes, t->in_force.route_count,
+           sizeof t->in_force.routes[0], compare);
+  return AM_OK;
+}
+
+const struct am_route *
+am_route_find (const struct am_route_table *t, struct am_address address)
+{
+  struct am_route key = { .address = address };
+
+  if (!t->in_force.route_count)
+    return NULL;
+  return bsearch (&key, t->in_force.routes, t->in_force.route_count,
+                  sizeof key, compare);
+}
+
+uint32_t
+am_route_service (const struct am_route *r, uint64_t flow)
+{
+  uint32_t at;
+
+  if (r->share_count == 1 || !r->total_weight)
+    return r->shares[0].service;
+  at = (uint32_t)(flow % r->total_weight);
+  for (uint32_t i = 0; i < r->share_count; i++)
+    {
+      if (at < r->shares[i].weight)
+        return r->shares[i].service;
+      at -= r->shares[i].weight;
+    }
+  return r->shares[0].service;
+}
--- /dev/null
+++ b/src/flow/target_table.c
@@ -0,0 +1,213 @@
+#include "flow/target_table.h"
+
+#include <stdlib.h>
+
+#include "base/error.h"
+#include "base/hash.h"
+
+/* Distinguishes the ticket from other hashes of the same id.  */
+#define TICKET_SEED 0x7469636bu
+
+void
+am_target_table_init (struct am_target_table *t)
+{
+  for (size_t i = 0; i < AM_TARGET_BUCKETS; i++)
+    {
+      am_list_init (&t->tickets[i]);
+      am_list_init (&t->ids[i]);
+    }
+  am_list_init (&t->targets);
+  t->count = 0;
+  t->ready_count = 0;
+}
+
+static void
+forget (struct am_target_table *t, struct am_target *g)
+{
+  am_list_remove (&g->by_ticket);
+  am_list_remove (&g->by_id);
+  am_list_remove (&g->node);
+  t->count--;
+  free (g);
+}
+
+void
+am_target_table_finish (struct am_target_table *t)
+{
+  am_list_each_safe (g, next, &t->targets, struct am_target, node)
+      forget (t, g);
+}
+
+uint32_t
+am_target_ticket (uint64_t id)
+{
+  uint32_t h = (uint32_t)am_hash_bytes (&id, sizeof id, TICKET_SEED);
+
+  return h ? h : 1;
+}
+
+static struct am_list *
+ticket_bucket (struct am_target_table *t, uint32_t ticket)
+{
+  return &t->tickets[ticket % AM_TARGET_BUCKETS];
+}
+
+static struct am_list *
+id_bucket (struct am_target_table *t, uint64_t id)
+{
+  return &t->ids[am_target_ticket (id) % AM_TARGET_BUCKETS];
+}
+
+struct am_target *
+am_target_by_id (struct am_target_table *t, uint64_t id)
+{
+  am_list_each (g, id_bucket (t, id), struct am_target,
+                by_id) if (g->spec.id == id) return g;
+  return NULL;
+}
+
+struct am_target *
+am_target_by_ticket (struct am_target_table *t, uint32_t ticket,
+                     uint32_t service)
+{
+  struct am_target *any = NULL;
+
+  am_list_each (g, ticket_bucket (t, ticket), struct am_target, by_ticket)
+  {
+    if (g->ticket != ticket)
+      continue;
+    if (g->spec.service == service)
+      return g;
+    any = g;
+  }
+  return any;
+}
+
+/* Of targets that share a ticket only the one of the lowest id takes new
+   flows, by a rule that each entry VM computes for itself.  */
+static void
+mark_ambiguous (struct am_target_table *t, uint32_t ticket)
+{
+  struct am_target *lowest = NULL;
+
+  am_list_each (g, ticket_bucket (t, ticket), struct am_target,
+                by_ticket) if (g->ticket == ticket
+                               && (!lowest || g->spec.id < lowest->spec.id))
+      lowest
+      = g;
+  am_list_each (g, ticket_bucket (t, ticket), struct am_target,
+                by_ticket) if (g->ticket == ticket) g->ambiguous
+      = g != lowest;
+}
+
+static struct am_target *
+add (struct am_target_table *t, uint64_t id, uint64_t now_us)
+{
+  struct am_target *g = calloc (1, sizeof *g);
+
+  if (!g)
+    return NULL;
+  g->spec.id = id;
+  g->ticket = am_target_ticket (id);
+  g->known_us = now_us;
+  g->state = AM_TARGET_GONE;
+  am_list_push_back (ticket_bucket (t, g->ticket), &g->by_ticket);
+  am_list_push_back (id_bucket (t, id), &g->by_id);
+  am_list_push_back (&t->targets, &g->node);
+  t->count++;
+  mark_ambiguous (t, g->ticket);
+  return g;
+}
+
+static void
+set_state (struct am_target_table *t, struct am_target *g,
+           enum am_target_state state)
+{
+  if (g->state == AM_TARGET_READY)
+    t->ready_count--;
+  if (state == AM_TARGET_READY)
+    t->ready_count++;
+  g->state = state;
+}
+
+/* The process started again under its id: nothing of before holds.  */
+static void
+forget_evidence (struct am_target *g)
+{
+  g->load = (struct am_target_load){ 0 };
+  g->progress_us = 0;
+  g->silent_us = 0;
+  g->retry_us = 0;
+  g->failures = 0;
+}
+
+int
+am_target_table_put (struct am_target_table *t, const struct am_target_spec *s,
+                     uint64_t now_us, struct am_target **target)
+{
+  struct am_target *g = am_target_by_id (t, s->id);
+
+  if (!g)
+    g = add (t, s->id, now_us);
+  if (!g)
+    return AM_E_MEMORY;
+  if (g->spec.born_ms != s->born_ms)
+    forget_evidence (g);
+  if (g->state == AM_TARGET_GONE)
+    g->retry_us = 0;
+  g->spec = *s;
+  g->absent_us = 0;
+  g->warm_us = now_us + (uint64_t)s->warm_up_ms * 1000u;
+  set_state (t, g, s->draining ? AM_TARGET_DRAINING : AM_TARGET_READY);
+  if (target)
+    *target = g;
+  return AM_OK;
+}
+
+void
+am_target_table_absent (struct am_target_table *t, uint64_t id,
+                        uint64_t now_us)
+{
+  struct am_target *g = am_target_by_id (t, id);
+
+  if (g && g->state != AM_TARGET_GONE && !g->absent_us)
+    g->absent_us = now_us;
+}
+
+static bool
+is_old (const struct am_target *g, uint64_t now_us)
+{
+  return g->state == AM_TARGET_GONE && now_us - g->gone_us > AM_TARGET_KEEP_US;
+}
+
+static void
+sweep_old (struct am_target_table *t, struct am_target *g,
+           const struct am_target_events *events)
+{
+  uint32_t ticket = g->ticket;
+
+  if (events->forgotten)
+    events->forgotten (events->userdata, g);
+  forget (t, g);
+  mark_ambiguous (t, ticket);
+}
+
+void
+am_target_table_sweep (struct am_target_table *t, uint64_t now_us,
+                       uint64_t grace_end_us,
+                       const struct am_target_events *events)
+{
+  am_list_each_safe (g, next, &t->targets, struct am_target, node)
+  {
+    if (is_old (g, now_us))
+      sweep_old (t, g, events);
+    else if (g->absent_us && now_us >= grace_end_us
+             && g->state != AM_TARGET_GONE)
+      {
+        set_state (t, g, AM_TARGET_GONE);
+        g->gone_us = now_us;
+        if (events->gone)
+          events->gone (events->userdata, g);
+      }
+  }
+}
--- a/src/io/udp_batch.c
+++ b/src/io/udp_batch.c
@@ -41,6 +41,12 @@
   return b->data[b->count++];
 }
 
+void
+am_udp_batch_cut (struct am_udp_batch *b, size_t len)
+{
+  b->sizes[b->count - 1] = len;
+}
+
 int
 am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
                   const void *data, size_t len)
--- a/src/io/udp_batch.h
+++ b/src/io/udp_batch.h
@@ -37,6 +37,9 @@
 uint8_t *am_udp_batch_room (struct am_udp_batch *b, struct am_address to,
                             size_t len);
 
+/* Shortens the datagram last added to LEN bytes.  */
+void am_udp_batch_cut (struct am_udp_batch *b, size_t len);
+
 /* Adds one datagram (copied); a full batch is sent first.  Returns AM_OK or
    AM_E_TOO_LARGE.  */
 int am_udp_batch_add (struct am_udp_batch *b, struct am_address to,
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,326 @@
+#include "net/http_client.h"
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+
+#define READ_SIZE 65536
+#define REQUEST_SIZE (AM_HTTP_PATH_SIZE + 128)
+
+/* A connection frees itself once its handles are closed, so that a client can
+   drop it at any time.  */
+struct am_http_connection
+{
+  uv_tcp_t tcp;
+  uv_timer_t timer;
+  uv_connect_t connect;
+  uv_write_t write;
+  struct am_http_client *client; /* NULL once dropped */
+  unsigned handles;
+  bool connected;
+  char request[REQUEST_SIZE];
+  size_t request_len;
+  http_parser parser;
+  uint8_t *body; /* owned */
+  size_t body_len;
+  size_t body_size;
+  int error;
+  bool complete;
+};
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct am_http_connection *n = handle->data;
+
+  if (--n->handles > 0)
+    return;
+  free (n->body);
+  free (n);
+}
+
+static void
+drop (struct am_http_client *c)
+{
+  struct am_http_connection *n = c->connection;
+
+  if (!n)
+    return;
+  c->connection = NULL;
+  n->client = NULL;
+  uv_close ((uv_handle_t *)&n->tcp, on_closed);
+  uv_close ((uv_handle_t *)&n->timer, on_closed);
+}
+
+void
+am_http_client_init (struct am_http_client *c, uv_loop_t *loop,
+                     struct am_address server)
+{
+  memset (c, 0, sizeof *c);
+  c->loop = loop;
+  c->server = server;
+}
+
+void
+am_http_client_reset (struct am_http_client *c)
+{
+  c->done = NULL;
+  drop (c);
+}
+
+bool
+am_http_client_busy (const struct am_http_client *c)
+{
+  return c->done != NULL;
+}
+
+/* Ends the call of C.  The connection outlives the callback, which may begin
+   another call.  */
+static void
+finish (struct am_http_client *c, const struct am_http_answer *a)
+{
+  am_http_done done = c->done;
+
+  c->done = NULL;
+  if (done)
+    done (c->userdata, a);
+}
+
+static void
+fail (struct am_http_connection *n, int error)
+{
+  struct am_http_client *c = n->client;
+  struct am_http_answer a = { .error = error };
+
+  if (!c)
+    return;
+  drop (c);
+  finish (c, &a);
+}
+
+/* ---- parser ------------------------------------------------------- */
+
+static int
+reserve_body (struct am_http_connection *n, size_t len)
+{
+  size_t size = n->body_size ? n->body_size : 4096;
+  uint8_t *grown;
+
+  while (size < len)
+    size *= 2;
+  if (size == n->body_size)
+    return AM_OK;
+  grown = realloc (n->body, size);
+  if (!grown)
+    return AM_E_MEMORY;
+  n->body = grown;
+  n->body_size = size;
+  return AM_OK;
+}
+
+static int
+on_body (http_parser *p, const char *data, size_t len)
+{
+  struct am_http_connection *n = p->data;
+
+  if (n->body_len + len > AM_HTTP_BODY_MAX)
+    n->error = AM_E_TOO_LARGE;
+  else
+    n->error = reserve_body (n, n->body_len + len + 1);
+  if (n->error)
+    return 1;
+  memcpy (n->body + n->body_len, data, len);
+  n->body_len += len;
+  n->body[n->body_len] = '\0';
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *p)
+{
+  struct am_http_connection *n = p->data;
+
+  n->complete = true;
+  http_parser_pause (p, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings
+    = { .on_body = on_body, .on_message_complete = on_message_complete };
+
+/* The whole answer is here.  */
+static void
+deliver (struct am_http_connection *n)
+{
+  struct am_http_client *c = n->client;
+  struct am_http_answer a
+      = { .status = (int)n->parser.status_code,
+          .body = n->body_len ? n->body : (const uint8_t *)"",
+          .body_len = n->body_len };
+  uint8_t *body = n->body;
+
+  uv_timer_stop (&n->timer);
+  n->body = NULL;
+  n->body_size = 0;
+  if (!http_should_keep_alive (&n->parser))
+    drop (c);
+  finish (c, &a);
+  free (body);
+}
+
+static void
+parse (struct am_http_connection *n, const char *data, size_t len)
+{
+  size_t used = http_parser_execute (&n->parser, &parser_settings, data, len);
+
+  if (n->complete)
+    deliver (n);
+  else if (used != len || HTTP_PARSER_ERRNO (&n->parser) != HPE_OK)
+    fail (n, n->error ? n->error : AM_E_FORMAT);
+}
+
+/* ---- connection --------------------------------------------------- */
+
+static void
+on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  static char room[READ_SIZE];
+
+  (void)handle;
+  (void)size;
+  *buf = uv_buf_init (room, sizeof room);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+  struct am_http_connection *n = stream->data;
+
+  if (!n->client || len == 0)
+    return;
+  if (len < 0 || !am_http_client_busy (n->client))
+    fail (n, AM_E_CONNECTION);
+  else
+    parse (n, buf->base, (size_t)len);
+}
+
+static void
+on_written (uv_write_t *write, int status)
+{
+  struct am_http_connection *n = write->data;
+
+  if (status < 0)
+    fail (n, AM_E_CONNECTION);
+}
+
+static void
+send_request (struct am_http_connection *n)
+{
+  uv_buf_t buf = uv_buf_init (n->request, (unsigned)n->request_len);
+
+  n->write.data = n;
+  if (uv_write (&n->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written))
+    fail (n, AM_E_CONNECTION);
+}
+
+static void
+on_connected (uv_connect_t *connect, int status)
+{
+  struct am_http_connection *n = connect->data;
+
+  if (!n->client)
+    return;
+  if (status < 0 || uv_read_start ((uv_stream_t *)&n->tcp, on_alloc, on_read))
+    {
+      fail (n, AM_E_CONNECTION);
+      return;
+    }
+  n->connected = true;
+  uv_tcp_nodelay (&n->tcp, 1);
+  send_request (n);
+}
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  struct am_http_connection *n = timer->data;
+
+  fail (n, AM_E_TIMEOUT);
+}
+
+static struct am_http_connection *
+connection_new (struct am_http_client *c)
+{
+  struct am_http_connection *n = calloc (1, sizeof *n);
+
+  if (!n)
+    return NULL;
+  n->client = c;
+  n->handles = 2;
+  uv_tcp_init (c->loop, &n->tcp);
+  uv_timer_init (c->loop, &n->timer);
+  n->tcp.data = n;
+  n->timer.data = n;
+  n->connect.data = n;
+  return n;
+}
+
+static int
+connect_to (struct am_http_connection *n, struct am_address server)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET,
+                            .sin_port = htons (server.port),
+                            .sin_addr = { htonl (server.ip) } };
+
+  if (uv_tcp_connect (&n->connect, &n->tcp, (const struct sockaddr *)&sa,
+                      on_connected))
+    return AM_E_CONNECTION;
+  return AM_OK;
+}
+
+/* Prepares N for the next answer.  */
+static void
+begin_answer (struct am_http_connection *n)
+{
+  http_parser_init (&n->parser, HTTP_RESPONSE);
+  n->parser.data = n;
+  n->body_len = 0;
+  n->error = AM_OK;
+  n->complete = false;
+}
+
+int
+am_http_get (struct am_http_client *c, const char *path, uint32_t timeout_ms,
+             am_http_done done, void *userdata)
+{
+  char address[AM_ADDRESS_TEXT_SIZE];
+  struct am_http_connection *n = c->connection;
+  int len;
+
+  if (c->done)
+    return AM_E_STATE;
+  if (!n)
+    {
+      n = connection_new (c);
+      if (!n)
+        return AM_E_MEMORY;
+      c->connection = n;
+    }
+  begin_answer (n);
+  len = snprintf (n->request, sizeof n->request,
+                  "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
+                  am_address_format (c->server, address));
+  n->request_len = (size_t)len;
+  c->done = done;
+  c->userdata = userdata;
+  uv_timer_start (&n->timer, on_timeout, timeout_ms, 0);
+  if (n->connected)
+    send_request (n);
+  else if (connect_to (n, c->server))
+    uv_timer_start (&n->timer, on_timeout, 0, 0);
+  return AM_OK;
+}
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,61 @@
+/* HTTP/1.1 client of one server, one call at a time, on a libuv loop.
+
+   The connection is kept between calls.  A call that fails or times out closes
+   it: what a late answer would bring belongs to no call.  Messages are parsed
+   by http_parser.  */
+
+#ifndef AM_NET_HTTP_CLIENT_H
+#define AM_NET_HTTP_CLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "base/address.h"
+
+/* Largest body of an answer, bytes.  */
+#define AM_HTTP_BODY_MAX (16u << 20)
+
+/* Largest path of a call with its query, bytes.  */
+#define AM_HTTP_PATH_SIZE 1024
+
+struct am_http_answer
+{
+  int error;           /* AM_OK, AM_E_CONNECTION, AM_E_TIMEOUT, AM_E_FORMAT,
+                          AM_E_TOO_LARGE or AM_E_MEMORY */
+  int status;          /* of HTTP; 0 on an error */
+  const uint8_t *body; /* valid during the call; a NUL follows it */
+  size_t body_len;
+};
+
+typedef void (*am_http_done) (void *userdata, const struct am_http_answer *a);
+
+struct am_http_connection;
+
+struct am_http_client
+{
+  uv_loop_t *loop;
+  struct am_address server;
+  struct am_http_connection *connection; /* owned; NULL: none */
+  am_http_done done;                     /* NULL: no call in progress */
+  void *userdata;
+};
+
+void am_http_client_init (struct am_http_client *c, uv_loop_t *loop,
+                          struct am_address server);
+
+/* Ends the call in progress without its callback and closes the connection.
+   C may be used again at once.  */
+void am_http_client_reset (struct am_http_client *c);
+
+/* Returns true if a call is in progress.  */
+bool am_http_client_busy (const struct am_http_client *c);
+
+/* Sends GET PATH.  DONE is called once, within TIMEOUT_MS, and may begin the
+   next call.  Returns AM_OK, AM_E_STATE if a call is in progress, or
+   AM_E_MEMORY.  */
+int am_http_get (struct am_http_client *c, const char *path,
+                 uint32_t timeout_ms, am_http_done done, void *userdata);
+
+#endif
