--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -20,6 +20,9 @@
 /* Silent seeds are told of this VM at this interval.  */
 #define SEEDS_US 1000000u
 
+/* The store has this long to answer before a seed is asked as well.  */
+#define SEED_PULL_US 600000u
+
 #define CHANGES_PATH "/changes?after="
 #define PULL_TIMEOUT_MS 800
 #define PATH_SIZE 64
@@ -361,7 +364,7 @@
 {
   struct am_peer *p;
 
-  if (am_http_client_busy (&e->pull))
+  if (am_http_client_busy (&e->pull) || !e->replica.revision)
     return;
   p = am_fleet_ahead (&e->fleet, e->replica.revision, now_us);
   if (p)
@@ -369,14 +372,16 @@
 }
 
 /* While nothing is known each seed is asked in turn: the store may not answer
-   a VM that has just started.  */
+   a VM that has just started.  It is asked first, as both answers together
+   would fill the link of a small VM.  */
 static void
-pull_from_seed (struct am_entry *e)
+pull_from_seed (struct am_entry *e, uint64_t now_us)
 {
   struct am_address seed;
 
   if (e->replica.revision || am_http_client_busy (&e->pull)
-      || !e->settings.seed_count)
+      || !e->settings.seed_count
+      || (!e->reader.failures && now_us - e->started_us < SEED_PULL_US))
     return;
   seed = e->settings.seeds[e->next_seed++ % e->settings.seed_count];
   if (!am_address_equal (seed, e->settings.peers))
@@ -416,7 +421,7 @@
   am_fleet_tick (&e->fleet, &e->targets, now_us);
   if (now_us - e->digest_us >= interval)
     send_digests (e, now_us);
-  pull_from_seed (e);
+  pull_from_seed (e, now_us);
   pull (e, now_us);
 }
 
