Carry open flows from the moment when targets are known

Cause: after a restart VMs read nothing until targets and configuration were both there, and looked for that at a tick of 50 ms. On a link of 10 Mbit/s a configuration of 1,405 routes takes 284 ms, in which packets of open flows, which need no route, waited too.

Change: the socket is bound at the start and read once targets are known; the listing brings targets first; packets that open flows are held until there is a configuration, 512 at most.

--- a/src/entry/adapter.h
+++ b/src/entry/adapter.h
@@ -67,10 +67,12 @@
   int (*configuration_read) (struct am_configuration *c, const uint8_t *value,
                              size_t len);
 
-  /* Calls to the store: the path of a GET.  A listing goes on after the key
-     AFTER (NULL: from the first); a watch waits for changes after
+  /* Calls to the store: the path of a GET.  A listing brings the items of
+     KIND, AM_ITEM_TARGET or AM_ITEM_CONFIGURATION, and goes on after the key
+     AFTER (NULL: from the first); a watch waits for changes of any kind after
      REVISION.  */
-  void (*list_path) (char *path, size_t size, const char *after);
+  void (*list_path) (char *path, size_t size, enum am_item_kind kind,
+                     const char *after);
   void (*watch_path) (char *path, size_t size, uint64_t revision,
                       uint32_t wait_ms);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,10 +15,6 @@
    suspended time ran ahead by it.  */
 #define STILL_US 1000000u
 
-/* Packets wait in the socket this long for the first configuration and
-   targets; after that they are refused.  */
-#define FIRST_KNOWLEDGE_US 1000000u
-
 /* After SIGTERM routers send new packets for about a second: two misses of a
    check twice a second.  The process ends once they have stopped.  */
 #define STOP_QUIET_US 1000000u
@@ -82,21 +78,6 @@
                      (now_us - e->contact.fresh_us) / 1000);
 }
 
-static void
-check_packets (struct am_entry *e, uint64_t now_us)
-{
-  bool known = e->routes.in_force.version && e->targets.ready_count;
-
-  if (e->carrying || (!known && now_us - e->started_us < FIRST_KNOWLEDGE_US))
-    return;
-  if (am_entry_packets_open (e))
-    am_line_log_add (&e->log, AM_LINE_STATE, now_us, "packets-closed");
-  else
-    am_line_log_add (&e->log, AM_LINE_STATE, now_us,
-                     "packets-open start_ms=%" PRIu64 " targets=%zu",
-                     (now_us - e->started_us) / 1000, e->targets.ready_count);
-}
-
 static void
 check_stop (struct am_entry *e, uint64_t now_us)
 {
@@ -126,7 +107,7 @@
   check_contact (e, now_us);
   am_entry_items_tick (e, now_us);
   am_path_tick (&e->path, now_us);
-  check_packets (e, now_us);
+  am_entry_packets_check (e, now_us);
   check_stop (e, now_us);
   am_line_log_flush (&e->log);
 }
@@ -185,6 +166,8 @@
 
   if (!err)
     err = am_entry_peers_open (e);
+  if (!err)
+    err = am_entry_packets_open (e);
   if (err || !e->settings.metrics.port)
     return err;
   /* Service goes on without metrics.  */
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -50,12 +50,24 @@
 {
   struct am_http_client client;
   bool listing;
-  uint64_t list_revision; /* of the first page */
-  char *list_after;       /* owned: last key of the page before */
-  uint64_t retry_us;      /* no call before this */
-  uint32_t failures;      /* in a row */
-  uint64_t ok_us;         /* last usable answer; 0: none */
-  bool works;             /* the last call was answered */
+  enum am_item_kind list_kind; /* that is being listed */
+  uint64_t list_revision;      /* of the first page; 0: none yet */
+  char *list_after;            /* owned: last key of the page before */
+  uint64_t retry_us;           /* no call before this */
+  uint32_t failures;           /* in a row */
+  uint64_t ok_us;              /* last usable answer; 0: none */
+  bool works;                  /* the last call was answered */
+};
+
+/* Packets that wait for the first configuration: those that open flows.  */
+#define AM_ENTRY_HELD_MAX 512
+#define AM_ENTRY_HELD_SIZE 64
+
+struct am_entry_held
+{
+  uint64_t held_us;
+  uint8_t len;
+  uint8_t data[AM_ENTRY_HELD_SIZE];
 };
 
 struct am_entry
@@ -79,7 +91,9 @@
 
   struct am_udp_port packets;
   struct am_udp_batch packets_out;
-  bool carrying; /* packets is open */
+  struct am_entry_held held[AM_ENTRY_HELD_MAX]; /* packets.c */
+  size_t held_count;
+  bool carrying; /* packets are read; before that they wait in the socket */
 
   struct am_udp_port digests;
   struct am_http_server changes; /* for peers */
@@ -108,9 +122,10 @@
                    const struct am_adapter *adapter,
                    const char *settings_file);
 
-/* packets.c: carry packets.  open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
+/* packets.c: carry packets, from the moment when something is known of where
+   they belong.  open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_packets_open (struct am_entry *e);
-void am_entry_packets_close (struct am_entry *e);
+void am_entry_packets_check (struct am_entry *e, uint64_t now_us);
 
 /* items.c: an item of the replica has changed.  */
 void am_entry_item_changed (void *userdata,
--- a/src/entry/packets.c
+++ b/src/entry/packets.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/error.h"
 #include "entry/entry.h"
@@ -6,6 +7,12 @@
 
 /* Packets between the socket and the decisions.  */
 
+/* After this callers are told that nothing is known here.  */
+#define FIRST_KNOWLEDGE_US 1000000u
+
+/* A caller gives up an attempt to open a flow after this.  */
+#define OPEN_TIMEOUT_US 1400000u
+
 static void
 log_decision (struct am_entry *e, const struct am_packet *p,
               const struct am_decision *d, uint64_t now_us)
@@ -58,18 +65,30 @@
     am_udp_batch_cut (&e->packets_out, e->adapter->packet_reset (out, p));
 }
 
+/* What does not fit is dropped: the caller sends its SYN again.  */
 static void
-on_packet (void *userdata, struct am_address from, const uint8_t *data,
-           size_t len)
+hold (struct am_entry *e, const uint8_t *data, size_t len, uint64_t now_us)
+{
+  struct am_entry_held *h = &e->held[e->held_count];
+
+  if (e->held_count == AM_ENTRY_HELD_MAX || len > sizeof h->data)
+    {
+      e->counters.drops++;
+      return;
+    }
+  h->held_us = now_us;
+  h->len = (uint8_t)len;
+  memcpy (h->data, data, len);
+  e->held_count++;
+}
+
+static void
+take_packet (struct am_entry *e, const uint8_t *data, size_t len,
+             uint64_t now_us)
 {
-  struct am_entry *e = userdata;
-  uint64_t now_us = am_clock_us ();
   struct am_packet p;
   struct am_decision d;
 
-  (void)from;
-  e->counters.packets++;
-  e->last_packet_us = now_us;
   if (e->adapter->packet_read (&p, data, len))
     {
       e->counters.malformed++;
@@ -89,9 +108,39 @@
     case AM_VERDICT_DROP:
       e->counters.drops++;
       break;
+    case AM_VERDICT_HOLD:
+      hold (e, data, len, now_us);
+      break;
     }
 }
 
+static void
+on_packet (void *userdata, struct am_address from, const uint8_t *data,
+           size_t len)
+{
+  struct am_entry *e = userdata;
+  uint64_t now_us = am_clock_us ();
+
+  (void)from;
+  e->counters.packets++;
+  e->last_packet_us = now_us;
+  take_packet (e, data, len, now_us);
+}
+
+/* Decides the held packets once there is a configuration.  */
+static void
+release_held (struct am_entry *e, uint64_t now_us)
+{
+  size_t count = e->held_count;
+
+  if (!count || !e->routes.in_force.version)
+    return;
+  e->held_count = 0;
+  for (size_t i = 0; i < count; i++)
+    if (now_us - e->held[i].held_us < OPEN_TIMEOUT_US)
+      take_packet (e, e->held[i].data, e->held[i].len, now_us);
+}
+
 int
 am_entry_packets_open (struct am_entry *e)
 {
@@ -100,16 +149,25 @@
 
   if (!err)
     err = am_udp_batch_init (&e->packets_out, e->loop, &e->packets);
-  e->carrying = !err;
+  if (!err)
+    am_udp_pause (&e->packets);
   return err;
 }
 
+/* Packets are read once targets are known, which is enough for those of open
+   flows.  */
 void
-am_entry_packets_close (struct am_entry *e)
+am_entry_packets_check (struct am_entry *e, uint64_t now_us)
 {
-  if (!e->carrying)
+  release_held (e, now_us);
+  if (e->carrying
+      || (!e->targets.ready_count
+          && now_us - e->started_us < FIRST_KNOWLEDGE_US))
     return;
-  e->carrying = false;
-  am_udp_batch_finish (&e->packets_out);
-  am_udp_close (&e->packets);
+  e->carrying = true;
+  am_udp_resume (&e->packets);
+  am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                   "carrying start_ms=%" PRIu64 " targets=%zu routes=%zu",
+                   (now_us - e->started_us) / 1000, e->targets.ready_count,
+                   e->routes.in_force.route_count);
 }
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -103,6 +103,25 @@
   e->reader.list_after = NULL;
 }
 
+/* All items of one kind have been listed.  Targets come first: open flows are
+   carried by them alone, and on a small link the configuration takes longer
+   than all targets.  */
+static void
+end_part (struct am_entry *e, uint64_t now_us)
+{
+  struct am_entry_reader *r = &e->reader;
+
+  if (r->list_kind == AM_ITEM_TARGET)
+    {
+      r->list_kind = AM_ITEM_CONFIGURATION;
+      return;
+    }
+  am_replica_list_end (&e->replica, r->list_revision);
+  end_listing (e);
+  succeeded (e, now_us);
+  am_entry_peers_announce (e, now_us);
+}
+
 static void
 on_list (void *userdata, const struct am_http_answer *a)
 {
@@ -125,18 +144,18 @@
       failed (e, err, now_us);
       return;
     }
-  if (!r->list_after)
+  if (!r->list_revision)
     r->list_revision = reply.revision;
   free (r->list_after);
-  r->list_after = page.last_key;
+  r->list_after = NULL;
+  if (reply.more)
+    r->list_after = page.last_key;
+  else
+    free (page.last_key);
   if (!reply.more)
-    {
-      am_replica_list_end (&e->replica, r->list_revision);
-      end_listing (e);
-      succeeded (e, now_us);
-      am_entry_peers_announce (e, now_us);
-    }
+    end_part (e, now_us);
   next_call (e, now_us);
+  am_entry_packets_check (e, now_us);
 }
 
 static void
@@ -146,9 +165,13 @@
   char path[AM_HTTP_PATH_SIZE];
 
   if (!r->listing)
-    am_replica_list_begin (&e->replica);
-  r->listing = true;
-  e->adapter->list_path (path, sizeof path, r->list_after);
+    {
+      am_replica_list_begin (&e->replica);
+      r->listing = true;
+      r->list_kind = AM_ITEM_TARGET;
+      r->list_revision = 0;
+    }
+  e->adapter->list_path (path, sizeof path, r->list_kind, r->list_after);
   e->counters.store_calls++;
   am_http_get (&r->client, path, LIST_TIMEOUT_MS, on_list, e);
 }
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -90,6 +90,8 @@
   struct am_target *target;
   uint32_t service;
 
+  if (!p->routes->in_force.version)
+    return decide (AM_VERDICT_HOLD, AM_REASON_NO_CONFIGURATION, NULL);
   if (!route)
     return decide (AM_VERDICT_RESET, AM_REASON_NO_ROUTE, NULL);
   service = am_route_service (route, am_flow_hash (packet));
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -29,14 +29,16 @@
   AM_VERDICT_FORWARD,
   AM_VERDICT_RESET,
   AM_VERDICT_DROP,
+  AM_VERDICT_HOLD, /* decide again once there is a configuration */
 };
 
 /* X (symbol, name)  */
 #define AM_REASON_LIST(X)                                                     \
-  X (AM_REASON_PLACED, "placed")                 /* new flow */               \
-  X (AM_REASON_PLACED_AGAIN, "placed_again")     /* target did not answer */  \
-  X (AM_REASON_SAME_TARGET, "same_target")       /* copy of a SYN */          \
-  X (AM_REASON_TICKET, "ticket")                 /* packet of a flow */       \
+  X (AM_REASON_PLACED, "placed")             /* new flow */                   \
+  X (AM_REASON_PLACED_AGAIN, "placed_again") /* target did not answer */      \
+  X (AM_REASON_SAME_TARGET, "same_target")   /* copy of a SYN */              \
+  X (AM_REASON_TICKET, "ticket")             /* packet of a flow */           \
+  X (AM_REASON_NO_CONFIGURATION, "no_configuration") /* none known yet */     \
   X (AM_REASON_NO_ROUTE, "no_route")             /* address not configured */ \
   X (AM_REASON_NO_TARGET, "no_target")           /* no target takes flows */  \
   X (AM_REASON_NO_TICKET, "no_ticket")           /* flow was never open */    \
--- a/src/io/udp_port.c
+++ b/src/io/udp_port.c
@@ -115,6 +115,18 @@
   return AM_OK;
 }
 
+void
+am_udp_pause (struct am_udp_port *p)
+{
+  uv_poll_stop (&p->poll);
+}
+
+void
+am_udp_resume (struct am_udp_port *p)
+{
+  uv_poll_start (&p->poll, UV_READABLE, on_readable);
+}
+
 struct am_address
 am_udp_address (const struct am_udp_port *p)
 {
--- a/src/io/udp_port.h
+++ b/src/io/udp_port.h
@@ -34,6 +34,10 @@
 int am_udp_send (struct am_udp_port *p, struct am_address to, const void *data,
                  size_t len);
 
+/* Stop and go on receiving.  Datagrams wait in the socket meanwhile.  */
+void am_udp_pause (struct am_udp_port *p);
+void am_udp_resume (struct am_udp_port *p);
+
 /* Returns the bound address.  */
 struct am_address am_udp_address (const struct am_udp_port *p);
 
