Count a flow as load for 6 s after its last packet

Cause: flows that callers left without a FIN counted as open for 30 s; a target showed 50 open flows where about 20 were.

Change: flows not seen for 6 s leave the table; carrying them needs no entry.

--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -22,7 +22,7 @@
 
 /* Flows not seen for this time are forgotten; twice the longest pause that
    targets allow today.  */
-#define AM_PATH_FLOW_IDLE_US 30000000u
+#define AM_PATH_FLOW_IDLE_US 6000000u
 
 enum am_verdict
 {
