Let copies of SYNs wait while every slot is in use

Change: a copy of a SYN waits in its VM while more than one request a slot is in progress in the data centre, at most until 150 ms before its attempt ends; packets that wait for the first configuration use the same queue.

Retries use new ports and cannot be told from new requests.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -59,17 +59,6 @@
   bool works;                  /* the last call was answered */
 };
 
-/* Packets that wait for the first configuration: those that open flows.  */
-#define AM_ENTRY_HELD_MAX 512
-#define AM_ENTRY_HELD_SIZE 64
-
-struct am_entry_held
-{
-  uint64_t held_us;
-  uint8_t len;
-  uint8_t data[AM_ENTRY_HELD_SIZE];
-};
-
 struct am_entry
 {
   uv_loop_t *loop;
@@ -91,8 +80,6 @@
 
   struct am_udp_port packets;
   struct am_udp_batch packets_out;
-  struct am_entry_held held[AM_ENTRY_HELD_MAX]; /* packets.c */
-  size_t held_count;
   bool carrying; /* packets are read; before that they wait in the socket */
 
   struct am_udp_port digests;
--- a/src/entry/packets.c
+++ b/src/entry/packets.c
@@ -10,9 +10,6 @@
 /* After this callers are told that nothing is known here.  */
 #define FIRST_KNOWLEDGE_US 1000000u
 
-/* A caller gives up an attempt to open a flow after this.  */
-#define OPEN_TIMEOUT_US 1400000u
-
 static void
 log_decision (struct am_entry *e, const struct am_packet *p,
               const struct am_decision *d, uint64_t now_us)
@@ -65,80 +62,59 @@
     am_udp_batch_cut (&e->packets_out, e->adapter->packet_reset (out, p));
 }
 
-/* What does not fit is dropped: the caller sends its SYN again.  */
 static void
-hold (struct am_entry *e, const uint8_t *data, size_t len, uint64_t now_us)
+carry_out (struct am_entry *e, const struct am_packet *p,
+           const struct am_decision *d, const uint8_t *data, size_t len,
+           uint64_t now_us)
 {
-  struct am_entry_held *h = &e->held[e->held_count];
-
-  if (e->held_count == AM_ENTRY_HELD_MAX || len > sizeof h->data)
-    {
-      e->counters.drops++;
-      return;
-    }
-  h->held_us = now_us;
-  h->len = (uint8_t)len;
-  memcpy (h->data, data, len);
-  e->held_count++;
-}
-
-static void
-take_packet (struct am_entry *e, const uint8_t *data, size_t len,
-             uint64_t now_us)
-{
-  struct am_packet p;
-  struct am_decision d;
-
-  if (e->adapter->packet_read (&p, data, len))
-    {
-      e->counters.malformed++;
-      return;
-    }
-  d = am_path_packet (&e->path, &p, now_us);
-  e->counters.reasons[d.reason]++;
-  log_decision (e, &p, &d, now_us);
-  switch (d.verdict)
+  e->counters.reasons[d->reason]++;
+  log_decision (e, p, d, now_us);
+  switch (d->verdict)
     {
     case AM_VERDICT_FORWARD:
-      forward (e, d.target, data, len);
+      forward (e, d->target, data, len);
       break;
     case AM_VERDICT_RESET:
-      reset (e, &p);
+      reset (e, p);
       break;
     case AM_VERDICT_DROP:
       e->counters.drops++;
       break;
-    case AM_VERDICT_HOLD:
-      hold (e, data, len, now_us);
+    case AM_VERDICT_WAIT:
       break;
     }
 }
 
+static void
+carry_waited (struct am_entry *e, uint64_t now_us)
+{
+  struct am_waiting w;
+  struct am_decision d;
+
+  while (am_path_waited (&e->path, &w, &d, now_us))
+    carry_out (e, &w.packet, &d, w.data, w.len, now_us);
+}
+
 static void
 on_packet (void *userdata, struct am_address from, const uint8_t *data,
            size_t len)
 {
   struct am_entry *e = userdata;
   uint64_t now_us = am_clock_us ();
+  struct am_packet p;
+  struct am_decision d;
 
   (void)from;
   e->counters.packets++;
   e->last_packet_us = now_us;
-  take_packet (e, data, len, now_us);
-}
-
-/* Decides the held packets once there is a configuration.  */
-static void
-release_held (struct am_entry *e, uint64_t now_us)
-{
-  size_t count = e->held_count;
-
-  if (!count || !e->routes.in_force.version)
-    return;
-  e->held_count = 0;
-  for (size_t i = 0; i < count; i++)
-    if (now_us - e->held[i].held_us < OPEN_TIMEOUT_US)
-      take_packet (e, e->held[i].data, e->held[i].len, now_us);
+  if (e->adapter->packet_read (&p, data, len))
+    {
+      e->counters.malformed++;
+      return;
+    }
+  d = am_path_packet (&e->path, &p, data, len, now_us);
+  carry_out (e, &p, &d, data, len, now_us);
+  carry_waited (e, now_us);
 }
 
 int
@@ -159,7 +135,7 @@
 void
 am_entry_packets_check (struct am_entry *e, uint64_t now_us)
 {
-  release_held (e, now_us);
+  carry_waited (e, now_us);
   if (e->carrying
       || (!e->targets.ready_count
           && now_us - e->started_us < FIRST_KNOWLEDGE_US))
--- /dev/null
+++ b/src/flow/open_queue.h
@@ -0,0 +1,52 @@
+/* Packets that open flows and wait in this VM.
+
+   The load pattern it answers: after an outage callers send again what they
+   sent meanwhile, three and four times the usual load at once.  What comes
+   first-hand can still be answered in time, a copy of an older SYN cannot.  So
+   copies wait until targets have free slots, those whose attempt ends first
+   going first, and no longer than until shortly before the attempt ends.  */
+
+#ifndef AM_FLOW_OPEN_QUEUE_H
+#define AM_FLOW_OPEN_QUEUE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "flow/packet.h"
+
+#define AM_OPEN_QUEUE_MAX 512
+
+/* Largest packet that opens a flow, bytes.  */
+#define AM_OPEN_QUEUE_DATA 64
+
+struct am_waiting
+{
+  struct am_packet packet;
+  uint64_t since_us;
+  uint64_t until_us; /* it goes on at the latest */
+  size_t len;
+  uint8_t data[AM_OPEN_QUEUE_DATA]; /* as it came */
+};
+
+struct am_open_queue
+{
+  size_t count;
+  struct am_waiting waiting[AM_OPEN_QUEUE_MAX];
+};
+
+void am_open_queue_init (struct am_open_queue *q);
+
+/* Adds P, whose bytes are DATA, to wait until UNTIL_US at most.  A later copy
+   of a SYN that waits takes its place and keeps the earlier end.  Returns
+   AM_OK, or AM_E_QUEUE_FULL or AM_E_TOO_LARGE with nothing added.  */
+int am_open_queue_add (struct am_open_queue *q, const struct am_packet *p,
+                       const uint8_t *data, size_t len, uint64_t now_us,
+                       uint64_t until_us);
+
+/* Takes the packet that goes on at NOW_US into W: the one whose wait ends
+   first, if it has ended or FREE.  Returns false if there is none.  */
+bool am_open_queue_take (struct am_open_queue *q, uint64_t now_us, bool free,
+                         struct am_waiting *w);
+
+#endif
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -26,6 +26,7 @@
   p->settled = false;
   am_rng_init (&p->rng, seed);
   am_flow_table_init (&p->flows);
+  am_open_queue_init (&p->queue);
 }
 
 void
@@ -42,25 +43,39 @@
 
 /* ---- new flows ---------------------------------------------------- */
 
+static struct am_placement
+placement (struct am_path *p, uint32_t service, const struct am_target *avoid,
+           uint64_t now_us)
+{
+  return (struct am_placement){ .rng = &p->rng,
+                                .service = service,
+                                .data_centre = p->data_centre,
+                                .avoid = avoid,
+                                .now_us = now_us };
+}
+
 static struct am_target *
-choose (struct am_path *p, const struct am_packet *packet, uint32_t service,
-        const struct am_target *avoid, uint64_t now_us)
+choose (struct am_path *p, uint32_t service, const struct am_target *avoid,
+        uint64_t now_us)
 {
-  struct am_placement placement = { .rng = &p->rng,
-                                    .service = service,
-                                    .data_centre = p->data_centre,
-                                    .avoid = avoid,
-                                    .now_us = now_us };
+  struct am_placement m = placement (p, service, avoid, now_us);
 
-  (void)packet;
-  return am_placement_choose (p->targets, &placement);
+  return am_placement_choose (p->targets, &m);
+}
+
+static bool
+is_busy (struct am_path *p, uint32_t service, uint64_t now_us)
+{
+  struct am_placement m = placement (p, service, NULL, now_us);
+
+  return am_placement_pressure (p->targets, &m) > AM_PATH_PRESSURE_MAX;
 }
 
 /* The SYN of F came again.  Its target is asked again only if the first copy
    had no time to be answered.  */
 static struct am_decision
-place_again (struct am_path *p, const struct am_packet *packet,
-             struct am_flow *f, uint32_t service, uint64_t now_us)
+place_again (struct am_path *p, struct am_flow *f, uint32_t service,
+             uint64_t now_us)
 {
   struct am_target *before = f->target;
   struct am_target *target;
@@ -70,7 +85,7 @@
     return decide (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, before);
   if (before)
     am_liveness_failure (before, now_us);
-  target = choose (p, packet, service, before, now_us);
+  target = choose (p, service, before, now_us);
   if (!target)
     return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
   am_flow_set_target (f, target);
@@ -83,30 +98,85 @@
 }
 
 static struct am_decision
-open_flow (struct am_path *p, const struct am_packet *packet, uint64_t now_us)
+place (struct am_path *p, const struct am_packet *packet, uint32_t service,
+       uint64_t now_us)
+{
+  struct am_target *target = choose (p, service, NULL, now_us);
+
+  if (!target)
+    return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
+  am_flow_add (&p->flows, packet, target, AM_FLOW_OPENING, now_us);
+  am_liveness_asked (target, now_us);
+  return decide (AM_VERDICT_FORWARD,
+                 packet->ack ? AM_REASON_PLACED_AGAIN : AM_REASON_PLACED,
+                 target);
+}
+
+static struct am_decision
+open_flow (struct am_path *p, const struct am_packet *packet, bool waited,
+           uint64_t now_us)
 {
   const struct am_route *route = am_route_find (p->routes, packet->route);
   struct am_flow *f = am_flow_find (&p->flows, packet);
-  struct am_target *target;
   uint32_t service;
 
   if (!p->routes->in_force.version)
-    return decide (AM_VERDICT_HOLD, AM_REASON_NO_CONFIGURATION, NULL);
+    return decide (AM_VERDICT_WAIT, AM_REASON_NO_CONFIGURATION, NULL);
   if (!route)
     return decide (AM_VERDICT_RESET, AM_REASON_NO_ROUTE, NULL);
   service = am_route_service (route, am_flow_hash (packet));
   if (f && f->state == AM_FLOW_OPENING && f->syn_seq == packet->seq)
-    return place_again (p, packet, f, service, now_us);
+    return place_again (p, f, service, now_us);
   if (f)
     am_flow_remove (&p->flows, f);
-  target = choose (p, packet, service, NULL, now_us);
-  if (!target)
-    return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
-  am_flow_add (&p->flows, packet, target, AM_FLOW_OPENING, now_us);
-  am_liveness_asked (target, now_us);
-  return decide (AM_VERDICT_FORWARD,
-                 packet->ack ? AM_REASON_PLACED_AGAIN : AM_REASON_PLACED,
-                 target);
+  if (packet->ack && !waited && is_busy (p, service, now_us))
+    return decide (AM_VERDICT_WAIT, AM_REASON_BUSY, NULL);
+  return place (p, packet, service, now_us);
+}
+
+/* Returns the latest time at which PACKET, a SYN that came at NOW_US, may go
+   on: its number tells how old the attempt is.  */
+static uint64_t
+latest (const struct am_packet *packet, uint64_t now_us)
+{
+  uint64_t age = packet->ack == 0   ? 0
+                 : packet->ack == 1 ? AM_PATH_COPY_1_US
+                                    : AM_PATH_COPY_2_US;
+
+  return now_us + AM_PATH_OPEN_TIMEOUT_US - AM_PATH_OPEN_MARGIN_US - age;
+}
+
+static struct am_decision
+wait_or_drop (struct am_path *p, const struct am_packet *packet,
+              const uint8_t *data, size_t len, struct am_decision d,
+              uint64_t now_us)
+{
+  if (am_open_queue_add (&p->queue, packet, data, len, now_us,
+                         latest (packet, now_us)))
+    d.verdict = AM_VERDICT_DROP;
+  return d;
+}
+
+bool
+am_path_waited (struct am_path *p, struct am_waiting *w, struct am_decision *d,
+                uint64_t now_us)
+{
+  const struct am_waiting *any = p->queue.waiting;
+  const struct am_route *route;
+  bool free;
+
+  if (!p->queue.count || !p->routes->in_force.version)
+    return false;
+  /* Nearly all traffic is of one service: the first packet's stands for
+     all.  */
+  route = am_route_find (p->routes, any->packet.route);
+  free = !route
+         || !is_busy (p, am_route_service (route, am_flow_hash (&any->packet)),
+                      now_us);
+  if (!am_open_queue_take (&p->queue, now_us, free, w))
+    return false;
+  *d = open_flow (p, &w->packet, true, now_us);
+  return true;
 }
 
 /* ---- packets of flows --------------------------------------------- */
@@ -206,11 +276,16 @@
 
 struct am_decision
 am_path_packet (struct am_path *p, const struct am_packet *packet,
-                uint64_t now_us)
+                const uint8_t *data, size_t len, uint64_t now_us)
 {
-  if (packet->opens)
-    return open_flow (p, packet, now_us);
-  return carry (p, packet, now_us);
+  struct am_decision d;
+
+  if (!packet->opens)
+    return carry (p, packet, now_us);
+  d = open_flow (p, packet, false, now_us);
+  if (d.verdict == AM_VERDICT_WAIT)
+    d = wait_or_drop (p, packet, data, len, d, now_us);
+  return d;
 }
 
 void
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -12,6 +12,7 @@
 
 #include "base/rng.h"
 #include "flow/flow_table.h"
+#include "flow/open_queue.h"
 #include "flow/packet.h"
 #include "flow/route_table.h"
 #include "flow/target_table.h"
@@ -24,12 +25,26 @@
    targets allow today.  */
 #define AM_PATH_FLOW_IDLE_US 6000000u
 
+/* A caller gives up an attempt to open a flow this long after its first SYN;
+   copies come 200 and 600 ms after it.  */
+#define AM_PATH_OPEN_TIMEOUT_US 1400000u
+#define AM_PATH_COPY_1_US 200000u
+#define AM_PATH_COPY_2_US 600000u
+
+/* Left of an attempt when its SYN goes on: enough for the way to the target
+   and back.  */
+#define AM_PATH_OPEN_MARGIN_US 150000u
+
+/* Copies of SYNs wait while more requests than this are in progress a slot:
+   one more would have to queue at its target.  */
+#define AM_PATH_PRESSURE_MAX 1.0
+
 enum am_verdict
 {
   AM_VERDICT_FORWARD,
   AM_VERDICT_RESET,
   AM_VERDICT_DROP,
-  AM_VERDICT_HOLD, /* decide again once there is a configuration */
+  AM_VERDICT_WAIT, /* the path keeps it and brings it back */
 };
 
 /* X (symbol, name)  */
@@ -39,6 +54,7 @@
   X (AM_REASON_SAME_TARGET, "same_target")   /* copy of a SYN */              \
   X (AM_REASON_TICKET, "ticket")             /* packet of a flow */           \
   X (AM_REASON_NO_CONFIGURATION, "no_configuration") /* none known yet */     \
+  X (AM_REASON_BUSY, "busy")                     /* all slots are in use */   \
   X (AM_REASON_NO_ROUTE, "no_route")             /* address not configured */ \
   X (AM_REASON_NO_TARGET, "no_target")           /* no target takes flows */  \
   X (AM_REASON_NO_TICKET, "no_ticket")           /* flow was never open */    \
@@ -69,6 +85,7 @@
   struct am_target_table *targets; /* not owned */
   struct am_route_table *routes;   /* not owned */
   struct am_flow_table flows;
+  struct am_open_queue queue;
   struct am_rng rng;
   uint32_t data_centre; /* of this VM, am_hash_name */
   bool settled; /* set by the driver: what is missing from the target table
@@ -80,11 +97,18 @@
                    uint64_t seed);
 void am_path_finish (struct am_path *p);
 
-/* Decides what becomes of PACKET and notes it as evidence.  */
+/* Decides what becomes of PACKET, whose LEN bytes are DATA, and notes it as
+   evidence.  */
 struct am_decision am_path_packet (struct am_path *p,
                                    const struct am_packet *packet,
+                                   const uint8_t *data, size_t len,
                                    uint64_t now_us);
 
+/* Brings back a packet that has waited and decides what becomes of it; to be
+   called until it returns false, after packets and at a timer.  */
+bool am_path_waited (struct am_path *p, struct am_waiting *w,
+                     struct am_decision *d, uint64_t now_us);
+
 /* Forgets idle flows.  To be called about once a second.  */
 void am_path_tick (struct am_path *p, uint64_t now_us);
 
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -10,15 +10,26 @@
 #define AVOIDED 1e3
 
 static double
-load (const struct am_target *t)
+requests (const struct am_target *t)
 {
   const struct am_target_load *own = &t->load;
   const struct am_target_load *peers = &t->peers_load;
-  double requests = own->opening + own->busy + peers->opening + peers->busy;
-  double flows = own->open_flows + peers->open_flows;
-  uint32_t slots = t->spec.slots ? t->spec.slots : 1;
 
-  return (requests + 1 + AM_PLACEMENT_OPEN_FLOW * flows) / slots;
+  return own->opening + own->busy + peers->opening + peers->busy;
+}
+
+static uint32_t
+slots (const struct am_target *t)
+{
+  return t->spec.slots ? t->spec.slots : 1;
+}
+
+static double
+load (const struct am_target *t)
+{
+  double flows = t->load.open_flows + t->peers_load.open_flows;
+
+  return (requests (t) + 1 + AM_PLACEMENT_OPEN_FLOW * flows) / slots (t);
 }
 
 static double
@@ -67,3 +78,26 @@
   }
   return best;
 }
+
+double
+am_placement_pressure (const struct am_target_table *t,
+                       const struct am_placement *p)
+{
+  double near[2] = { 0 }; /* requests, slots */
+  double all[2] = { 0 };
+
+  am_list_each (g, &t->targets, struct am_target, node)
+  {
+    if (!takes_flows (g, p->service) || !am_liveness_usable (g, p->now_us))
+      continue;
+    all[0] += requests (g);
+    all[1] += slots (g);
+    if (g->spec.data_centre != p->data_centre)
+      continue;
+    near[0] += requests (g);
+    near[1] += slots (g);
+  }
+  if (near[1] > 0)
+    return near[0] / near[1];
+  return all[1] > 0 ? all[0] / all[1] : 0;
+}
--- a/src/flow/placement.h
+++ b/src/flow/placement.h
@@ -41,4 +41,10 @@
 struct am_target *am_placement_choose (struct am_target_table *t,
                                        const struct am_placement *p);
 
+/* Returns the requests in progress a slot, over the targets of the service in
+   the data centre that take flows; of all data centres if there is none in
+   this one.  */
+double am_placement_pressure (const struct am_target_table *t,
+                              const struct am_placement *p);
+
 #endif
