Reset flows of targets that several flows find dead

Change: retransmitted data and unanswered SYNs count as failures; after three without a sign of life, a peer's finding standing for two, data to the target is answered with a reset. Digests tell which targets are silent.

--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -51,10 +51,10 @@
 };
 
 static void
-fill_loads (struct am_entry *e, struct digest *d)
+fill_loads (struct am_entry *e, struct digest *d, uint64_t now_us)
 {
   struct am_load_report reports[AM_PEER_LOAD_MAX];
-  size_t n = am_peer_load_collect (&e->targets, reports);
+  size_t n = am_peer_load_collect (&e->targets, reports, now_us);
 
   for (size_t i = 0; i < n; i++)
     {
@@ -63,6 +63,7 @@
       d->loads[i].opening = reports[i].load.opening;
       d->loads[i].open_flows = reports[i].load.open_flows;
       d->loads[i].busy = reports[i].load.busy;
+      d->loads[i].silent = reports[i].silent;
       d->load_list[i] = &d->loads[i];
     }
   d->message.loads = d->load_list;
@@ -70,7 +71,7 @@
 }
 
 static void
-fill_digest (struct am_entry *e, struct digest *d)
+fill_digest (struct am_entry *e, struct digest *d, uint64_t now_us)
 {
   fleet__digest__init (&d->message);
   fill_member (&d->sender, e->settings.name, e->fleet.data_centre,
@@ -78,7 +79,7 @@
   d->message.sender = &d->sender;
   d->message.revision = e->replica.revision;
   d->message.reads = e->reader.works;
-  fill_loads (e, d);
+  fill_loads (e, d, now_us);
 }
 
 /* Load concerns the peers of the data centre, which choose among the same
@@ -92,7 +93,7 @@
   size_t near_len;
   size_t far_len;
 
-  fill_digest (e, &d);
+  fill_digest (e, &d, now_us);
   if (fleet__digest__get_packed_size (&d.message) > sizeof near)
     return;
   near_len = fleet__digest__pack (&d.message, near);
@@ -147,6 +148,7 @@
       reports[i].load.opening = d->loads[i]->opening;
       reports[i].load.open_flows = d->loads[i]->open_flows;
       reports[i].load.busy = d->loads[i]->busy;
+      reports[i].silent = d->loads[i]->silent;
     }
   am_peer_load_set (&p->load, &e->targets, reports, n);
 }
--- a/src/flow/flow_table.h
+++ b/src/flow/flow_table.h
@@ -36,13 +36,12 @@
   struct am_address route;
   struct am_target *target; /* whose load counts this flow; may be NULL */
   enum am_flow_state state;
-  bool busy;           /* a request has no answer yet */
-  uint32_t syn_seq;    /* of its SYN */
-  uint32_t next_seq;   /* after the last byte of the caller's data */
-  uint32_t ack;        /* highest sent by the caller */
-  uint32_t unanswered; /* retransmissions since the last answer */
-  uint64_t asked_us;   /* SYN or request forwarded */
-  uint64_t seen_us;    /* last packet of the caller */
+  bool busy;         /* a request has no answer yet */
+  uint32_t syn_seq;  /* of its SYN */
+  uint32_t next_seq; /* after the last byte of the caller's data */
+  uint32_t ack;      /* highest sent by the caller */
+  uint64_t asked_us; /* SYN or request forwarded */
+  uint64_t seen_us;  /* last packet of the caller */
 };
 
 struct am_flow_table
--- a/src/flow/liveness.c
+++ b/src/flow/liveness.c
@@ -35,6 +35,7 @@
 am_liveness_failure (struct am_target *t, uint64_t now_us)
 {
   t->failures++;
+  t->failure_us = now_us;
   if (!t->silent_us)
     t->silent_us = now_us;
   if (t->retry_us <= now_us)
@@ -49,9 +50,23 @@
   return t->failures || now_us - t->silent_us > AM_LIVENESS_SILENCE_US;
 }
 
+bool
+am_liveness_dead (const struct am_target *t, uint64_t now_us)
+{
+  uint32_t failures = t->failures + AM_LIVENESS_PEER_WEIGHT * t->silent_at;
+
+  if (!t->failures || failures < AM_LIVENESS_FAILURES)
+    return false;
+  return now_us - t->failure_us < AM_LIVENESS_RECENT_US
+         && now_us - t->progress_us > AM_LIVENESS_QUIET_US;
+}
+
 bool
 am_liveness_usable (const struct am_target *t, uint64_t now_us)
 {
+  if (t->silent_at >= AM_LIVENESS_PEERS
+      && now_us - t->progress_us > AM_LIVENESS_QUIET_US)
+    return false;
   if (!am_liveness_silent (t, now_us))
     return true;
   return t->retry_us && now_us >= t->retry_us;
--- a/src/flow/liveness.h
+++ b/src/flow/liveness.h
@@ -20,6 +20,24 @@
 #define AM_LIVENESS_RETRY_US 1000000u
 #define AM_LIVENESS_RETRY_MAX_US 8000000u
 
+/* A target counts as dead after this many unanswered packets; a peer that
+   finds it silent too stands for AM_LIVENESS_PEER_WEIGHT of them.  */
+#define AM_LIVENESS_FAILURES 3
+#define AM_LIVENESS_PEER_WEIGHT 2
+
+/* The last sign of life of a dead target is older than this, and the last
+   unanswered packet is younger: old evidence proves nothing.  */
+#define AM_LIVENESS_QUIET_US 300000u
+#define AM_LIVENESS_RECENT_US 600000u
+
+/* A data packet that comes again earlier than this is out of order: callers
+   wait 200 ms before they send it again.  */
+#define AM_LIVENESS_RESEND_US 150000u
+
+/* Peers whose silence is enough to avoid a target of which this VM has heard
+   nothing for AM_LIVENESS_QUIET_US.  */
+#define AM_LIVENESS_PEERS 2
+
 /* A new flow was sent to T.  */
 void am_liveness_asked (struct am_target *t, uint64_t now_us);
 
@@ -33,6 +51,10 @@
    gone on since.  */
 bool am_liveness_silent (const struct am_target *t, uint64_t now_us);
 
+/* Returns true if packets of several flows, seen here or by peers, found T
+   silent and the last one did so just now.  */
+bool am_liveness_dead (const struct am_target *t, uint64_t now_us);
+
 /* Returns true if T may take a new flow: it is not silent, or it is time to
    try it again.  */
 bool am_liveness_usable (const struct am_target *t, uint64_t now_us);
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -204,7 +204,6 @@
   else if (packet->acknowledges && after (packet->ack, f->ack))
     {
       f->ack = packet->ack;
-      f->unanswered = 0;
       am_flow_set_busy (f, false);
       am_liveness_progress (target, now_us);
     }
@@ -214,8 +213,8 @@
       f->asked_us = now_us;
       am_flow_set_busy (f, true);
     }
-  else if (packet->data_len)
-    f->unanswered++;
+  else if (packet->data_len && now_us - f->asked_us >= AM_LIVENESS_RESEND_US)
+    am_liveness_failure (target, now_us);
   if (packet->finishes)
     {
       am_flow_set_busy (f, false);
@@ -271,6 +270,11 @@
       am_flow_remove (&p->flows, f);
       return decide (AM_VERDICT_RESET, AM_REASON_TARGET_GONE, target);
     }
+  if (packet->data_len && am_liveness_dead (target, now_us))
+    {
+      am_flow_remove (&p->flows, f);
+      return decide (AM_VERDICT_RESET, AM_REASON_TARGET_SILENT, target);
+    }
   return decide (AM_VERDICT_FORWARD, AM_REASON_TICKET, target);
 }
 
--- a/src/flow/peer_load.c
+++ b/src/flow/peer_load.c
@@ -1,5 +1,7 @@
 #include "flow/peer_load.h"
 
+#include "flow/liveness.h"
+
 /* Adds SIGN, 1 or -1, times L to the peers' load of the target TICKET.  */
 static void
 add (struct am_target_table *t, const struct am_load_report *r, int sign)
@@ -11,6 +13,7 @@
   g->peers_load.opening += (uint32_t)sign * r->load.opening;
   g->peers_load.open_flows += (uint32_t)sign * r->load.open_flows;
   g->peers_load.busy += (uint32_t)sign * r->load.busy;
+  g->silent_at += (uint32_t)sign * r->silent;
 }
 
 void
@@ -29,19 +32,28 @@
     }
 }
 
+/* Silence of one SYN may be a lost packet; a failure is more.  */
+static bool
+is_silent (const struct am_target *t, uint64_t now_us)
+{
+  return t->failures && am_liveness_silent (t, now_us)
+         && now_us - t->failure_us < AM_LIVENESS_RETRY_US;
+}
+
 size_t
 am_peer_load_collect (const struct am_target_table *t,
-                      struct am_load_report *reports)
+                      struct am_load_report *reports, uint64_t now_us)
 {
   size_t n = 0;
 
   am_list_each (g, &t->targets, struct am_target, node)
   {
     const struct am_target_load *l = &g->load;
+    bool silent = is_silent (g, now_us);
 
-    if (!l->opening && !l->open_flows && !l->busy)
+    if (!l->opening && !l->open_flows && !l->busy && !silent)
       continue;
-    reports[n++] = (struct am_load_report){ g->ticket, *l };
+    reports[n++] = (struct am_load_report){ g->ticket, *l, silent };
     if (n == AM_PEER_LOAD_MAX)
       break;
   }
--- a/src/flow/peer_load.h
+++ b/src/flow/peer_load.h
@@ -3,6 +3,7 @@
 #ifndef AM_FLOW_PEER_LOAD_H
 #define AM_FLOW_PEER_LOAD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -15,6 +16,7 @@
 {
   uint32_t ticket; /* of the target */
   struct am_target_load load;
+  bool silent; /* the peer hears nothing from it */
 };
 
 struct am_peer_load
@@ -28,9 +30,10 @@
 void am_peer_load_set (struct am_peer_load *peer, struct am_target_table *t,
                        const struct am_load_report *reports, size_t count);
 
-/* Writes the load of the targets in T by this VM's own flows to REPORTS, which
-   has room for AM_PEER_LOAD_MAX.  Returns their number.  */
+/* Writes the load of the targets in T by this VM's own flows, and which of
+   them are silent, to REPORTS, which has room for AM_PEER_LOAD_MAX.  Returns
+   their number.  */
 size_t am_peer_load_collect (const struct am_target_table *t,
-                             struct am_load_report *reports);
+                             struct am_load_report *reports, uint64_t now_us);
 
 #endif
--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -138,6 +138,7 @@
   g->progress_us = 0;
   g->silent_us = 0;
   g->retry_us = 0;
+  g->failure_us = 0;
   g->failures = 0;
 }
 
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -71,7 +71,9 @@
   uint64_t progress_us; /* last sign of life; 0: none yet */
   uint64_t silent_us;   /* first SYN without an answer since; 0: none */
   uint64_t retry_us;    /* no new flow before this while it is silent */
+  uint64_t failure_us;  /* last unanswered packet */
   uint32_t failures;    /* unanswered packets since the last sign of life */
+  uint32_t silent_at;   /* peers that hear nothing from it either */
 };
 
 struct am_target_table
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -309,7 +309,7 @@
   (ProtobufCMessageInit) fleet__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor fleet__load__field_descriptors[5] =
 {
   {
     "ticket",
@@ -359,17 +359,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Load, silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = busy */
   2,   /* field[2] = open_flows */
   1,   /* field[1] = opening */
+  4,   /* field[4] = silent */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor fleet__load__descriptor =
 {
@@ -379,7 +392,7 @@
   "Fleet__Load",
   "fleet",
   sizeof(Fleet__Load),
-  4,
+  5,
   fleet__load__field_descriptors,
   fleet__load__field_indices_by_name,
   1,  fleet__load__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -59,10 +59,14 @@
   uint32_t opening;
   uint32_t open_flows;
   uint32_t busy;
+  /*
+   * the sender hears nothing from it
+   */
+  protobuf_c_boolean silent;
 };
 #define FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
