Let VMs with wide links read the store and compress what peers pull

A configuration of 1,846 routes, 460 KB, was pulled by 20 peers at once from a reader with a link of 10 Mbit/s; its forwarded packets waited 230 ms and more, so that its callers sent again and it took healthy targets for dead. A VM that had just listed the store was also asked for the whole of its copy by every peer one revision behind.

Change: readers are the VMs with the widest links; changes are compressed; a peer that can tell only the whole is left alone while anything else confirms the copy; death of a target needs 350 ms of failures, a witness where two peers are heard, and more answering than silent targets in the data centre.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -70,6 +70,7 @@
   else if (!e->reader.works && e->reader.failures)
     am_contact_lost (&e->contact);
   am_contact_check (&e->contact, now_us);
+  e->path.peers = am_fleet_near (&e->fleet, now_us);
   e->path.settled = am_contact_settled (&e->contact, now_us);
   if (before != e->contact.present)
     am_line_log_add (&e->log, AM_LINE_STATE, now_us,
@@ -213,7 +214,8 @@
   am_path_init (&e->path, &e->targets, &e->routes, data_centre, seed);
   am_contact_init (&e->contact);
   am_readiness_init (&e->readiness);
-  am_fleet_init (&e->fleet, e->settings.name, data_centre);
+  am_fleet_init (&e->fleet, e->settings.name, data_centre,
+                 e->settings.link_mbps);
   am_entry_reader_init (e);
   open_signals (e);
   am_line_log_add (&e->log, AM_LINE_STATE, e->started_us,
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -2,11 +2,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
 
 #include "base/error.h"
 #include "base/hash.h"
 #include "entry/entry.h"
 #include "io/clock.h"
+#include "wire/bytes.h"
 #include "wire/fleet.pb-c.h"
 
 /* Digests over UDP tell peers how far this VM's copy of the store goes and
@@ -23,7 +25,11 @@
 /* The store has this long to answer before a seed is asked as well.  */
 #define SEED_PULL_US 600000u
 
+#define WHOLE_PULL_US 700000u
+
 #define CHANGES_PATH "/changes?after="
+/* Bytes before a compressed answer: its length once uncompressed.  */
+#define CHANGES_HEAD 4
 #define PULL_TIMEOUT_MS 800
 #define PATH_SIZE 64
 #define DATAGRAM_MAX 1400
@@ -78,6 +84,8 @@
                e->settings.peers);
   d->message.sender = &d->sender;
   d->message.revision = e->replica.revision;
+  d->message.horizon = e->replica.horizon;
+  d->message.link_mbps = e->fleet.link_mbps;
   d->message.reads = e->reader.works;
   fill_loads (e, d, now_us);
 }
@@ -179,6 +187,8 @@
       p->data_centre = d->sender->data_centre;
       p->heard_us = now_us;
       p->revision = d->revision;
+      p->horizon = d->horizon;
+      am_fleet_set_link (p, d->link_mbps);
       p->reads = d->reads;
       take_loads (e, p, d);
       pull (e, now_us);
@@ -248,13 +258,59 @@
   free (c->members);
 }
 
+/* Answers with C, compressed: a large configuration shrinks to a tenth, and a
+   reader sends it to every peer of its data centre at once.  */
+static void
+pack_changes (const Fleet__Changes *c, struct am_http_reply *reply)
+{
+  size_t len = fleet__changes__get_packed_size (c);
+  uLongf packed_len = compressBound (len);
+  uint8_t *plain = malloc (len + 1);
+
+  reply->body = malloc (CHANGES_HEAD + packed_len);
+  if (plain && reply->body)
+    {
+      fleet__changes__pack (c, plain);
+      am_put_u32 (reply->body, (uint32_t)len);
+      if (compress2 (reply->body + CHANGES_HEAD, &packed_len, plain, len,
+                     Z_BEST_SPEED)
+          == Z_OK)
+        {
+          reply->status = 200;
+          reply->body_len = CHANGES_HEAD + packed_len;
+        }
+    }
+  free (plain);
+}
+
+/* Returns the message in the LEN bytes of BODY, freed by the caller, or NULL
+   if they hold none.  */
+static Fleet__Changes *
+unpack_changes (const uint8_t *body, size_t len)
+{
+  Fleet__Changes *c = NULL;
+  uLongf plain_len;
+  uint8_t *plain;
+
+  if (len < CHANGES_HEAD || am_get_u32 (body) > AM_HTTP_BODY_MAX)
+    return NULL;
+  plain_len = am_get_u32 (body);
+  plain = malloc (plain_len + 1);
+  if (plain
+      && uncompress (plain, &plain_len, body + CHANGES_HEAD,
+                     len - CHANGES_HEAD)
+             == Z_OK)
+    c = fleet__changes__unpack (NULL, plain_len, plain);
+  free (plain);
+  return c;
+}
+
 static void
 on_changes_request (void *userdata, const char *path,
                     struct am_http_reply *reply)
 {
   struct am_entry *e = userdata;
   Fleet__Changes c;
-  size_t len;
 
   reply->status = 404;
   if (strncmp (path, CHANGES_PATH, strlen (CHANGES_PATH)) != 0)
@@ -263,15 +319,7 @@
   if (!e->replica.revision)
     return;
   if (!fill_changes (e, &c, strtoull (path + strlen (CHANGES_PATH), NULL, 10)))
-    {
-      len = fleet__changes__get_packed_size (&c);
-      reply->body = malloc (len + 1);
-      if (reply->body)
-        {
-          reply->status = 200;
-          reply->body_len = fleet__changes__pack (&c, reply->body);
-        }
-    }
+    pack_changes (&c, reply);
   free_changes (&c);
 }
 
@@ -327,7 +375,7 @@
     err = AM_E_NOT_FOUND;
   if (!err)
     {
-      c = fleet__changes__unpack (NULL, a->body_len, a->body);
+      c = unpack_changes (a->body, a->body_len);
       err = c ? take_changes (e, c, now_us) : AM_E_FORMAT;
     }
   if (c)
@@ -359,16 +407,17 @@
   am_http_get (&e->pull, path, PULL_TIMEOUT_MS, on_pulled, e);
 }
 
-/* Pulls from a peer that is ahead.  A VM that reads the store itself gets the
-   same from its watch, so it waits for the watch unless that has failed.  */
+/* Pulls from a peer that is ahead.  The whole copy of a peer is taken only
+   while nothing else has confirmed this VM's for WHOLE_PULL_US.  */
 static void
 pull (struct am_entry *e, uint64_t now_us)
 {
+  bool whole = now_us - e->contact.fresh_us > WHOLE_PULL_US;
   struct am_peer *p;
 
   if (am_http_client_busy (&e->pull) || !e->replica.revision)
     return;
-  p = am_fleet_ahead (&e->fleet, e->replica.revision, now_us);
+  p = am_fleet_ahead (&e->fleet, e->replica.revision, whole, now_us);
   if (p)
     pull_from (e, p->address);
 }
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -38,6 +38,7 @@
   char **seeds;
   unsigned seeds_count;
   uint32_t stop_s;
+  double link_mbps;
   char *log_level;
 };
 
@@ -66,6 +67,7 @@
   CYAML_FIELD_SEQUENCE ("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                         struct file, seeds, &seed_value, 0,
                         AM_ENTRY_SEEDS_MAX),
+  CYAML_FIELD_FLOAT ("link_mbps", CYAML_FLAG_OPTIONAL, struct file, link_mbps),
   CYAML_FIELD_UINT ("stop_s", CYAML_FLAG_OPTIONAL, struct file, stop_s),
   TEXT (CYAML_FLAG_OPTIONAL, struct file, log_level),
   CYAML_FIELD_END
@@ -128,6 +130,9 @@
     return fault (f, AM_E_FIELD_RANGE, "vm.name", "up to 63 bytes");
   if (stop_s > UINT32_MAX / 1000)
     return fault (f, AM_E_FIELD_RANGE, "stop_s", "seconds, 1 to 4294967");
+  if (file->link_mbps < 0 || file->link_mbps > UINT32_MAX)
+    return fault (f, AM_E_FIELD_RANGE, "link_mbps", "megabits a second");
+  s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
   s->log_level = AM_LOG_INFO;
   if (file->log_level && am_log_level_parse (&s->log_level, file->log_level))
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -23,7 +23,9 @@
   struct am_address store;     /* port 0: none */
   struct am_address seeds[AM_ENTRY_SEEDS_MAX]; /* of other VMs' peers port */
   size_t seed_count;
-  uint32_t stop_ms; /* longest time from SIGTERM to the end */
+  uint32_t link_mbps; /* width of this VM's link, megabits a second; 0: not
+                         told */
+  uint32_t stop_ms;   /* longest time from SIGTERM to the end */
 };
 
 /* Reads FILE into S.  On failure F tells why and nothing has to be freed.
--- a/src/flow/fleet.c
+++ b/src/flow/fleet.c
@@ -8,19 +8,24 @@
 
 #define RANK_SEED 0x72616e6bu
 
+/* Wide links first, then by the hash of the name.  */
 static uint64_t
-rank (const char *name)
+rank (const char *name, uint32_t link_mbps)
 {
-  return am_hash_bytes (name, strlen (name), RANK_SEED);
+  uint64_t hash = am_hash_bytes (name, strlen (name), RANK_SEED);
+
+  return (uint64_t)(UINT32_MAX - link_mbps) << 32 | hash >> 32;
 }
 
 void
-am_fleet_init (struct am_fleet *f, const char *name, uint32_t data_centre)
+am_fleet_init (struct am_fleet *f, const char *name, uint32_t data_centre,
+               uint32_t link_mbps)
 {
   memset (f, 0, sizeof *f);
   am_list_init (&f->peers);
   snprintf (f->name, sizeof f->name, "%s", name);
-  f->rank = rank (f->name);
+  f->link_mbps = link_mbps;
+  f->rank = rank (f->name, link_mbps);
   f->data_centre = data_centre;
 }
 
@@ -51,7 +56,7 @@
   if (!p)
     return NULL;
   snprintf (p->name, sizeof p->name, "%s", name);
-  p->rank = rank (name);
+  p->rank = rank (name, 0);
   p->known_us = now_us;
   am_list_push_back (&f->peers, &p->node);
   f->count++;
@@ -64,6 +69,22 @@
   return p->heard_us && now_us - p->heard_us < AM_FLEET_SILENCE_US;
 }
 
+void
+am_fleet_set_link (struct am_peer *p, uint32_t link_mbps)
+{
+  p->rank = rank (p->name, link_mbps);
+}
+
+size_t
+am_fleet_near (const struct am_fleet *f, uint64_t now_us)
+{
+  size_t n = 0;
+
+  am_list_each (p, &f->peers, struct am_peer, node) n
+      += p->data_centre == f->data_centre && am_fleet_hears (p, now_us);
+  return n;
+}
+
 bool
 am_fleet_should_read (const struct am_fleet *f, uint64_t now_us)
 {
@@ -77,7 +98,8 @@
 }
 
 struct am_peer *
-am_fleet_ahead (const struct am_fleet *f, uint64_t revision, uint64_t now_us)
+am_fleet_ahead (const struct am_fleet *f, uint64_t revision, bool whole,
+                uint64_t now_us)
 {
   struct am_peer *best = NULL;
   bool best_near = false;
@@ -86,7 +108,8 @@
   {
     bool near = p->data_centre == f->data_centre;
 
-    if (p->revision <= revision || !am_fleet_hears (p, now_us))
+    if (p->revision <= revision || !am_fleet_hears (p, now_us)
+        || (!whole && p->horizon > revision))
       continue;
     if (best
         && (near < best_near
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -1,10 +1,11 @@
 /* The other entry VMs, and which VMs read the store.
 
    Each VM sends digests.  In each data centre the AM_FLEET_READERS VMs of the
-   lowest rank that are heard and in contact with the store read it; the others
-   take changes from peers.  The rule needs no message of its own: a VM reads
-   until it hears enough better readers, so a reader that dies, freezes or is
-   cut off is replaced when its digests stop.  */
+   best rank, those with the widest links, that are heard and in contact with
+   the store read it; the others take changes from peers.  The rule needs no
+   message of its own: a VM reads until it hears enough better readers, so a
+   reader that dies, freezes or is cut off is replaced when its digests stop.
+ */
 
 #ifndef AM_FLOW_FLEET_H
 #define AM_FLOW_FLEET_H
@@ -35,6 +36,7 @@
   struct am_address address; /* digests over UDP, changes over TCP */
   bool reads;                /* it is in contact with the store itself */
   uint64_t revision;         /* of its copy of the store */
+  uint64_t horizon;          /* it can tell the changes after this */
   uint64_t heard_us;         /* last digest; 0: none */
   uint64_t known_us;         /* last named by another peer */
   struct am_peer_load load;
@@ -45,12 +47,14 @@
   struct am_list peers;
   size_t count;
   char name[AM_FLEET_NAME_SIZE]; /* of this VM */
+  uint32_t link_mbps;            /* of this VM */
   uint64_t rank;
   uint32_t data_centre;
 };
 
-void am_fleet_init (struct am_fleet *f, const char *name,
-                    uint32_t data_centre);
+/* LINK_MBPS is the width of this VM's link, megabits a second.  */
+void am_fleet_init (struct am_fleet *f, const char *name, uint32_t data_centre,
+                    uint32_t link_mbps);
 void am_fleet_finish (struct am_fleet *f);
 
 /* Returns the peer NAME, added if it is new.  NULL: it is this VM, the name is
@@ -58,16 +62,25 @@
 struct am_peer *am_fleet_peer (struct am_fleet *f, const char *name,
                                uint64_t now_us);
 
+/* Notes the width of the link of P.  */
+void am_fleet_set_link (struct am_peer *p, uint32_t link_mbps);
+
+/* Returns the number of peers in this data centre that are heard.  */
+size_t am_fleet_near (const struct am_fleet *f, uint64_t now_us);
+
 /* Returns true if P has sent a digest in the last AM_FLEET_SILENCE_US.  */
 bool am_fleet_hears (const struct am_peer *p, uint64_t now_us);
 
 /* Returns true if this VM is to read the store.  */
 bool am_fleet_should_read (const struct am_fleet *f, uint64_t now_us);
 
-/* Returns the peer, heard lately, with the highest revision above REVISION, or
-   NULL.  Peers of this data centre go first.  */
+/* Returns the peer, heard lately, with the highest revision above REVISION
+   that can tell the changes since, or NULL.  Peers of this data centre go
+   first.  A peer that has just listed the store can tell only the whole of it,
+   too much for a small link when all peers ask at once: that is taken only if
+   WHOLE.  */
 struct am_peer *am_fleet_ahead (const struct am_fleet *f, uint64_t revision,
-                                uint64_t now_us);
+                                bool whole, uint64_t now_us);
 
 /* Returns true if a peer that reads the store was heard lately with a copy no
    newer than REVISION: the copy is confirmed.  */
--- a/src/flow/liveness.c
+++ b/src/flow/liveness.c
@@ -34,6 +34,8 @@
 void
 am_liveness_failure (struct am_target *t, uint64_t now_us)
 {
+  if (!t->failures)
+    t->first_failure_us = now_us;
   t->failures++;
   t->failure_us = now_us;
   if (!t->silent_us)
@@ -51,16 +53,35 @@
 }
 
 bool
-am_liveness_dead (const struct am_target *t, uint64_t now_us)
+am_liveness_dead (const struct am_target *t, size_t peers, uint64_t now_us)
 {
-  uint32_t failures = t->failures + AM_LIVENESS_PEER_WEIGHT * t->silent_at;
-
-  if (!t->failures || failures < AM_LIVENESS_FAILURES)
+  if (peers >= AM_LIVENESS_WITNESSES && !t->silent_at)
+    return false;
+  if (!t->failures || t->failures + t->silent_at < AM_LIVENESS_FAILURES
+      || now_us - t->first_failure_us < AM_LIVENESS_SPAN_US)
     return false;
   return now_us - t->failure_us < AM_LIVENESS_RECENT_US
          && now_us - t->progress_us > AM_LIVENESS_QUIET_US;
 }
 
+bool
+am_liveness_doubtful (const struct am_target_table *t, uint64_t now_us)
+{
+  unsigned silent = 0;
+  unsigned answer = 0;
+
+  am_list_each (g, &t->targets, struct am_target, node)
+  {
+    if (g->spec.data_centre != t->data_centre)
+      continue;
+    if (g->failures && now_us - g->failure_us < AM_LIVENESS_RECENT_US)
+      silent++;
+    else if (g->progress_us && now_us - g->progress_us < AM_LIVENESS_RECENT_US)
+      answer++;
+  }
+  return silent > answer;
+}
+
 bool
 am_liveness_usable (const struct am_target *t, uint64_t now_us)
 {
--- a/src/flow/liveness.h
+++ b/src/flow/liveness.h
@@ -8,6 +8,7 @@
 #define AM_FLOW_LIVENESS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "flow/target_table.h"
@@ -20,10 +21,15 @@
 #define AM_LIVENESS_RETRY_US 1000000u
 #define AM_LIVENESS_RETRY_MAX_US 8000000u
 
-/* A target counts as dead after this many unanswered packets; a peer that
-   finds it silent too stands for AM_LIVENESS_PEER_WEIGHT of them.  */
+/* A target counts as dead after this many unanswered packets, its peers'
+   findings included, over at least AM_LIVENESS_SPAN_US: a link that is slow
+   for a moment delays answers by less.  */
 #define AM_LIVENESS_FAILURES 3
-#define AM_LIVENESS_PEER_WEIGHT 2
+#define AM_LIVENESS_SPAN_US 350000u
+
+/* With this many peers in the data centre at least one of them has to find the
+   target silent too: a VM whose own link is full delays every packet.  */
+#define AM_LIVENESS_WITNESSES 2
 
 /* The last sign of life of a dead target is older than this, and the last
    unanswered packet is younger: old evidence proves nothing.  */
@@ -52,8 +58,14 @@
 bool am_liveness_silent (const struct am_target *t, uint64_t now_us);
 
 /* Returns true if packets of several flows, seen here or by peers, found T
-   silent and the last one did so just now.  */
-bool am_liveness_dead (const struct am_target *t, uint64_t now_us);
+   silent over some time and the last one did so just now.  PEERS is the number
+   of peers heard in the data centre.  */
+bool am_liveness_dead (const struct am_target *t, size_t peers,
+                       uint64_t now_us);
+
+/* Returns true if of the targets in this VM's data centre more are silent than
+   answer: the fault is then this VM's own, and proves nothing of them.  */
+bool am_liveness_doubtful (const struct am_target_table *t, uint64_t now_us);
 
 /* Returns true if T may take a new flow: it is not silent, or it is time to
    try it again.  */
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -23,6 +23,8 @@
   p->targets = targets;
   p->routes = routes;
   p->data_centre = data_centre;
+  targets->data_centre = data_centre;
+  p->peers = 0;
   p->settled = false;
   am_rng_init (&p->rng, seed);
   am_flow_table_init (&p->flows);
@@ -270,7 +272,8 @@
       am_flow_remove (&p->flows, f);
       return decide (AM_VERDICT_RESET, AM_REASON_TARGET_GONE, target);
     }
-  if (packet->data_len && am_liveness_dead (target, now_us))
+  if (packet->data_len && am_liveness_dead (target, p->peers, now_us)
+      && !am_liveness_doubtful (p->targets, now_us))
     {
       am_flow_remove (&p->flows, f);
       return decide (AM_VERDICT_RESET, AM_REASON_TARGET_SILENT, target);
--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -19,6 +19,7 @@
   am_list_init (&t->targets);
   t->count = 0;
   t->ready_count = 0;
+  t->data_centre = 0;
 }
 
 static void
@@ -138,6 +139,7 @@
   g->progress_us = 0;
   g->silent_us = 0;
   g->retry_us = 0;
+  g->first_failure_us = 0;
   g->failure_us = 0;
   g->failures = 0;
 }
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -71,6 +71,8 @@
   uint64_t progress_us; /* last sign of life; 0: none yet */
   uint64_t silent_us;   /* first SYN without an answer since; 0: none */
   uint64_t retry_us;    /* no new flow before this while it is silent */
+  uint64_t
+      first_failure_us; /* unanswered packet after the last sign of life */
   uint64_t failure_us;  /* last unanswered packet */
   uint32_t failures;    /* unanswered packets since the last sign of life */
   uint32_t silent_at;   /* peers that hear nothing from it either */
@@ -83,6 +85,7 @@
   struct am_list targets;
   size_t count;
   size_t ready_count;
+  uint32_t data_centre; /* of this VM, am_hash_name; set by the driver */
 };
 
 void am_target_table_init (struct am_target_table *t);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -399,7 +399,7 @@
   (ProtobufCMessageInit) fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[4] =
+static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[6] =
 {
   {
     "sender",
@@ -449,8 +449,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "horizon",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Digest, horizon),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_mbps",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Digest, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__digest__field_indices_by_name[] = {
+  4,   /* field[4] = horizon */
+  5,   /* field[5] = link_mbps */
   3,   /* field[3] = loads */
   2,   /* field[2] = reads */
   1,   /* field[1] = revision */
@@ -459,7 +485,7 @@
 static const ProtobufCIntRange fleet__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor fleet__digest__descriptor =
 {
@@ -469,7 +495,7 @@
   "Fleet__Digest",
   "fleet",
   sizeof(Fleet__Digest),
-  4,
+  6,
   fleet__digest__field_descriptors,
   fleet__digest__field_indices_by_name,
   1,  fleet__digest__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -86,10 +86,18 @@
   protobuf_c_boolean reads;
   size_t n_loads;
   Fleet__Load **loads;
+  /*
+   * width of the sender's link, megabits a second
+   */
+  uint32_t link_mbps;
+  /*
+   * it can tell the changes after this
+   */
+  uint64_t horizon;
 };
 #define FLEET__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__digest__descriptor) \
-    , NULL, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Fleet__Item
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -232,7 +232,7 @@
       f.now_us += 200 * MS;
       am_liveness_failure (t, f.now_us);
     }
-  ck_assert (am_liveness_dead (t, f.now_us));
+  ck_assert (am_liveness_dead (t, 0, f.now_us));
   f.now_us += 5000 * MS;
   expect (send_packet (&f, data (2, t->ticket, 1001, 100, 1)),
           AM_VERDICT_FORWARD, AM_REASON_TICKET);
