Test the decisions, the adapter and the HTTP parts of amaranth-entry

Each test names the failure it guards against.

A log level that nothing read is gone from the settings.

--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "base/log.h"
 #include "flow/fleet.h"
 #include "io/yaml_file.h"
 
@@ -39,7 +38,6 @@
   unsigned seeds_count;
   uint32_t stop_s;
   double link_mbps;
-  char *log_level;
 };
 
 #define TEXT(flags, type, member)                                      \
@@ -69,7 +67,6 @@
                         AM_ENTRY_SEEDS_MAX),
   CYAML_FIELD_FLOAT ("link_mbps", CYAML_FLAG_OPTIONAL, struct file, link_mbps),
   CYAML_FIELD_UINT ("stop_s", CYAML_FLAG_OPTIONAL, struct file, stop_s),
-  TEXT (CYAML_FLAG_OPTIONAL, struct file, log_level),
   CYAML_FIELD_END
 };
 
@@ -134,10 +131,6 @@
     return fault (f, AM_E_FIELD_RANGE, "link_mbps", "megabits a second");
   s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
-  s->log_level = AM_LOG_INFO;
-  if (file->log_level && am_log_level_parse (&s->log_level, file->log_level))
-    return fault (f, AM_E_FIELD_VALUE, "log_level",
-                  "error, warning, notice, info, debug");
   return read_addresses (s, file, f);
 }
 
--- /dev/null
+++ b/test/test_contact.c
@@ -0,0 +1,65 @@
+/* What may be concluded from the age of the copy of the store.  */
+
+#include "flow/contact.h"
+#include "suite.h"
+
+#define START_US 1000000u
+
+static struct am_contact c;
+
+static void
+begin (void)
+{
+  am_contact_init (&c);
+}
+
+/* Guards against conclusions of a VM that has just started: entries may have
+   lapsed while the store was away.  */
+START_TEST (test_start_is_not_settled)
+{
+  ck_assert (!am_contact_settled (&c, START_US));
+  am_contact_fresh (&c, START_US);
+  ck_assert (!am_contact_settled (&c, START_US + AM_CONTACT_GRACE_US - 1));
+  am_contact_fresh (&c, START_US + 1000000);
+  ck_assert (am_contact_settled (&c, START_US + AM_CONTACT_GRACE_US));
+}
+END_TEST
+
+/* Guards against live targets that are given up in the two seconds in which
+   they register again.  */
+START_TEST (test_grace_begins_anew_after_a_loss)
+{
+  uint64_t back_us = START_US + 60000000u;
+
+  am_contact_fresh (&c, START_US);
+  am_contact_lost (&c);
+  ck_assert_uint_eq (am_contact_grace_end (&c), UINT64_MAX);
+  am_contact_fresh (&c, back_us);
+  ck_assert_uint_eq (am_contact_grace_end (&c), back_us + AM_CONTACT_GRACE_US);
+}
+END_TEST
+
+/* Guards against a silent connection that leaves an old copy in force as if it
+   were fresh.  */
+START_TEST (test_silence_is_a_loss)
+{
+  am_contact_fresh (&c, START_US);
+  ck_assert (am_contact_check (&c, START_US + AM_CONTACT_STALE_US));
+  ck_assert (!am_contact_check (&c, START_US + AM_CONTACT_STALE_US + 1));
+  ck_assert (!am_contact_settled (&c, START_US + AM_CONTACT_STALE_US + 1));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("contact");
+  TCase *tc = tcase_create ("contact");
+
+  tcase_add_checked_fixture (tc, begin, NULL);
+  tcase_add_test (tc, test_start_is_not_settled);
+  tcase_add_test (tc, test_grace_begins_anew_after_a_loss);
+  tcase_add_test (tc, test_silence_is_a_loss);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,203 @@
+/* Who reads the store, and whom to ask for changes.  */
+
+#include <stdio.h>
+
+#include "base/hash.h"
+#include "flow/fleet.h"
+#include "suite.h"
+
+#define HERE am_hash_name ("here")
+#define THERE am_hash_name ("there")
+#define NOW 10000000u
+
+static struct am_fleet f;
+static struct am_target_table targets;
+
+static void
+begin (void)
+{
+  am_target_table_init (&targets);
+  am_fleet_init (&f, "vm-0", HERE, 10);
+}
+
+static void
+end (void)
+{
+  am_fleet_finish (&f);
+  am_target_table_finish (&targets);
+}
+
+static struct am_peer *
+add_peer (const char *name, uint32_t data_centre, uint32_t link_mbps,
+          bool reads, uint64_t revision)
+{
+  struct am_peer *p = am_fleet_peer (&f, name, NOW);
+
+  ck_assert_ptr_nonnull (p);
+  p->data_centre = data_centre;
+  p->reads = reads;
+  p->revision = revision;
+  p->heard_us = NOW;
+  am_fleet_set_link (p, link_mbps);
+  return p;
+}
+
+/* Guards against a store that is read by each VM of a fleet, and against a VM
+   with a narrow link that serves all peers.  */
+START_TEST (test_widest_link_reads)
+{
+  ck_assert (am_fleet_should_read (&f, NOW));
+  add_peer ("narrow", HERE, 5, true, 1);
+  ck_assert (am_fleet_should_read (&f, NOW));
+  add_peer ("wide", HERE, 200, true, 1);
+  ck_assert (!am_fleet_should_read (&f, NOW));
+}
+END_TEST
+
+/* Guards against changes that nobody reads after a reader died, froze, was cut
+   off from the store or from its peers.  */
+START_TEST (test_next_one_reads_when_the_reader_fails)
+{
+  struct am_peer *wide = add_peer ("wide", HERE, 200, true, 1);
+
+  ck_assert (!am_fleet_should_read (&f, NOW));
+  ck_assert (am_fleet_should_read (&f, NOW + AM_FLEET_SILENCE_US));
+  wide->reads = false;
+  ck_assert (am_fleet_should_read (&f, NOW));
+}
+END_TEST
+
+/* Guards against a data centre that relies on the reader of another one: a cut
+   parts them.  */
+START_TEST (test_each_data_centre_has_a_reader)
+{
+  add_peer ("wide", THERE, 200, true, 1);
+  ck_assert (am_fleet_should_read (&f, NOW));
+}
+END_TEST
+
+/* Guards against two VMs of one rank that both wait for the other: each of a
+   fleet decides for itself, and one reads.  */
+START_TEST (test_one_of_many_reads)
+{
+  enum
+  {
+    VMS = 24
+  };
+  unsigned readers = 0;
+
+  for (int i = 0; i < VMS; i++)
+    {
+      char name[16];
+
+      end ();
+      am_target_table_init (&targets);
+      snprintf (name, sizeof name, "vm-%d", i);
+      am_fleet_init (&f, name, HERE, 10);
+      for (int j = 0; j < VMS; j++)
+        {
+          snprintf (name, sizeof name, "vm-%d", j);
+          if (j != i)
+            add_peer (name, HERE, 10, true, 1);
+        }
+      readers += am_fleet_should_read (&f, NOW);
+    }
+  ck_assert_uint_eq (readers, AM_FLEET_READERS);
+}
+END_TEST
+
+/* Guards against changes asked of a peer that does not have them, is silent,
+   or can tell only the whole of its copy, which filled a narrow link.  */
+START_TEST (test_whom_to_ask)
+{
+  struct am_peer *p;
+
+  add_peer ("behind", HERE, 10, true, 5);
+  ck_assert_ptr_null (am_fleet_ahead (&f, 5, false, NOW));
+  p = add_peer ("far", THERE, 10, true, 9);
+  ck_assert_ptr_eq (am_fleet_ahead (&f, 5, false, NOW), p);
+  p = add_peer ("near", HERE, 10, true, 8);
+  ck_assert_ptr_eq (am_fleet_ahead (&f, 5, false, NOW), p);
+  p->horizon = 8;
+  ck_assert_ptr_ne (am_fleet_ahead (&f, 5, false, NOW), p);
+  ck_assert_ptr_eq (am_fleet_ahead (&f, 5, true, NOW), p);
+  ck_assert_ptr_null (am_fleet_ahead (&f, 5, true, NOW + AM_FLEET_SILENCE_US));
+}
+END_TEST
+
+/* Guards against a copy that counts as fresh while a reader has a newer one,
+   or on the word of a VM that does not read.  */
+START_TEST (test_who_confirms)
+{
+  struct am_peer *p = add_peer ("p", HERE, 10, false, 5);
+
+  ck_assert (!am_fleet_confirms (&f, 5, NOW));
+  p->reads = true;
+  ck_assert (am_fleet_confirms (&f, 5, NOW));
+  ck_assert (!am_fleet_confirms (&f, 4, NOW));
+  ck_assert (!am_fleet_confirms (&f, 5, NOW + AM_FLEET_SILENCE_US));
+}
+END_TEST
+
+/* Guards against the load of a peer that has died and still counts, and a
+   table of peers that grows with each replacement.  */
+START_TEST (test_silent_peer_is_forgotten)
+{
+  struct am_target_spec s = { .id = 1, .service = 1 };
+  struct am_target *t;
+  struct am_load_report report;
+  struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
+
+  am_target_table_put (&targets, &s, NOW, &t);
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true };
+  am_peer_load_set (&p->load, &targets, &report, 1);
+  ck_assert_uint_eq (t->peers_load.busy, 3);
+  ck_assert_uint_eq (t->silent_at, 1);
+  am_fleet_tick (&f, &targets, NOW + AM_FLEET_SILENCE_US);
+  ck_assert_uint_eq (t->peers_load.busy, 0);
+  ck_assert_uint_eq (t->silent_at, 0);
+  ck_assert_uint_eq (f.count, 1);
+  am_fleet_tick (&f, &targets, NOW + AM_FLEET_FORGET_US + 1);
+  ck_assert_uint_eq (f.count, 0);
+}
+END_TEST
+
+/* Guards against load that is counted twice when a peer reports again.  */
+START_TEST (test_report_replaces_the_one_before)
+{
+  struct am_target_spec s = { .id = 1, .service = 1 };
+  struct am_target *t;
+  struct am_load_report report;
+  struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
+
+  am_target_table_put (&targets, &s, NOW, &t);
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, false };
+  am_peer_load_set (&p->load, &targets, &report, 1);
+  report.load.busy = 1;
+  am_peer_load_set (&p->load, &targets, &report, 1);
+  ck_assert_uint_eq (t->peers_load.busy, 1);
+  ck_assert_uint_eq (t->peers_load.open_flows, 2);
+  report.ticket++;
+  am_peer_load_set (&p->load, &targets, &report, 1);
+  ck_assert_uint_eq (t->peers_load.open_flows, 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fleet");
+  TCase *tc = tcase_create ("fleet");
+
+  tcase_add_checked_fixture (tc, begin, end);
+  tcase_add_test (tc, test_widest_link_reads);
+  tcase_add_test (tc, test_next_one_reads_when_the_reader_fails);
+  tcase_add_test (tc, test_each_data_centre_has_a_reader);
+  tcase_add_test (tc, test_one_of_many_reads);
+  tcase_add_test (tc, test_whom_to_ask);
+  tcase_add_test (tc, test_who_confirms);
+  tcase_add_test (tc, test_silent_peer_is_forgotten);
+  tcase_add_test (tc, test_report_replaces_the_one_before);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,277 @@
+/* HTTP client and server: calls, time-outs, bad peers, bounds.  */
+
+#include <arpa/inet.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "own_address.h"
+#include "suite.h"
+
+#define PORT 7101
+#define RAW_PORT 7102
+#define LARGE (1u << 20)
+
+static uv_loop_t loop;
+static struct am_http_server server;
+static struct am_http_client client;
+static struct am_http_answer last;
+static char last_body[64];
+static unsigned answer_count;
+
+static struct am_address
+address (uint16_t port)
+{
+  return (struct am_address){ own_ip (1), port };
+}
+
+static void
+on_request (void *userdata, const char *path, struct am_http_reply *reply)
+{
+  (void)userdata;
+  reply->status = strncmp (path, "/missing", 8) == 0 ? 404 : 200;
+  if (strcmp (path, "/large") == 0)
+    {
+      reply->body = malloc (LARGE);
+      memset (reply->body, 'x', LARGE);
+      reply->body_len = LARGE;
+    }
+  else if (reply->status == 200)
+    {
+      reply->body = (uint8_t *)strdup (path);
+      reply->body_len = strlen (path);
+    }
+}
+
+static void
+on_answer (void *userdata, const struct am_http_answer *a)
+{
+  (void)userdata;
+  last = *a;
+  snprintf (last_body, sizeof last_body, "%s",
+            a->body ? (const char *)a->body : "");
+  answer_count++;
+  uv_stop (&loop);
+}
+
+static void
+begin (void)
+{
+  answer_count = 0;
+  uv_loop_init (&loop);
+  ck_assert_int_eq (
+      am_http_server_open (&server, &loop, address (PORT), on_request, NULL),
+      AM_OK);
+  am_http_client_init (&client, &loop, address (PORT));
+}
+
+static void
+end (void)
+{
+  am_http_client_reset (&client);
+  am_http_server_close (&server);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+}
+
+static void
+get (const char *path, uint32_t timeout_ms)
+{
+  ck_assert_int_eq (am_http_get (&client, path, timeout_ms, on_answer, NULL),
+                    AM_OK);
+  uv_run (&loop, UV_RUN_DEFAULT);
+}
+
+/* Guards against answers that are lost or mixed up on one connection.  */
+START_TEST (test_calls_on_one_connection)
+{
+  struct am_http_connection *first;
+
+  get ("/one", 1000);
+  ck_assert_int_eq (last.error, AM_OK);
+  ck_assert_int_eq (last.status, 200);
+  ck_assert_str_eq (last_body, "/one");
+  first = client.connection;
+  get ("/missing", 1000);
+  ck_assert_int_eq (last.status, 404);
+  ck_assert_uint_eq (last.body_len, 0);
+  get ("/two?x=1", 1000);
+  ck_assert_str_eq (last_body, "/two?x=1");
+  ck_assert_ptr_eq (client.connection, first);
+  ck_assert_int_eq (am_http_get (&client, "/a", 1000, on_answer, NULL), AM_OK);
+  ck_assert_int_eq (am_http_get (&client, "/b", 1000, on_answer, NULL),
+                    AM_E_STATE);
+}
+END_TEST
+
+/* Guards against bodies that come in many reads.  */
+START_TEST (test_large_answer)
+{
+  get ("/large", 5000);
+  ck_assert_int_eq (last.error, AM_OK);
+  ck_assert_uint_eq (last.body_len, LARGE);
+}
+END_TEST
+
+/* A server that accepts and does what the test says: TEXT is sent, then
+   nothing.  */
+static int
+raw_server (void)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET,
+                            .sin_port = htons (RAW_PORT),
+                            .sin_addr = { htonl (own_ip (1)) } };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (fd, 5), 0);
+  return fd;
+}
+
+static void
+answer_raw (uv_timer_t *timer)
+{
+  const char *const *words = timer->data;
+  int fd = accept (atoi (words[0]), NULL, NULL);
+
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_ge (write (fd, words[1], strlen (words[1])), 0);
+  if (words[2])
+    close (fd);
+}
+
+/* Asks the raw server, which sends TEXT and, if CLOSE, ends.  */
+static void
+get_raw (const char *text, bool close_it)
+{
+  char number[16];
+  const char *words[3] = { number, text, close_it ? "" : NULL };
+  int fd = raw_server ();
+  uv_timer_t timer;
+
+  snprintf (number, sizeof number, "%d", fd);
+  am_http_client_init (&client, &loop, address (RAW_PORT));
+  uv_timer_init (&loop, &timer);
+  timer.data = (void *)words;
+  uv_timer_start (&timer, answer_raw, 20, 0);
+  get ("/", 200);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  uv_run (&loop, UV_RUN_NOWAIT);
+  close (fd);
+}
+
+/* Guards against a call that never ends: silence, half an answer, garbage, a
+   connection that is closed, nobody who listens.  */
+START_TEST (test_bad_servers)
+{
+  get_raw ("", false);
+  ck_assert_int_eq (last.error, AM_E_TIMEOUT);
+  get_raw ("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", false);
+  ck_assert_int_eq (last.error, AM_E_TIMEOUT);
+  get_raw ("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true);
+  ck_assert_int_eq (last.error, AM_E_CONNECTION);
+  get_raw ("garbage\r\n\r\n", false);
+  ck_assert_int_eq (last.error, AM_E_FORMAT);
+  get_raw ("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", true);
+  ck_assert_int_eq (last.error, AM_E_CONNECTION);
+  am_http_client_init (&client, &loop, address (RAW_PORT));
+  get ("/", 1000);
+  ck_assert_int_eq (last.error, AM_E_CONNECTION);
+  ck_assert_uint_eq (answer_count, 6);
+  ck_assert (!am_http_client_busy (&client));
+}
+END_TEST
+
+/* Guards against an answer that comes to the next call: it belongs to a call
+   that was given up.  */
+START_TEST (test_reset_call_is_not_answered)
+{
+  am_http_get (&client, "/given-up", 1000, on_answer, NULL);
+  am_http_client_reset (&client);
+  get ("/next", 1000);
+  ck_assert_str_eq (last_body, "/next");
+  ck_assert_uint_eq (answer_count, 1);
+}
+END_TEST
+
+static int
+raw_client (const char *text)
+{
+  struct sockaddr_in sa = own_sockaddr (address (PORT));
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_ge (write (fd, text, strlen (text)), 0);
+  return fd;
+}
+
+/* Guards against clients that hang, send garbage or leave, and take service
+   from the others.  */
+START_TEST (test_bad_clients)
+{
+  char path[AM_HTTP_PATH_SIZE + 64];
+  int hanging = raw_client ("GET / HTTP/1.1\r\nHost");
+  int garbage = raw_client ("\x01\x02\x03\r\n\r\n");
+  int gone = raw_client ("GET /large HTTP/1.1\r\n\r\n");
+  int post = raw_client ("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  char answer[64] = { 0 };
+
+  memset (path, 'a', sizeof path);
+  memcpy (path, "GET /", 5);
+  path[sizeof path - 1] = '\0';
+  close (gone);
+  close (raw_client (path));
+  get ("/still", 1000);
+  ck_assert_str_eq (last_body, "/still");
+  ck_assert_int_gt (read (post, answer, sizeof answer - 1), 0);
+  ck_assert_ptr_nonnull (strstr (answer, "405"));
+  ck_assert_int_eq (read (garbage, answer, sizeof answer), 0);
+  close (hanging);
+  close (garbage);
+  close (post);
+}
+END_TEST
+
+/* Guards against descriptors that clients can use up.  */
+START_TEST (test_connections_are_bounded)
+{
+  int fds[AM_HTTP_SERVER_CONNECTIONS + 20];
+  size_t n = sizeof fds / sizeof fds[0];
+
+  for (size_t i = 0; i < n; i++)
+    {
+      fds[i] = raw_client ("GET / HT");
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  for (int i = 0; i < 20; i++)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  ck_assert_uint_le (server.connection_count, AM_HTTP_SERVER_CONNECTIONS);
+  for (size_t i = 0; i < n; i++)
+    close (fds[i]);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("http");
+  TCase *tc = tcase_create ("http");
+
+  tcase_set_timeout (tc, 30);
+  tcase_add_checked_fixture (tc, begin, end);
+  tcase_add_test (tc, test_calls_on_one_connection);
+  tcase_add_test (tc, test_large_answer);
+  tcase_add_test (tc, test_bad_servers);
+  tcase_add_test (tc, test_reset_call_is_not_answered);
+  tcase_add_test (tc, test_bad_clients);
+  tcase_add_test (tc, test_connections_are_bounded);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/test/test_open_queue.c
@@ -0,0 +1,93 @@
+/* Packets that wait to open flows.  */
+
+#include "flow/open_queue.h"
+#include "flow_fixture.h"
+#include "suite.h"
+
+static struct am_open_queue q;
+static const uint8_t bytes[AM_OPEN_QUEUE_DATA + 1] = "packet";
+
+static void
+begin (void)
+{
+  am_open_queue_init (&q);
+}
+
+static int
+add (uint16_t port, uint32_t copy, uint64_t until_us)
+{
+  struct am_packet p = syn (port, copy);
+
+  return am_open_queue_add (&q, &p, bytes, 32, 0, until_us);
+}
+
+/* Guards against a caller whose attempt ends while later ones go first.  */
+START_TEST (test_earliest_end_goes_first)
+{
+  struct am_waiting w;
+
+  add (1, 0, 300);
+  add (2, 0, 100);
+  add (3, 0, 200);
+  ck_assert (am_open_queue_take (&q, 0, true, &w));
+  ck_assert_uint_eq (w.packet.caller.port, 2);
+  ck_assert (am_open_queue_take (&q, 0, true, &w));
+  ck_assert_uint_eq (w.packet.caller.port, 3);
+}
+END_TEST
+
+/* Guards against a packet that waits for ever while targets are busy, and one
+   that goes on before its time.  */
+START_TEST (test_wait_ends)
+{
+  struct am_waiting w;
+
+  add (1, 0, 300);
+  ck_assert (!am_open_queue_take (&q, 299, false, &w));
+  ck_assert (am_open_queue_take (&q, 300, false, &w));
+  ck_assert (!am_open_queue_take (&q, 300, true, &w));
+}
+END_TEST
+
+/* Guards against one attempt that opens two flows because two copies of its
+   SYN waited.  */
+START_TEST (test_copies_wait_as_one)
+{
+  struct am_waiting w;
+
+  add (1, 1, 300);
+  add (1, 2, 500);
+  ck_assert_uint_eq (q.count, 1);
+  ck_assert (am_open_queue_take (&q, 300, false, &w));
+  ck_assert_uint_eq (w.packet.ack, 2);
+}
+END_TEST
+
+/* Guards against memory that callers can fill.  */
+START_TEST (test_queue_is_bounded)
+{
+  struct am_packet p = syn (1, 0);
+
+  for (uint16_t port = 1; port <= AM_OPEN_QUEUE_MAX; port++)
+    ck_assert_int_eq (add (port, 0, 1), AM_OK);
+  ck_assert_int_eq (add (AM_OPEN_QUEUE_MAX + 1, 0, 1), AM_E_QUEUE_FULL);
+  ck_assert_int_eq (
+      am_open_queue_add (&q, &p, bytes, AM_OPEN_QUEUE_DATA + 1, 0, 1),
+      AM_E_TOO_LARGE);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("open_queue");
+  TCase *tc = tcase_create ("open_queue");
+
+  tcase_add_checked_fixture (tc, begin, NULL);
+  tcase_add_test (tc, test_earliest_end_goes_first);
+  tcase_add_test (tc, test_wait_ends);
+  tcase_add_test (tc, test_copies_wait_as_one);
+  tcase_add_test (tc, test_queue_is_bounded);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/test/test_placement.c
@@ -0,0 +1,170 @@
+/* Choice of the target for a new flow.  */
+
+#include "flow/liveness.h"
+#include "flow/placement.h"
+#include "flow_fixture.h"
+#include "suite.h"
+
+static struct flow_fixture f;
+static struct am_rng rng;
+
+static void
+begin (void)
+{
+  flow_begin (&f);
+  am_rng_init (&rng, 1);
+}
+
+static void
+end (void)
+{
+  flow_end (&f);
+}
+
+static struct am_target *
+choose (const struct am_target *avoid)
+{
+  struct am_placement p = { .rng = &rng,
+                            .service = ORDERS,
+                            .data_centre = NEAR,
+                            .avoid = avoid,
+                            .now_us = f.now_us };
+
+  return am_placement_choose (&f.targets, &p);
+}
+
+/* Guards against flows that cross the border of a data centre without need: a
+   cut takes them all.  */
+START_TEST (test_own_data_centre_goes_first)
+{
+  struct am_target *near = add_target (&f, 1, NEAR);
+  struct am_target *far = add_target (&f, 2, FAR);
+
+  near->load.busy = 3;
+  ck_assert_ptr_eq (choose (NULL), near);
+  near->load.busy = 8;
+  ck_assert_ptr_eq (choose (NULL), far);
+}
+END_TEST
+
+/* Guards against flows that pile up on one target: 200 flows of which each has
+   a request now and then, on five targets.  */
+START_TEST (test_open_flows_are_spread)
+{
+  struct am_target *t[5];
+
+  for (uint64_t id = 0; id < 5; id++)
+    t[id] = add_target (&f, id + 1, NEAR);
+  for (int i = 0; i < 200; i++)
+    choose (NULL)->load.open_flows++;
+  for (int i = 0; i < 5; i++)
+    {
+      ck_assert_uint_ge (t[i]->load.open_flows, 39);
+      ck_assert_uint_le (t[i]->load.open_flows, 41);
+    }
+}
+END_TEST
+
+/* Guards against a burst that falls on one target because requests in progress
+   are not seen, or those of peers are not.  */
+START_TEST (test_busy_targets_are_passed_over)
+{
+  struct am_target *a = add_target (&f, 1, NEAR);
+  struct am_target *b = add_target (&f, 2, NEAR);
+
+  a->load.busy = 1;
+  ck_assert_ptr_eq (choose (NULL), b);
+  b->peers_load.busy = 2;
+  ck_assert_ptr_eq (choose (NULL), a);
+  a->load.opening = 2;
+  ck_assert_ptr_eq (choose (NULL), b);
+}
+END_TEST
+
+/* Guards against a full share of flows for a target that is still slow.  */
+START_TEST (test_cold_target_gets_less)
+{
+  struct am_target_spec s = target_spec (1, NEAR);
+  unsigned cold_flows = 0;
+  struct am_target *cold;
+
+  s.warm_up_ms = 2000;
+  am_target_table_put (&f.targets, &s, f.now_us, &cold);
+  add_target (&f, 2, NEAR);
+  for (int i = 0; i < 130; i++)
+    {
+      struct am_target *t = choose (NULL);
+
+      t->load.busy++;
+      cold_flows += t == cold;
+    }
+  ck_assert_uint_ge (cold_flows, 45);
+  ck_assert_uint_le (cold_flows, 55);
+}
+END_TEST
+
+/* Guards against flows for targets that drain, belong to another service or
+   share their ticket.  */
+START_TEST (test_who_takes_flows)
+{
+  struct am_target_spec s = target_spec (1, NEAR);
+
+  s.draining = true;
+  am_target_table_put (&f.targets, &s, f.now_us, NULL);
+  s = target_spec (2, NEAR);
+  s.service = ARCHIVE;
+  am_target_table_put (&f.targets, &s, f.now_us, NULL);
+  add_target (&f, 3, NEAR)->ambiguous = true;
+  ck_assert_ptr_null (choose (NULL));
+  add_target (&f, 4, FAR);
+  ck_assert_uint_eq (choose (NULL)->spec.id, 4);
+}
+END_TEST
+
+/* Guards against a service without targets because all of them were silent
+   for a moment.  */
+START_TEST (test_silent_target_is_the_last_resort)
+{
+  struct am_target *a = add_target (&f, 1, NEAR);
+
+  am_liveness_failure (a, f.now_us);
+  ck_assert_ptr_eq (choose (NULL), a);
+  ck_assert_ptr_eq (choose (a), a);
+  add_target (&f, 2, FAR)->load.busy = 1000;
+  ck_assert_uint_eq (choose (NULL)->spec.id, 2);
+}
+END_TEST
+
+/* Guards against copies that wait because another data centre is busy, or
+   that do not although this one is.  */
+START_TEST (test_pressure_is_that_of_the_data_centre)
+{
+  struct am_placement p = {
+    .rng = &rng, .service = ORDERS, .data_centre = NEAR, .now_us = f.now_us
+  };
+
+  ck_assert_double_eq (am_placement_pressure (&f.targets, &p), 0);
+  add_target (&f, 1, FAR)->load.busy = 8;
+  ck_assert_double_eq (am_placement_pressure (&f.targets, &p), 4);
+  add_target (&f, 2, NEAR)->load.busy = 1;
+  ck_assert_double_eq (am_placement_pressure (&f.targets, &p), 0.5);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placement");
+  TCase *tc = tcase_create ("placement");
+
+  tcase_add_checked_fixture (tc, begin, end);
+  tcase_add_test (tc, test_own_data_centre_goes_first);
+  tcase_add_test (tc, test_open_flows_are_spread);
+  tcase_add_test (tc, test_busy_targets_are_passed_over);
+  tcase_add_test (tc, test_cold_target_gets_less);
+  tcase_add_test (tc, test_who_takes_flows);
+  tcase_add_test (tc, test_silent_target_is_the_last_resort);
+  tcase_add_test (tc, test_pressure_is_that_of_the_data_centre);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/test/test_replica.c
@@ -0,0 +1,202 @@
+/* Copy of the store: changes twice, late and out of order; listings.  */
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "base/error.h"
+#include "base/rng.h"
+#include "flow/replica.h"
+#include "suite.h"
+
+static struct am_replica r;
+static unsigned change_count;
+
+static void
+on_changed (void *userdata, const struct am_replica_item *item)
+{
+  (void)userdata;
+  ck_assert (item->removed == !item->value);
+  change_count++;
+}
+
+static void
+begin (void)
+{
+  change_count = 0;
+  am_replica_init (&r, on_changed, NULL);
+}
+
+static void
+end (void)
+{
+  am_replica_finish (&r);
+}
+
+static void
+write_key (const char *key, const char *value, uint64_t revision)
+{
+  ck_assert_int_eq (am_replica_write (&r, key, strlen (key),
+                                      (const uint8_t *)value, strlen (value),
+                                      revision),
+                    AM_OK);
+}
+
+static void
+remove_key (const char *key, uint64_t revision)
+{
+  ck_assert_int_eq (am_replica_remove (&r, key, strlen (key), revision),
+                    AM_OK);
+}
+
+/* Returns the value of KEY, or NULL if it is not there.  */
+static const char *
+value_of (const char *key)
+{
+  am_list_each (i, &r.by_revision, struct am_replica_item,
+                node) if (strcmp (i->key, key)
+                          == 0) return (const char *)i->value;
+  return NULL;
+}
+
+/* Guards against a late answer or a slow peer that puts an older value
+   back.  */
+START_TEST (test_older_change_has_no_effect)
+{
+  write_key ("a", "new", 5);
+  write_key ("a", "old", 4);
+  remove_key ("a", 4);
+  ck_assert_str_eq (value_of ("a"), "new");
+  remove_key ("a", 6);
+  write_key ("a", "new", 5);
+  ck_assert_ptr_null (value_of ("a"));
+  ck_assert_uint_eq (change_count, 2);
+}
+END_TEST
+
+/* Guards against a revision that goes back with an answer that is behind.  */
+START_TEST (test_revision_never_goes_back)
+{
+  am_replica_advance (&r, 10);
+  am_replica_advance (&r, 9);
+  ck_assert_uint_eq (r.revision, 10);
+  am_replica_list_begin (&r);
+  am_replica_list_end (&r, 8);
+  ck_assert_uint_eq (r.revision, 10);
+}
+END_TEST
+
+/* Guards against items that vanished while the history was lost and are used
+   on, and against the loss of one that was written during the listing.  */
+START_TEST (test_listing_removes_what_it_does_not_bring)
+{
+  write_key ("stays", "1", 1);
+  write_key ("goes", "1", 2);
+  am_replica_list_begin (&r);
+  write_key ("stays", "1", 1);
+  write_key ("new", "1", 12);
+  am_replica_list_end (&r, 10);
+  ck_assert_ptr_nonnull (value_of ("stays"));
+  ck_assert_ptr_null (value_of ("goes"));
+  ck_assert_ptr_nonnull (value_of ("new"));
+  ck_assert_uint_eq (r.revision, 10);
+}
+END_TEST
+
+/* Guards against a peer that misses removals because they are forgotten
+   here.  */
+START_TEST (test_forgotten_removals_are_said)
+{
+  char key[32];
+
+  am_replica_advance (&r, 1);
+  for (uint64_t i = 0; i < AM_REPLICA_REMOVALS + 10; i++)
+    {
+      snprintf (key, sizeof key, "k%" PRIu64, i);
+      remove_key (key, 100 + i);
+    }
+  ck_assert (!am_replica_reaches (&r, 0));
+  ck_assert (!am_replica_reaches (&r, 100));
+  ck_assert (am_replica_reaches (&r, 110));
+  ck_assert_uint_eq (r.removal_count, AM_REPLICA_REMOVALS);
+}
+END_TEST
+
+/* A peer that was listed later than the asker's revision cannot know what was
+   removed before.  Guards against targets that are kept for good.  */
+START_TEST (test_listing_sets_the_horizon)
+{
+  am_replica_list_begin (&r);
+  write_key ("a", "1", 3);
+  am_replica_list_end (&r, 20);
+  ck_assert (!am_replica_reaches (&r, 19));
+  ck_assert (am_replica_reaches (&r, 20));
+}
+END_TEST
+
+/* Guards against copies that differ although they took the same changes in
+   another order, some of them twice.  */
+START_TEST (test_any_order_gives_the_same_copy)
+{
+  enum
+  {
+    CHANGES = 200,
+    KEYS = 10
+  };
+  const char *last[KEYS] = { 0 };
+  uint64_t order[CHANGES * 2];
+  struct am_rng rng;
+  char key[8];
+  char value[CHANGES][8];
+
+  am_rng_init (&rng, (uint64_t)_i + 1);
+  for (uint64_t i = 0; i < CHANGES; i++)
+    {
+      snprintf (value[i], sizeof value[i], "%" PRIu64, i);
+      last[i * 7 % KEYS] = i % 3 ? value[i] : NULL;
+      order[i] = order[CHANGES + i] = i;
+    }
+  for (size_t i = CHANGES * 2 - 1; i > 0; i--)
+    {
+      size_t j = am_rng_below (&rng, (uint32_t)i + 1);
+      uint64_t swap = order[i];
+
+      order[i] = order[j];
+      order[j] = swap;
+    }
+  for (size_t i = 0; i < CHANGES * 2; i++)
+    {
+      uint64_t n = order[i];
+
+      snprintf (key, sizeof key, "k%" PRIu64, n * 7 % KEYS);
+      if (n % 3)
+        write_key (key, value[n], n + 1);
+      else
+        remove_key (key, n + 1);
+    }
+  for (uint64_t k = 0; k < KEYS; k++)
+    {
+      snprintf (key, sizeof key, "k%" PRIu64, k);
+      if (last[k])
+        ck_assert_str_eq (value_of (key), last[k]);
+      else
+        ck_assert_ptr_null (value_of (key));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("replica");
+  TCase *tc = tcase_create ("replica");
+
+  tcase_add_checked_fixture (tc, begin, end);
+  tcase_add_test (tc, test_older_change_has_no_effect);
+  tcase_add_test (tc, test_revision_never_goes_back);
+  tcase_add_test (tc, test_listing_removes_what_it_does_not_bring);
+  tcase_add_test (tc, test_forgotten_removals_are_said);
+  tcase_add_test (tc, test_listing_sets_the_horizon);
+  tcase_add_loop_test (tc, test_any_order_gives_the_same_copy, 0, 50);
+  suite_add_tcase (suite, tc);
+  return suite_run (suite);
+}
