--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -10,6 +10,7 @@
 #include "io/clock.h"
 
 #define TICK_MS 50
+#define TICK_US 50000u
 
 /* The VM stood still if a tick comes this late, or if the clock that counts
    suspended time ran ahead by it.  */
@@ -49,7 +50,7 @@
   uint64_t boot_us = boot_clock_us ();
   uint64_t step_us = now_us - e->tick_us;
   uint64_t boot_step_us = boot_us - e->boot_us;
-  uint64_t lag_us = step_us > TICK_MS * 1000u ? step_us - TICK_MS * 1000u : 0;
+  uint64_t lag_us = step_us > TICK_US ? step_us - TICK_US : 0;
 
   e->tick_us = now_us;
   e->boot_us = boot_us;
@@ -86,7 +87,7 @@
 
   if (!e->stop_us)
     return;
-  if (stopping_us < e->settings.stop_ms * 1000u
+  if (stopping_us < (uint64_t)e->settings.stop_ms * 1000u
       && (stopping_us < STOP_MIN_US
           || now_us - e->last_packet_us < STOP_QUIET_US))
     return;
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -213,8 +213,8 @@
     after = 0;
   am_list_each (i, &e->replica.by_revision, struct am_replica_item, node) count
       += i->revision > after;
-  c->items = calloc (count + 1, sizeof *c->items);
-  c->members = calloc (e->fleet.count + 1, sizeof *c->members);
+  c->items = calloc (count + 1, sizeof (void *));
+  c->members = calloc (e->fleet.count + 1, sizeof (void *));
   if (!c->items || !c->members)
     return AM_E_MEMORY;
   am_list_each (i, &e->replica.by_revision, struct am_replica_item, node)
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -17,7 +17,7 @@
 
 /* Pause between two watches: each call is paid for, and changes come in
    groups.  Short beside the seconds in which a change must be in force.  */
-#define PAUSE_MS 250
+#define PAUSE_US 250000u
 
 /* Pause after a failed call; doubles with each one in a row.  */
 #define RETRY_MS 150
@@ -208,7 +208,7 @@
     }
   am_replica_advance (&e->replica, reply.revision);
   succeeded (e, now_us);
-  e->reader.retry_us = now_us + PAUSE_MS * 1000u;
+  e->reader.retry_us = now_us + PAUSE_US;
   if (e->replica.revision > before)
     am_entry_peers_announce (e, now_us);
 }
