Split the talk between VMs and share what stood twice

The socket form of an address stood in ten files, the fault of a settings field in three and the options of entry programs in two; each stands once now.

--- a/src/ctl/exchange.c
+++ b/src/ctl/exchange.c
@@ -1,6 +1,5 @@
 #include "ctl/exchange.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <stdio.h>
@@ -10,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 #include "io/clock.h"
 
 /* Bounds open sockets; 128 x 2 s covers 730 entry VMs within 12 s even if none
@@ -100,9 +100,7 @@
 static void
 begin (struct ctl_exchange *e, const uint8_t *key)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (e->address.port),
-                            .sin_addr = { htonl (e->address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (e->address);
 
   if (add_questions (e, key))
     {
--- /dev/null
+++ b/src/entry/digests.c
@@ -0,0 +1,160 @@
+#include <inttypes.h>
+
+#include "base/error.h"
+#include "entry/peers.h"
+#include "io/clock.h"
+
+#define DIGEST_US 200000u
+/* With many peers in the data centre digests come less often, so that their
+   number does not grow with its square.  */
+#define DIGEST_PEER_US 8000u
+/* Silent seeds are told of this VM at this interval.  */
+#define SEEDS_US 1000000u
+
+#define DATAGRAM_MAX 1400
+
+/* The parts of a digest that point to each other.  */
+struct digest
+{
+  Fleet__Digest message;
+  Fleet__Member sender;
+  Fleet__Load loads[AM_PEER_LOAD_MAX];
+  Fleet__Load *load_list[AM_PEER_LOAD_MAX];
+};
+
+static void
+fill_loads (struct am_entry *e, struct digest *d, uint64_t now_us)
+{
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+  size_t n = am_peer_load_collect (&e->targets, reports, now_us);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      fleet__load__init (&d->loads[i]);
+      d->loads[i].ticket = reports[i].ticket;
+      d->loads[i].opening = reports[i].load.opening;
+      d->loads[i].open_flows = reports[i].load.open_flows;
+      d->loads[i].busy = reports[i].load.busy;
+      d->loads[i].silent = reports[i].silent;
+      d->load_list[i] = &d->loads[i];
+    }
+  d->message.loads = d->load_list;
+  d->message.n_loads = n;
+}
+
+static void
+fill_digest (struct am_entry *e, struct digest *d, uint64_t now_us)
+{
+  fleet__digest__init (&d->message);
+  am_entry_fill_member (&d->sender, e->settings.name, e->fleet.data_centre,
+                        e->settings.peers);
+  d->message.sender = &d->sender;
+  d->message.revision = e->replica.revision;
+  d->message.horizon = e->replica.horizon;
+  d->message.link_mbps = e->fleet.link_mbps;
+  d->message.reads = e->reader.works;
+  fill_loads (e, d, now_us);
+}
+
+/* Load concerns the peers of the data centre, which choose among the same
+   targets; others hear of revisions only, and only from readers.  */
+void
+am_entry_digests_send (struct am_entry *e, uint64_t now_us)
+{
+  struct digest d;
+  uint8_t near[DATAGRAM_MAX];
+  uint8_t far[DATAGRAM_MAX];
+  size_t near_len;
+  size_t far_len;
+
+  fill_digest (e, &d, now_us);
+  if (fleet__digest__get_packed_size (&d.message) > sizeof near)
+    return;
+  near_len = fleet__digest__pack (&d.message, near);
+  d.message.n_loads = 0;
+  far_len = fleet__digest__pack (&d.message, far);
+  e->digest_us = now_us;
+  am_list_each (p, &e->fleet.peers, struct am_peer, node)
+  {
+    if (p->data_centre == e->fleet.data_centre)
+      am_udp_send (&e->digests, p->address, near, near_len);
+    else if (e->reader.works)
+      am_udp_send (&e->digests, p->address, far, far_len);
+  }
+  if (now_us - e->seeds_us < SEEDS_US)
+    return;
+  e->seeds_us = now_us;
+  for (size_t i = 0; i < e->settings.seed_count; i++)
+    if (!am_address_equal (e->settings.seeds[i], e->settings.peers))
+      am_udp_send (&e->digests, e->settings.seeds[i], far, far_len);
+}
+
+static void
+take_loads (struct am_entry *e, struct am_peer *p, const Fleet__Digest *d)
+{
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+  size_t n = d->n_loads < AM_PEER_LOAD_MAX ? d->n_loads : AM_PEER_LOAD_MAX;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      reports[i].ticket = d->loads[i]->ticket;
+      reports[i].load.opening = d->loads[i]->opening;
+      reports[i].load.open_flows = d->loads[i]->open_flows;
+      reports[i].load.busy = d->loads[i]->busy;
+      reports[i].silent = d->loads[i]->silent;
+    }
+  am_peer_load_set (&p->load, &e->targets, reports, n);
+}
+
+static void
+on_digest (void *userdata, struct am_address from, const uint8_t *data,
+           size_t len)
+{
+  struct am_entry *e = userdata;
+  Fleet__Digest *d = fleet__digest__unpack (NULL, len, data);
+  uint64_t now_us = am_clock_us ();
+  struct am_peer *p = d ? am_entry_learn_member (e, d->sender, now_us) : NULL;
+
+  (void)from;
+  e->counters.digests_in++;
+  if (!d)
+    e->counters.digests_bad++;
+  if (p)
+    {
+      if (!am_fleet_hears (p, now_us))
+        am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                         "peer-regained name=%s revision=%" PRIu64, p->name,
+                         d->revision);
+      p->address.ip = d->sender->ip;
+      p->address.port = (uint16_t)d->sender->port;
+      p->data_centre = d->sender->data_centre;
+      p->heard_us = now_us;
+      p->revision = d->revision;
+      p->horizon = d->horizon;
+      am_fleet_set_link (p, d->link_mbps);
+      p->reads = d->reads;
+      take_loads (e, p, d);
+      am_entry_pull (e, now_us);
+    }
+  if (d)
+    fleet__digest__free_unpacked (d, NULL);
+}
+
+int
+am_entry_digests_open (struct am_entry *e)
+{
+  return am_udp_open (&e->digests, e->loop, e->settings.peers, on_digest, e);
+}
+
+void
+am_entry_digests_tick (struct am_entry *e, uint64_t now_us)
+{
+  uint64_t interval = DIGEST_US;
+
+  if (e->fleet.count * DIGEST_PEER_US > interval)
+    interval = e->fleet.count * DIGEST_PEER_US;
+  if (interval > AM_FLEET_SILENCE_US / 3)
+    interval = AM_FLEET_SILENCE_US / 3;
+  if (now_us - e->digest_us >= interval)
+    am_entry_digests_send (e, now_us);
+}
--- /dev/null
+++ b/src/entry/pull.c
@@ -0,0 +1,157 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <zlib.h>
+
+#include "base/error.h"
+#include "entry/peers.h"
+#include "io/clock.h"
+#include "wire/bytes.h"
+
+#define PULL_TIMEOUT_MS 800
+#define PATH_SIZE 64
+
+/* The store has this long to answer before a seed is asked as well.  */
+#define SEED_PULL_US 600000u
+
+/* Time without confirmation after which the whole copy of a peer is asked.  */
+#define WHOLE_PULL_US 700000u
+
+/* Returns the message in the LEN bytes of BODY, freed by the caller, or NULL
+   if they hold none.  */
+static Fleet__Changes *
+unpack_changes (const uint8_t *body, size_t len)
+{
+  Fleet__Changes *c = NULL;
+  uLongf plain_len;
+  uint8_t *plain;
+
+  if (len < AM_ENTRY_CHANGES_HEAD || am_get_u32 (body) > AM_HTTP_BODY_MAX)
+    return NULL;
+  plain_len = am_get_u32 (body);
+  plain = malloc (plain_len + 1);
+  if (plain
+      && uncompress (plain, &plain_len, body + AM_ENTRY_CHANGES_HEAD,
+                     len - AM_ENTRY_CHANGES_HEAD)
+             == Z_OK)
+    c = fleet__changes__unpack (NULL, plain_len, plain);
+  free (plain);
+  return c;
+}
+
+/* Takes an item of a peer's answer into the replica.  */
+static int
+take_item (struct am_entry *e, const Fleet__Item *i)
+{
+  const char *key = (const char *)i->key.data;
+
+  if (!i->key.len)
+    return AM_E_FORMAT;
+  if (i->removed)
+    return am_replica_remove (&e->replica, key, i->key.len, i->revision);
+  return am_replica_write (&e->replica, key, i->key.len, i->value.data,
+                           i->value.len, i->revision);
+}
+
+static int
+take_changes (struct am_entry *e, const Fleet__Changes *c, uint64_t now_us)
+{
+  int err = AM_OK;
+
+  for (size_t i = 0; i < c->n_members; i++)
+    am_entry_learn_member (e, c->members[i], now_us);
+  /* A copy that is older than this VM's tells nothing of it.  */
+  if (c->revision <= e->replica.revision)
+    return AM_OK;
+  if (c->whole && e->reader.listing)
+    return AM_OK;
+  if (c->whole)
+    am_replica_list_begin (&e->replica);
+  for (size_t i = 0; i < c->n_items && !err; i++)
+    err = take_item (e, c->items[i]);
+  if (err)
+    return err;
+  if (c->whole)
+    am_replica_list_end (&e->replica, c->revision);
+  else
+    am_replica_advance (&e->replica, c->revision);
+  return AM_OK;
+}
+
+static void
+on_pulled (void *userdata, const struct am_http_answer *a)
+{
+  struct am_entry *e = userdata;
+  uint64_t now_us = am_clock_us ();
+  uint64_t before = e->replica.revision;
+  Fleet__Changes *c = NULL;
+  int err = a->error;
+
+  if (!err && a->status != 200)
+    err = AM_E_NOT_FOUND;
+  if (!err)
+    {
+      c = unpack_changes (a->body, a->body_len);
+      err = c ? take_changes (e, c, now_us) : AM_E_FORMAT;
+    }
+  if (c)
+    fleet__changes__free_unpacked (c, NULL);
+  am_http_client_reset (&e->pull);
+  if (err)
+    {
+      e->counters.pull_failures++;
+      am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                       "pull-failed error=%s revision=%" PRIu64,
+                       am_error_name (err), before);
+      return;
+    }
+  if (e->replica.revision > before)
+    am_line_log_add (&e->log, AM_LINE_BELIEF, now_us,
+                     "pulled revision=%" PRIu64 " before=%" PRIu64,
+                     e->replica.revision, before);
+  am_entry_pull (e, now_us);
+}
+
+static void
+pull_from (struct am_entry *e, struct am_address peer)
+{
+  char path[PATH_SIZE];
+
+  snprintf (path, sizeof path, AM_ENTRY_CHANGES_PATH "%" PRIu64,
+            e->replica.revision);
+  am_http_client_init (&e->pull, e->loop, peer);
+  e->counters.pulls++;
+  am_http_get (&e->pull, path, PULL_TIMEOUT_MS, on_pulled, e);
+}
+
+/* Pulls from a peer that is ahead.  The whole copy of a peer is taken only
+   while nothing else has confirmed this VM's for WHOLE_PULL_US.  */
+void
+am_entry_pull (struct am_entry *e, uint64_t now_us)
+{
+  bool whole = now_us - e->contact.fresh_us > WHOLE_PULL_US;
+  struct am_peer *p;
+
+  if (am_http_client_busy (&e->pull) || !e->replica.revision)
+    return;
+  p = am_fleet_ahead (&e->fleet, e->replica.revision, whole, now_us);
+  if (p)
+    pull_from (e, p->address);
+}
+
+/* While nothing is known each seed is asked in turn: the store may not answer
+   a VM that has just started.  It is asked first, as both answers together
+   would fill the link of a small VM.  */
+void
+am_entry_pull_from_seed (struct am_entry *e, uint64_t now_us)
+{
+  struct am_address seed;
+
+  if (e->replica.revision || am_http_client_busy (&e->pull)
+      || !e->settings.seed_count
+      || (!e->reader.failures && now_us - e->started_us < SEED_PULL_US))
+    return;
+  seed = e->settings.seeds[e->next_seed++ % e->settings.seed_count];
+  if (!am_address_equal (seed, e->settings.peers))
+    pull_from (e, seed);
+}
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "flow/fleet.h"
 #include "io/yaml_file.h"
+#include "record/fields.h"
 
 #define STOP_DEFAULT_S 6
 /* The process ends this much before the platform would kill it.  */
@@ -73,22 +74,13 @@
 static const cyaml_schema_value_t root_value
     = { CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, struct file, root_fields) };
 
-static int
-fault (struct am_fault *f, int error, const char *field, const char *allowed)
-{
-  f->error = error;
-  snprintf (f->field, sizeof f->field, "%s", field);
-  snprintf (f->allowed, sizeof f->allowed, "%s", allowed);
-  return error;
-}
-
 /* Reads TEXT, which may be missing, into A.  */
 static int
 read_address (struct am_address *a, const char *text, const char *field,
               struct am_fault *f)
 {
   if (text && am_address_parse (a, text))
-    return fault (f, AM_E_FIELD_VALUE, field, "A.B.C.D:PORT");
+    return am_fault_set (f, AM_E_FIELD_VALUE, field, "A.B.C.D:PORT");
   return AM_OK;
 }
 
@@ -124,11 +116,13 @@
   uint32_t stop_s = file->stop_s ? file->stop_s : STOP_DEFAULT_S;
 
   if (strlen (file->vm.name) >= AM_FLEET_NAME_SIZE)
-    return fault (f, AM_E_FIELD_RANGE, "vm.name", "up to 63 bytes");
+    return am_fault_set (f, AM_E_FIELD_RANGE, "vm.name", "up to 63 bytes");
   if (stop_s > UINT32_MAX / 1000)
-    return fault (f, AM_E_FIELD_RANGE, "stop_s", "seconds, 1 to 4294967");
+    return am_fault_set (f, AM_E_FIELD_RANGE, "stop_s",
+                         "seconds, 1 to 4294967");
   if (file->link_mbps < 0 || file->link_mbps > UINT32_MAX)
-    return fault (f, AM_E_FIELD_RANGE, "link_mbps", "megabits a second");
+    return am_fault_set (f, AM_E_FIELD_RANGE, "link_mbps",
+                         "megabits a second");
   s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
   return read_addresses (s, file, f);
@@ -154,7 +148,7 @@
       s->name = strdup (file->vm.name);
       s->data_centre = strdup (file->vm.data_centre);
       if (!s->name || !s->data_centre)
-        err = fault (f, AM_E_MEMORY, "vm", "");
+        err = am_fault_set (f, AM_E_MEMORY, "vm", "");
     }
   if (err)
     am_entry_settings_finish (s);
--- a/src/io/metrics_port.c
+++ b/src/io/metrics_port.c
@@ -1,10 +1,10 @@
 #include "io/metrics_port.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 
 #define PATH "/metrics"
 #define CONTENT_TYPE "text/plain; version=0.0.4; charset=utf-8"
@@ -87,9 +87,7 @@
                       struct am_address address, am_metrics_render render,
                       void *userdata)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (address.port),
-                            .sin_addr = { htonl (address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (address);
   const union MHD_DaemonInfo *info;
 
   memset (p, 0, sizeof *p);
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "io/yaml_file.h"
+#include "record/fields.h"
 
 #define NAME_MAX_LENGTH 63
 #define SEEDS_MAX 64
@@ -89,22 +90,13 @@
 static const cyaml_schema_value_t root_value = { CYAML_VALUE_MAPPING (
     CYAML_FLAG_POINTER, struct am_settings, root_fields) };
 
-static int
-fault (struct am_fault *f, int error, const char *field, const char *allowed)
-{
-  f->error = error;
-  snprintf (f->field, sizeof f->field, "%s", field);
-  snprintf (f->allowed, sizeof f->allowed, "%s", allowed);
-  return error;
-}
-
 static int
 check_address (const char *text, const char *field, struct am_fault *f)
 {
   struct am_address a;
 
   if (am_address_parse (&a, text))
-    return fault (f, AM_E_FIELD_VALUE, field, "A.B.C.D:PORT");
+    return am_fault_set (f, AM_E_FIELD_VALUE, field, "A.B.C.D:PORT");
   return AM_OK;
 }
 
@@ -112,7 +104,7 @@
 check_name (const char *text, const char *field, struct am_fault *f)
 {
   if (strlen (text) > NAME_MAX_LENGTH)
-    return fault (f, AM_E_FIELD_RANGE, field, "up to 63 bytes");
+    return am_fault_set (f, AM_E_FIELD_RANGE, field, "up to 63 bytes");
   return AM_OK;
 }
 
@@ -140,7 +132,7 @@
   int err;
 
   if (s->vm.id == 0)
-    return fault (f, AM_E_FIELD_RANGE, "vm.id", "1 to 4294967295");
+    return am_fault_set (f, AM_E_FIELD_RANGE, "vm.id", "1 to 4294967295");
   err = check_name (s->vm.name, "vm.name", f);
   if (!err)
     err = check_name (s->vm.region, "vm.region", f);
@@ -149,7 +141,7 @@
   if (err)
     return err;
   if (inet_pton (AF_INET, s->vm.address, &in) != 1)
-    return fault (f, AM_E_FIELD_VALUE, "vm.address", "A.B.C.D");
+    return am_fault_set (f, AM_E_FIELD_VALUE, "vm.address", "A.B.C.D");
   err = check_address (s->fabric.return_address, "fabric.return_address", f);
   if (err)
     return err;
@@ -164,10 +156,11 @@
     }
   if (strncmp (s->store.url, "http://", 7) != 0
       && strncmp (s->store.url, "https://", 8) != 0)
-    return fault (f, AM_E_FIELD_VALUE, "store.url", "http:// or https:// URL");
+    return am_fault_set (f, AM_E_FIELD_VALUE, "store.url",
+                         "http:// or https:// URL");
   if (s->log.level && am_log_level_parse (&level, s->log.level))
-    return fault (f, AM_E_FIELD_VALUE, "log.level",
-                  "error, warning, notice, info, debug");
+    return am_fault_set (f, AM_E_FIELD_VALUE, "log.level",
+                         "error, warning, notice, info, debug");
   return AM_OK;
 }
 
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -1,10 +1,10 @@
 #include "io/stream.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 #include "wire/bytes.h"
 #include "wire/frame.h"
 #include "wire/packet.h"
@@ -204,9 +204,7 @@
                   const struct am_stream_format *format, const uint8_t *key,
                   const struct am_stream_callbacks *callbacks, void *userdata)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (address.port),
-                            .sin_addr = { htonl (address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (address);
   int err;
 
   memset (l, 0, sizeof *l);
@@ -258,9 +256,7 @@
                    const struct am_stream_format *format, const uint8_t *key,
                    const struct am_stream_callbacks *callbacks, void *userdata)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (address.port),
-                            .sin_addr = { htonl (address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (address);
   struct am_stream *s = stream_new (loop, format, key, callbacks, userdata);
   uv_connect_t *request = malloc (sizeof *request);
 
--- a/src/io/udp_batch.c
+++ b/src/io/udp_batch.c
@@ -1,10 +1,10 @@
 #include "io/udp_batch.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 
 static void
 on_prepare (uv_prepare_t *handle)
@@ -28,9 +28,7 @@
 uint8_t *
 am_udp_batch_room (struct am_udp_batch *b, struct am_address to, size_t len)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (to.port),
-                            .sin_addr = { htonl (to.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (to);
 
   if (len > AM_UDP_BATCH_DATAGRAM)
     return NULL;
--- a/src/io/udp_port.c
+++ b/src/io/udp_port.c
@@ -1,6 +1,5 @@
 #include "io/udp_port.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -8,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 
 #define DATAGRAM_SIZE 2048
 
@@ -18,24 +18,6 @@
 /* Bursts of many callers overflow the default buffer of 208 KiB.  */
 #define SOCKET_BUFFER_BYTES (4 << 20)
 
-static struct sockaddr_in
-to_sockaddr (struct am_address a)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (a.port),
-                            .sin_addr = { htonl (a.ip) } };
-
-  return sa;
-}
-
-static struct am_address
-from_sockaddr (const struct sockaddr_in *sa)
-{
-  struct am_address a = { ntohl (sa->sin_addr.s_addr), ntohs (sa->sin_port) };
-
-  return a;
-}
-
 static void
 on_readable (uv_poll_t *handle, int status, int events)
 {
@@ -61,7 +43,7 @@
     }
   n = recvmmsg (p->fd, messages, BATCH, MSG_DONTWAIT, NULL);
   for (int i = 0; i < n && p->fd >= 0; i++)
-    p->receive (p->userdata, from_sockaddr (&senders[i]), buffers[i],
+    p->receive (p->userdata, am_address_from_socket (&senders[i]), buffers[i],
                 messages[i].msg_len);
 }
 
@@ -69,7 +51,7 @@
 am_udp_open (struct am_udp_port *p, uv_loop_t *loop, struct am_address address,
              am_udp_receive receive, void *userdata)
 {
-  struct sockaddr_in sa = to_sockaddr (address);
+  struct sockaddr_in sa = am_address_to_socket (address);
   int size = SOCKET_BUFFER_BYTES;
 
   memset (p, 0, sizeof *p);
@@ -103,7 +85,7 @@
 am_udp_send (struct am_udp_port *p, struct am_address to, const void *data,
              size_t len)
 {
-  struct sockaddr_in sa = to_sockaddr (to);
+  struct sockaddr_in sa = am_address_to_socket (to);
 
   if (sendto (p->fd, data, len, MSG_DONTWAIT, (struct sockaddr *)&sa,
               sizeof sa)
@@ -134,7 +116,7 @@
   socklen_t len = sizeof sa;
 
   getsockname (p->fd, (struct sockaddr *)&sa, &len);
-  return from_sockaddr (&sa);
+  return am_address_from_socket (&sa);
 }
 
 void
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,12 +1,12 @@
 #include "net/http_client.h"
 
-#include <arpa/inet.h>
 #include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 
 #define READ_SIZE 65536
 #define REQUEST_SIZE (AM_HTTP_PATH_SIZE + 128)
@@ -272,9 +272,7 @@
 static int
 connect_to (struct am_http_connection *n, struct am_address server)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (server.port),
-                            .sin_addr = { htonl (server.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (server);
 
   if (uv_tcp_connect (&n->connect, &n->tcp, (const struct sockaddr *)&sa,
                       on_connected))
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,6 +1,5 @@
 #include "net/http_server.h"
 
-#include <arpa/inet.h>
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -8,6 +7,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 
 #define READ_SIZE 4096
 #define HEAD_SIZE 160
@@ -239,9 +239,7 @@
                      struct am_address address, am_http_handler handler,
                      void *userdata)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (address.port),
-                            .sin_addr = { htonl (address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (address);
   int err;
 
   memset (s, 0, sizeof *s);
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -8,6 +8,7 @@
 #include <uthash.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 #include "base/list.h"
 #include "io/program.h"
 #include "io/udp_port.h"
@@ -431,9 +432,7 @@
 on_connection (uv_stream_t *server, int status)
 {
   struct listen *l = server->data;
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (l->target.port),
-                            .sin_addr = { htonl (l->target.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (l->target);
   struct pair *p = status < 0 ? NULL : new_pair (l->relay);
 
   if (!p)
@@ -596,9 +595,7 @@
 static int
 listen_tcp (struct listen *l, uv_loop_t *loop)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (l->address.port),
-                            .sin_addr = { htonl (l->address.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (l->address);
 
   uv_tcp_init (loop, &l->tcp);
   l->tcp.data = l;
--- a/standin/store.c
+++ b/standin/store.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "base/error.h"
+#include "base/socket_address.h"
 #include "base/list.h"
 #include "io/program.h"
 #include "standin_kv.h"
@@ -755,9 +756,7 @@
 static int
 start_daemon (struct store *s)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (s->listen.port),
-                            .sin_addr = { htonl (s->listen.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (s->listen);
   const union MHD_DaemonInfo *info;
 
   s->daemon = MHD_start_daemon (
--- a/test/own_address.h
+++ b/test/own_address.h
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "base/address.h"
+#include "base/socket_address.h"
 
 #define OWN_NETWORK UINT32_C (0x7f3c0000) /* 127.60.0.0 */
 #define OWN_BLOCKS 4096u
@@ -25,9 +26,7 @@
 static inline struct sockaddr_in
 own_sockaddr (struct am_address a)
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET,
-                            .sin_port = htons (a.port),
-                            .sin_addr = { htonl (a.ip) } };
+  struct sockaddr_in sa = am_address_to_socket (a);
 
   return sa;
 }
