Reset the flows of callers that wait for a lost target

A caller that waits for an answer sends nothing that could be answered with a reset.

Change: at each tick the flows of ended or dead targets are reset.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -108,6 +108,7 @@
   am_entry_peers_tick (e, now_us);
   check_contact (e, now_us);
   am_entry_items_tick (e, now_us);
+  am_entry_packets_stranded (e, now_us);
   am_path_tick (&e->path, now_us);
   am_entry_packets_check (e, now_us);
   check_stop (e, now_us);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -113,6 +113,8 @@
    they belong.  open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_packets_open (struct am_entry *e);
 void am_entry_packets_check (struct am_entry *e, uint64_t now_us);
+/* Resets the flows of callers that wait for a lost target.  */
+void am_entry_packets_stranded (struct am_entry *e, uint64_t now_us);
 
 /* items.c: an item of the replica has changed.  */
 void am_entry_item_changed (void *userdata,
--- a/src/entry/packets.c
+++ b/src/entry/packets.c
@@ -95,6 +95,20 @@
     carry_out (e, &w.packet, &d, w.data, w.len, now_us);
 }
 
+void
+am_entry_packets_stranded (struct am_entry *e, uint64_t now_us)
+{
+  struct am_packet p;
+
+  while (am_path_stranded (&e->path, &p, now_us))
+    {
+      struct am_target *t = am_target_by_ticket (&e->targets, p.ticket, 0);
+      struct am_decision d = { AM_VERDICT_RESET, AM_REASON_STRANDED, t };
+
+      carry_out (e, &p, &d, NULL, 0, now_us);
+    }
+}
+
 static void
 on_packet (void *userdata, struct am_address from, const uint8_t *data,
            size_t len)
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -243,6 +243,14 @@
          && target->progress_us < target->gone_us;
 }
 
+static bool
+is_dead (const struct am_path *p, const struct am_target *target,
+         uint64_t now_us)
+{
+  return am_liveness_dead (target, p->peers, now_us)
+         && !am_liveness_doubtful (p->targets, now_us);
+}
+
 static struct am_decision
 carry (struct am_path *p, const struct am_packet *packet, uint64_t now_us)
 {
@@ -272,8 +280,7 @@
       am_flow_remove (&p->flows, f);
       return decide (AM_VERDICT_RESET, AM_REASON_TARGET_GONE, target);
     }
-  if (packet->data_len && am_liveness_dead (target, p->peers, now_us)
-      && !am_liveness_doubtful (p->targets, now_us))
+  if (packet->data_len && is_dead (p, target, now_us))
     {
       am_flow_remove (&p->flows, f);
       return decide (AM_VERDICT_RESET, AM_REASON_TARGET_SILENT, target);
@@ -295,6 +302,40 @@
   return d;
 }
 
+static bool
+is_stranded (const struct am_path *p, const struct am_flow *f, uint64_t now_us)
+{
+  const struct am_target *target = f->target;
+
+  if (!target || f->state != AM_FLOW_OPEN)
+    return false;
+  if (has_ended (target))
+    return true;
+  return target->failures && now_us - f->seen_us < AM_PATH_WAITING_US
+         && is_dead (p, target, now_us);
+}
+
+bool
+am_path_stranded (struct am_path *p, struct am_packet *reset, uint64_t now_us)
+{
+  if (!p->settled)
+    return false;
+  am_list_each_safe (f, next, &p->flows.by_age, struct am_flow, node)
+  {
+    if (!is_stranded (p, f, now_us))
+      continue;
+    *reset = (struct am_packet){ .caller = f->caller,
+                                 .route = f->route,
+                                 .acknowledges = true,
+                                 .ticket = f->target->ticket,
+                                 .seq = f->next_seq,
+                                 .ack = f->ack };
+    am_flow_remove (&p->flows, f);
+    return true;
+  }
+  return false;
+}
+
 void
 am_path_tick (struct am_path *p, uint64_t now_us)
 {
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -39,6 +39,10 @@
    one more would have to queue at its target.  */
 #define AM_PATH_PRESSURE_MAX 1.0
 
+/* A caller not seen for this time does not wait for an answer of a target that
+   is dead but still registered; its flow may outlast a cut.  */
+#define AM_PATH_WAITING_US 5000000u
+
 enum am_verdict
 {
   AM_VERDICT_FORWARD,
@@ -60,7 +64,8 @@
   X (AM_REASON_NO_TICKET, "no_ticket")           /* flow was never open */    \
   X (AM_REASON_UNKNOWN_TICKET, "unknown_ticket") /* target is not known */    \
   X (AM_REASON_TARGET_GONE, "target_gone")       /* target has ended */       \
-  X (AM_REASON_TARGET_SILENT, "target_silent")   /* target does not answer */
+  X (AM_REASON_STRANDED, "stranded") /* caller waits for a lost target */     \
+  X (AM_REASON_TARGET_SILENT, "target_silent") /* target does not answer */
 
 enum am_reason
 {
@@ -110,6 +115,13 @@
 bool am_path_waited (struct am_path *p, struct am_waiting *w,
                      struct am_decision *d, uint64_t now_us);
 
+/* Takes one flow that waits for a target which has ended or is dead: a caller
+   that waits for an answer sends nothing that could be reset, and waited for
+   its deadline.  RESET gets the packet to answer with a reset.  Returns false
+   if there is none; to be called at a timer until then.  */
+bool am_path_stranded (struct am_path *p, struct am_packet *reset,
+                       uint64_t now_us);
+
 /* Forgets idle flows.  To be called about once a second.  */
 void am_path_tick (struct am_path *p, uint64_t now_us);
 
