Let the talk between VMs grow with the fleet, not with its square

Change: digests of VMs that do not read come in proportion to their number, with the interval told; findings are told within 50 ms; a pull is considered only if the sender is ahead; a listing goes on after a failed call; contact needs 0.8 s without confirmation to be lost.

--- a/src/entry/digests.c
+++ b/src/entry/digests.c
@@ -5,12 +5,16 @@
 #include "io/clock.h"
 
 #define DIGEST_US 200000u
-/* With many peers in the data centre digests come less often, so that their
+/* With many peers in the data centre each sends less often, so that their
    number does not grow with its square.  */
-#define DIGEST_PEER_US 8000u
+#define DIGEST_PEER_US 20000u
+/* Findings about targets are told at once, but no more often than this.  */
+#define FINDING_US 50000u
 /* Silent seeds are told of this VM at this interval.  */
 #define SEEDS_US 1000000u
 
+#define INTERVAL_MAX_US 5000000u
+
 #define DATAGRAM_MAX 1400
 
 /* The parts of a digest that point to each other.  */
@@ -22,6 +26,19 @@
   Fleet__Load *load_list[AM_PEER_LOAD_MAX];
 };
 
+/* A reader's digests confirm the copies of its peers.  */
+static uint64_t
+interval_us (const struct am_entry *e)
+{
+  uint64_t interval = e->path.peers * DIGEST_PEER_US;
+
+  if (interval < DIGEST_US)
+    interval = DIGEST_US;
+  if (e->reader.works && interval > AM_FLEET_READER_US)
+    interval = AM_FLEET_READER_US;
+  return interval;
+}
+
 static void
 fill_loads (struct am_entry *e, struct digest *d, uint64_t now_us)
 {
@@ -51,6 +68,7 @@
   d->message.sender = &d->sender;
   d->message.revision = e->replica.revision;
   d->message.horizon = e->replica.horizon;
+  d->message.interval_ms = (uint32_t)(interval_us (e) / 1000u);
   d->message.link_mbps = e->fleet.link_mbps;
   d->message.reads = e->reader.works;
   fill_loads (e, d, now_us);
@@ -74,6 +92,7 @@
   d.message.n_loads = 0;
   far_len = fleet__digest__pack (&d.message, far);
   e->digest_us = now_us;
+  e->told_findings = e->path.findings;
   am_list_each (p, &e->fleet.peers, struct am_peer, node)
   {
     if (p->data_centre == e->fleet.data_centre)
@@ -106,6 +125,17 @@
   am_peer_load_set (&p->load, &e->targets, reports, n);
 }
 
+/* Returns the interval that D tells, within what peers use.  */
+static uint64_t
+read_interval (const Fleet__Digest *d)
+{
+  uint64_t interval = (uint64_t)d->interval_ms * 1000u;
+
+  if (interval < DIGEST_US)
+    return DIGEST_US;
+  return interval < INTERVAL_MAX_US ? interval : INTERVAL_MAX_US;
+}
+
 static void
 on_digest (void *userdata, struct am_address from, const uint8_t *data,
            size_t len)
@@ -131,10 +161,12 @@
       p->heard_us = now_us;
       p->revision = d->revision;
       p->horizon = d->horizon;
+      p->interval_us = read_interval (d);
       am_fleet_set_link (p, d->link_mbps);
       p->reads = d->reads;
       take_loads (e, p, d);
-      am_entry_pull (e, now_us);
+      if (p->revision > e->replica.revision)
+        am_entry_pull (e, now_us);
     }
   if (d)
     fleet__digest__free_unpacked (d, NULL);
@@ -149,12 +181,9 @@
 void
 am_entry_digests_tick (struct am_entry *e, uint64_t now_us)
 {
-  uint64_t interval = DIGEST_US;
+  bool finding = e->path.findings != e->told_findings
+                 && now_us - e->digest_us >= FINDING_US;
 
-  if (e->fleet.count * DIGEST_PEER_US > interval)
-    interval = e->fleet.count * DIGEST_PEER_US;
-  if (interval > AM_FLEET_SILENCE_US / 3)
-    interval = AM_FLEET_SILENCE_US / 3;
-  if (now_us - e->digest_us >= interval)
+  if (finding || now_us - e->digest_us >= interval_us (e))
     am_entry_digests_send (e, now_us);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -16,6 +16,10 @@
    suspended time ran ahead by it.  */
 #define STILL_US 1000000u
 
+/* A VM that the store turns away waits this long for the word of a peer: one
+   that has read a change is ahead of this VM's copy for a moment.  */
+#define UNCONFIRMED_US 800000u
+
 /* After SIGTERM routers send new packets for about a second: two misses of a
    check twice a second.  The process ends once they have stopped.  */
 #define STOP_QUIET_US 1000000u
@@ -68,7 +72,8 @@
 
   if (e->replica.revision && confirmed)
     am_contact_fresh (&e->contact, now_us);
-  else if (!e->reader.works && e->reader.failures)
+  else if (!e->reader.works && e->reader.failures
+           && now_us - e->contact.fresh_us > UNCONFIRMED_US)
     am_contact_lost (&e->contact);
   am_contact_check (&e->contact, now_us);
   e->path.peers = am_fleet_near (&e->fleet, now_us);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -52,6 +52,7 @@
   bool listing;
   enum am_item_kind list_kind; /* that is being listed */
   uint64_t list_revision;      /* of the first page; 0: none yet */
+  uint64_t list_us;            /* begin of the listing */
   char *list_after;            /* owned: last key of the page before */
   uint64_t retry_us;           /* no call before this */
   uint32_t failures;           /* in a row */
@@ -85,9 +86,10 @@
   struct am_udp_port digests;
   struct am_http_server changes; /* for peers */
   struct am_http_client pull;
-  size_t next_seed;   /* that is asked while nothing is known */
-  uint64_t digest_us; /* last digest sent */
-  uint64_t seeds_us;  /* last digest sent to the seeds */
+  size_t next_seed;       /* that is asked while nothing is known */
+  uint64_t digest_us;     /* last digest sent */
+  uint64_t told_findings; /* path.findings at that time */
+  uint64_t seeds_us;      /* last digest sent to the seeds */
 
   struct am_http_server ready;
   struct am_http_server metrics;
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -19,6 +19,11 @@
    groups.  Short beside the seconds in which a change must be in force.  */
 #define PAUSE_US 250000u
 
+/* A listing goes on after a failed call: a store that turns calls away would
+   else never serve a large one whole.  After this time its first page may lie
+   before the store's history.  */
+#define LIST_MAX_US 8000000u
+
 /* Pause after a failed call; doubles with each one in a row.  */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1200
@@ -144,7 +149,8 @@
   if (err)
     {
       free (page.last_key);
-      end_listing (e);
+      if (now_us - r->list_us > LIST_MAX_US)
+        end_listing (e);
       failed (e, err, now_us);
       return;
     }
@@ -174,6 +180,7 @@
       r->listing = true;
       r->list_kind = AM_ITEM_TARGET;
       r->list_revision = 0;
+      r->list_us = am_clock_us ();
     }
   e->adapter->list_path (path, sizeof path, r->list_kind, r->list_after);
   e->counters.store_calls++;
--- a/src/flow/fleet.c
+++ b/src/flow/fleet.c
@@ -8,12 +8,16 @@
 
 #define RANK_SEED 0x72616e6bu
 
-/* Wide links first, then by the hash of the name.  */
 static uint64_t
-rank (const char *name, uint32_t link_mbps)
+hash_name (const char *name)
 {
-  uint64_t hash = am_hash_bytes (name, strlen (name), RANK_SEED);
+  return am_hash_bytes (name, strlen (name), RANK_SEED);
+}
 
+/* Wide links first, then by the hash of the name.  */
+static uint64_t
+rank (uint64_t hash, uint32_t link_mbps)
+{
   return (uint64_t)(UINT32_MAX - link_mbps) << 32 | hash >> 32;
 }
 
@@ -25,7 +29,7 @@
   am_list_init (&f->peers);
   snprintf (f->name, sizeof f->name, "%s", name);
   f->link_mbps = link_mbps;
-  f->rank = rank (f->name, link_mbps);
+  f->rank = rank (hash_name (f->name), link_mbps);
   f->data_centre = data_centre;
 }
 
@@ -46,6 +50,7 @@
 struct am_peer *
 am_fleet_peer (struct am_fleet *f, const char *name, uint64_t now_us)
 {
+  uint64_t hash = hash_name (name);
   struct am_peer *p;
 
   if (strlen (name) >= AM_FLEET_NAME_SIZE || strcmp (name, f->name) == 0)
@@ -56,7 +61,9 @@
   if (!p)
     return NULL;
   snprintf (p->name, sizeof p->name, "%s", name);
-  p->rank = rank (name, 0);
+  p->name_hash = hash;
+  p->rank = rank (hash, 0);
+  p->interval_us = AM_FLEET_READER_US;
   p->known_us = now_us;
   am_list_push_back (&f->peers, &p->node);
   f->count++;
@@ -66,13 +73,14 @@
 bool
 am_fleet_hears (const struct am_peer *p, uint64_t now_us)
 {
-  return p->heard_us && now_us - p->heard_us < AM_FLEET_SILENCE_US;
+  return p->heard_us
+         && now_us - p->heard_us < AM_FLEET_SILENT_DIGESTS * p->interval_us;
 }
 
 void
 am_fleet_set_link (struct am_peer *p, uint32_t link_mbps)
 {
-  p->rank = rank (p->name, link_mbps);
+  p->rank = rank (p->name_hash, link_mbps);
 }
 
 size_t
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -21,8 +21,11 @@
 #define AM_FLEET_READERS 1
 #define AM_FLEET_NAME_SIZE 64
 
-/* A peer not heard for this time counts as absent: three digests.  */
-#define AM_FLEET_SILENCE_US 750000u
+/* A peer not heard for three digests counts as absent.  Readers send one in
+   AM_FLEET_READER_US at the latest, others less often in a large data
+   centre.  */
+#define AM_FLEET_READER_US 250000u
+#define AM_FLEET_SILENT_DIGESTS 3
 
 /* A peer that was neither heard nor named for this time is forgotten.  */
 #define AM_FLEET_FORGET_US 30000000u
@@ -31,13 +34,15 @@
 {
   struct am_list node; /* in am_fleet.peers */
   char name[AM_FLEET_NAME_SIZE];
-  uint64_t rank;             /* of the name; the lowest ones read */
+  uint64_t name_hash;
+  uint64_t rank;             /* the lowest ones read */
   uint32_t data_centre;      /* am_hash_name */
   struct am_address address; /* digests over UDP, changes over TCP */
   bool reads;                /* it is in contact with the store itself */
   uint64_t revision;         /* of its copy of the store */
   uint64_t horizon;          /* it can tell the changes after this */
   uint64_t heard_us;         /* last digest; 0: none */
+  uint64_t interval_us;      /* to its next digest at the latest */
   uint64_t known_us;         /* last named by another peer */
   struct am_peer_load load;
 };
@@ -68,7 +73,7 @@
 /* Returns the number of peers in this data centre that are heard.  */
 size_t am_fleet_near (const struct am_fleet *f, uint64_t now_us);
 
-/* Returns true if P has sent a digest in the last AM_FLEET_SILENCE_US.  */
+/* Returns true if P has missed fewer than AM_FLEET_SILENT_DIGESTS digests.  */
 bool am_fleet_hears (const struct am_peer *p, uint64_t now_us);
 
 /* Returns true if this VM is to read the store.  */
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -24,6 +24,7 @@
   p->routes = routes;
   p->data_centre = data_centre;
   targets->data_centre = data_centre;
+  p->findings = 0;
   p->peers = 0;
   p->settled = false;
   am_rng_init (&p->rng, seed);
@@ -73,6 +74,15 @@
   return am_placement_pressure (p->targets, &m) > AM_PATH_PRESSURE_MAX;
 }
 
+/* A caller sent again what TARGET did not answer.  */
+static void
+note_failure (struct am_path *p, struct am_target *target, uint64_t now_us)
+{
+  if (!target->failures)
+    p->findings++;
+  am_liveness_failure (target, now_us);
+}
+
 /* The SYN of F came again.  Its target is asked again only if the first copy
    had no time to be answered.  */
 static struct am_decision
@@ -86,7 +96,7 @@
   if (before && now_us - f->asked_us < AM_PATH_COPY_US)
     return decide (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, before);
   if (before)
-    am_liveness_failure (before, now_us);
+    note_failure (p, before, now_us);
   target = choose (p, service, before, now_us);
   if (!target)
     return decide (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
@@ -192,7 +202,8 @@
 
 /* Notes what PACKET says of its target.  */
 static void
-note (struct am_flow *f, const struct am_packet *packet, uint64_t now_us)
+note (struct am_path *p, struct am_flow *f, const struct am_packet *packet,
+      uint64_t now_us)
 {
   struct am_target *target = f->target;
   uint32_t end = packet->seq + packet->data_len;
@@ -216,7 +227,7 @@
       am_flow_set_busy (f, true);
     }
   else if (packet->data_len && now_us - f->asked_us >= AM_LIVENESS_RESEND_US)
-    am_liveness_failure (target, now_us);
+    note_failure (p, target, now_us);
   if (packet->finishes)
     {
       am_flow_set_busy (f, false);
@@ -274,7 +285,7 @@
   if (f->target != target)
     am_flow_set_target (f, target);
   am_flow_seen (&p->flows, f, now_us);
-  note (f, packet, now_us);
+  note (p, f, packet, now_us);
   if (packet->data_len && p->settled && has_ended (target))
     {
       am_flow_remove (&p->flows, f);
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -93,6 +93,7 @@
   struct am_open_queue queue;
   struct am_rng rng;
   uint32_t data_centre; /* of this VM, am_hash_name */
+  uint64_t findings;    /* times that a target was found silent */
   size_t peers;         /* heard in the data centre; set by the driver */
   bool settled; /* set by the driver: what is missing from the target table
                    has ended */
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -399,7 +399,7 @@
   (ProtobufCMessageInit) fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[6] =
+static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[7] =
 {
   {
     "sender",
@@ -473,9 +473,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Digest, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__digest__field_indices_by_name[] = {
   4,   /* field[4] = horizon */
+  6,   /* field[6] = interval_ms */
   5,   /* field[5] = link_mbps */
   3,   /* field[3] = loads */
   2,   /* field[2] = reads */
@@ -485,7 +498,7 @@
 static const ProtobufCIntRange fleet__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor fleet__digest__descriptor =
 {
@@ -495,7 +508,7 @@
   "Fleet__Digest",
   "fleet",
   sizeof(Fleet__Digest),
-  6,
+  7,
   fleet__digest__field_descriptors,
   fleet__digest__field_indices_by_name,
   1,  fleet__digest__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -90,6 +90,10 @@
    * width of the sender's link, megabits a second
    */
   uint32_t link_mbps;
+  /*
+   * time to the sender's next digest at the latest
+   */
+  uint32_t interval_ms;
   /*
    * it can tell the changes after this
    */
@@ -97,7 +101,7 @@
 };
 #define FLEET__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__digest__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0, 0 }
+    , NULL, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Fleet__Item
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -9,6 +9,7 @@
 #define HERE am_hash_name ("here")
 #define THERE am_hash_name ("there")
 #define NOW 10000000u
+#define SILENCE_US (AM_FLEET_SILENT_DIGESTS * AM_FLEET_READER_US)
 
 static struct am_fleet f;
 static struct am_target_table targets;
@@ -61,7 +62,7 @@
   struct am_peer *wide = add_peer ("wide", HERE, 200, true, 1);
 
   ck_assert (!am_fleet_should_read (&f, NOW));
-  ck_assert (am_fleet_should_read (&f, NOW + AM_FLEET_SILENCE_US));
+  ck_assert (am_fleet_should_read (&f, NOW + SILENCE_US));
   wide->reads = false;
   ck_assert (am_fleet_should_read (&f, NOW));
 }
@@ -121,7 +122,7 @@
   p->horizon = 8;
   ck_assert_ptr_ne (am_fleet_ahead (&f, 5, false, NOW), p);
   ck_assert_ptr_eq (am_fleet_ahead (&f, 5, true, NOW), p);
-  ck_assert_ptr_null (am_fleet_ahead (&f, 5, true, NOW + AM_FLEET_SILENCE_US));
+  ck_assert_ptr_null (am_fleet_ahead (&f, 5, true, NOW + SILENCE_US));
 }
 END_TEST
 
@@ -135,7 +136,7 @@
   p->reads = true;
   ck_assert (am_fleet_confirms (&f, 5, NOW));
   ck_assert (!am_fleet_confirms (&f, 4, NOW));
-  ck_assert (!am_fleet_confirms (&f, 5, NOW + AM_FLEET_SILENCE_US));
+  ck_assert (!am_fleet_confirms (&f, 5, NOW + SILENCE_US));
 }
 END_TEST
 
@@ -153,7 +154,7 @@
   am_peer_load_set (&p->load, &targets, &report, 1);
   ck_assert_uint_eq (t->peers_load.busy, 3);
   ck_assert_uint_eq (t->silent_at, 1);
-  am_fleet_tick (&f, &targets, NOW + AM_FLEET_SILENCE_US);
+  am_fleet_tick (&f, &targets, NOW + SILENCE_US);
   ck_assert_uint_eq (t->peers_load.busy, 0);
   ck_assert_uint_eq (t->silent_at, 0);
   ck_assert_uint_eq (f.count, 1);
@@ -162,6 +163,18 @@
 }
 END_TEST
 
+/* Guards against a peer of a large data centre, which sends less often, that
+   counts as absent between two digests.  */
+START_TEST (test_rare_digests_are_waited_for)
+{
+  struct am_peer *p = add_peer ("p", HERE, 10, false, 1);
+
+  p->interval_us = 2000000;
+  ck_assert (am_fleet_hears (p, NOW + 3 * 2000000 - 1));
+  ck_assert (!am_fleet_hears (p, NOW + 3 * 2000000));
+}
+END_TEST
+
 /* Guards against load that is counted twice when a peer reports again.  */
 START_TEST (test_report_replaces_the_one_before)
 {
@@ -197,6 +210,7 @@
   tcase_add_test (tc, test_whom_to_ask);
   tcase_add_test (tc, test_who_confirms);
   tcase_add_test (tc, test_silent_peer_is_forgotten);
+  tcase_add_test (tc, test_rare_digests_are_waited_for);
   tcase_add_test (tc, test_report_replaces_the_one_before);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -221,6 +221,55 @@
 }
 END_TEST
 
+/* Guards against a download that stands still until its deadline, 8 s, because
+   its target ended: the caller sends nothing that could be answered.  Flows of
+   other targets stay, and so do those whose target may come back.  */
+START_TEST (test_waiting_callers_of_a_lost_target_are_reset)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_target_events none = { 0 };
+  struct am_packet reset;
+
+  open_flow_at (&f, 1);
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  send_packet (&f, data (1, t->ticket, 1101, 0, 5001));
+  add_target (&f, 2, NEAR);
+  am_target_table_absent (&f.targets, 1, f.now_us);
+  am_target_table_sweep (&f.targets, f.now_us, UINT64_MAX, &none);
+  ck_assert (!am_path_stranded (&f.path, &reset, f.now_us));
+  open_flow_at (&f, 2);
+  f.now_us += 1;
+  am_target_table_sweep (&f.targets, f.now_us, 0, &none);
+  f.path.settled = false;
+  ck_assert (!am_path_stranded (&f.path, &reset, f.now_us));
+  f.path.settled = true;
+  ck_assert (am_path_stranded (&f.path, &reset, f.now_us));
+  ck_assert_uint_eq (reset.caller.port, 1);
+  ck_assert_uint_eq (reset.ack, 5001);
+  ck_assert (!reset.opens);
+  ck_assert (!am_path_stranded (&f.path, &reset, f.now_us));
+  ck_assert_uint_eq (f.path.flows.count, 1);
+}
+END_TEST
+
+/* Guards against peers that hear of a silent target only with the next
+   digest: the first failure is a finding, later ones are not.  */
+START_TEST (test_first_failure_is_a_finding)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+
+  open_flow_at (&f, 1);
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  ck_assert_uint_eq (f.path.findings, 0);
+  f.now_us += 200 * MS;
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  ck_assert_uint_eq (f.path.findings, 1);
+  f.now_us += 400 * MS;
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  ck_assert_uint_eq (f.path.findings, 1);
+}
+END_TEST
+
 /* Guards against a verdict of long ago that resets flows of a target that is
    reached again.  */
 START_TEST (test_old_silence_proves_nothing)
@@ -442,6 +491,8 @@
   tcase_add_test (tc, test_copy_from_own_queue_goes_to_the_same_target);
   tcase_add_test (tc, test_flows_of_a_dark_target_are_reset);
   tcase_add_test (tc, test_flows_of_a_slow_target_are_kept);
+  tcase_add_test (tc, test_waiting_callers_of_a_lost_target_are_reset);
+  tcase_add_test (tc, test_first_failure_is_a_finding);
   tcase_add_test (tc, test_old_silence_proves_nothing);
   tcase_add_test (tc, test_syn_waits_for_the_first_configuration);
   tcase_add_test (tc, test_copies_wait_after_an_outage);
