--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -50,14 +50,16 @@
 {
   struct am_http_client client;
   bool listing;
-  enum am_item_kind list_kind; /* that is being listed */
-  uint64_t list_revision;      /* of the first page; 0: none yet */
-  uint64_t list_us;            /* begin of the listing */
-  char *list_after;            /* owned: last key of the page before */
-  uint64_t retry_us;           /* no call before this */
-  uint32_t failures;           /* in a row */
-  uint64_t ok_us;              /* last usable answer; 0: none */
-  bool works;                  /* the last call was answered */
+  enum am_item_kind list_kind;    /* that is being listed */
+  uint64_t list_revision;         /* of the first page; 0: none yet */
+  uint64_t list_us;               /* begin of the listing */
+  char *list_after;               /* owned: last key of the page before */
+  uint64_t retry_us;              /* no call before this */
+  uint32_t failures;              /* in a row */
+  uint64_t call_us;               /* begin of the call in progress */
+  struct am_histogram list_times; /* of listings that were answered */
+  uint64_t ok_us;                 /* last usable answer; 0: none */
+  bool works;                     /* the last call was answered */
 };
 
 struct am_entry
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -154,6 +154,7 @@
       failed (e, err, now_us);
       return;
     }
+  am_histogram_add (&r->list_times, (now_us - r->call_us) * 1000u);
   if (!r->list_revision)
     r->list_revision = reply.revision;
   free (r->list_after);
@@ -184,6 +185,7 @@
     }
   e->adapter->list_path (path, sizeof path, r->list_kind, r->list_after);
   e->counters.store_calls++;
+  r->call_us = am_clock_us ();
   am_http_get (&r->client, path, LIST_TIMEOUT_MS, on_list, e);
 }
 
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -46,6 +46,18 @@
     }
 }
 
+static void
+add_times (struct am_metrics_text *t, const char *name, const char *help,
+           const struct am_histogram *times)
+{
+  struct am_metric_info m = {
+    .name = name, .type = AM_METRIC_HISTOGRAM, .unit = "seconds", .help = help
+  };
+
+  am_metrics_head (t, &m);
+  am_metrics_histogram (t, &m, NULL, times);
+}
+
 static void
 render (const struct am_entry *e, struct am_metrics_text *t)
 {
@@ -56,6 +68,11 @@
   AM_ENTRY_COUNTERS (ADD_COUNTER)
 #undef ADD_COUNTER
   add_decisions (e, t);
+  add_times (t, "open", "From a SYN handed on to the caller's next packet.",
+             &e->path.open_times);
+  add_times (t, "wait", "Time of SYNs in the queue.", &e->path.wait_times);
+  add_times (t, "store_list", "Calls that listed the store, if answered.",
+             &e->reader.list_times);
   add_value (t, "ready", AM_METRIC_GAUGE, "Whether callers may be sent here.",
              am_entry_is_ready (e, now_us));
   add_value (t, "store_contact", AM_METRIC_GAUGE,
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -1,5 +1,7 @@
 #include "flow/packet_path.h"
 
+#include <string.h>
+
 #include "flow/liveness.h"
 #include "flow/placement.h"
 
@@ -20,6 +22,8 @@
               struct am_route_table *routes, uint32_t data_centre,
               uint64_t seed)
 {
+  memset (&p->open_times, 0, sizeof p->open_times);
+  memset (&p->wait_times, 0, sizeof p->wait_times);
   p->targets = targets;
   p->routes = routes;
   p->data_centre = data_centre;
@@ -187,6 +191,7 @@
                       now_us);
   if (!am_open_queue_take (&p->queue, now_us, free, w))
     return false;
+  am_histogram_add (&p->wait_times, (now_us - w->since_us) * 1000u);
   *d = open_flow (p, &w->packet, true, now_us);
   return true;
 }
@@ -210,6 +215,7 @@
 
   if (f->state == AM_FLOW_OPENING)
     {
+      am_histogram_add (&p->open_times, (now_us - f->asked_us) * 1000u);
       am_flow_set_state (f, AM_FLOW_OPEN);
       am_liveness_progress (target, now_us);
       f->ack = packet->ack;
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/metrics.h"
 #include "base/rng.h"
 #include "flow/flow_table.h"
 #include "flow/open_queue.h"
@@ -91,6 +92,9 @@
   struct am_route_table *routes;   /* not owned */
   struct am_flow_table flows;
   struct am_open_queue queue;
+  struct am_histogram open_times; /* SYN handed on to the caller's next
+                                     packet */
+  struct am_histogram wait_times; /* of SYNs in the queue */
   struct am_rng rng;
   uint32_t data_centre; /* of this VM, am_hash_name */
   uint64_t findings;    /* times that a target was found silent */
--- a/test/integration/entry_operations.py
+++ b/test/integration/entry_operations.py
@@ -8,8 +8,8 @@
 import sys
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from entry_fleet import lines, run, wait_for  # noqa: E402
-from fleet import ROUTES  # noqa: E402
+from entry_fleet import ROOT, lines, run, wait_for  # noqa: E402
+from fleet import METRICS_PORT, ROUTES  # noqa: E402
 from wire import number  # noqa: E402
 
 
@@ -91,10 +91,32 @@
     flow.close()
 
 
+async def metrics(fleet):
+    """Counters and histograms are there, and a client that hangs or sends
+    garbage does not take them away.  Guards against alerts that never see the
+    names of docs/OPERATIONS.md."""
+    vm = fleet.vms[0]
+    hanging = await asyncio.open_connection(vm.ip, METRICS_PORT)
+    hanging[1].write(b"GET /met")
+    garbage = await asyncio.open_connection(vm.ip, METRICS_PORT)
+    garbage[1].write(b"\x00\xff\r\n\r\n")
+    reader, writer = await asyncio.open_connection(vm.ip, METRICS_PORT)
+    writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+    text = (await asyncio.wait_for(reader.read(), 2)).decode()
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    names = set(re.findall(r"amaranth_[a-z_]+", page))
+    assert len(names) > 5
+    for name in names:
+        assert re.search(rf"^{name}(_total|_bucket)?[{{ ]", text, re.M), name
+    for _, end in (hanging, garbage, (reader, writer)):
+        end.close()
+
+
 async def body(fleet):
     await frozen_feed(fleet)
     await refused_order(fleet)
     await late_drawing(fleet)
+    await metrics(fleet)
     starts = lines(fleet, " started version=")
     assert len(starts) == len(fleet.vms), "one line at each start"
 
