Take the whole copy of a peer in place of a listing that cannot end

Cause: since listings go on after a failed call, a VM that starts while the store turns it away counted as listing for 8 s, and passed over what a seed sent: it served nobody. integration_entry_start_without_store failed, each time.

Change: the whole of a peer's copy ends the listing in progress.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -128,10 +128,12 @@
 void am_entry_items_tick (struct am_entry *e, uint64_t now_us);
 
 /* reader.c: read the store if it is this VM's turn.  wake drops the calls in
-   progress: their connections may be dead.  */
+   progress: their connections may be dead.  stop_listing ends a listing whose
+   items come from a peer, all at once.  */
 void am_entry_reader_init (struct am_entry *e);
 void am_entry_reader_tick (struct am_entry *e, uint64_t now_us);
 void am_entry_reader_wake (struct am_entry *e);
+void am_entry_reader_stop_listing (struct am_entry *e);
 
 /* peers.c: digests, pulls and their answers.  */
 int am_entry_peers_open (struct am_entry *e);
--- a/src/entry/pull.c
+++ b/src/entry/pull.c
@@ -63,10 +63,11 @@
   /* A copy that is older than this VM's tells nothing of it.  */
   if (c->revision <= e->replica.revision)
     return AM_OK;
-  if (c->whole && e->reader.listing)
-    return AM_OK;
   if (c->whole)
-    am_replica_list_begin (&e->replica);
+    {
+      am_entry_reader_stop_listing (e);
+      am_replica_list_begin (&e->replica);
+    }
   for (size_t i = 0; i < c->n_items && !err; i++)
     err = take_item (e, c->items[i]);
   if (err)
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -261,6 +261,15 @@
   next_call (e, now_us);
 }
 
+void
+am_entry_reader_stop_listing (struct am_entry *e)
+{
+  if (!e->reader.listing)
+    return;
+  am_http_client_reset (&e->reader.client);
+  end_listing (e);
+}
+
 void
 am_entry_reader_wake (struct am_entry *e)
 {
