Let packets wait by the load of their own service

Cause: read as a newcomer: whether a waiting SYN may go on was decided by the service of whichever packet stood first in the queue, so that a drawing waited while its targets were free and alerts were not.

Change: each waiting packet knows its service; of those whose service has free slots the one whose wait ends first goes on.

--- a/src/flow/open_queue.c
+++ b/src/flow/open_queue.c
@@ -26,8 +26,8 @@
 
 int
 am_open_queue_add (struct am_open_queue *q, const struct am_packet *p,
-                   const uint8_t *data, size_t len, uint64_t now_us,
-                   uint64_t until_us)
+                   uint32_t service, const uint8_t *data, size_t len,
+                   uint64_t now_us, uint64_t until_us)
 {
   struct am_waiting *w = find (q, p);
 
@@ -44,25 +44,55 @@
   if (until_us < w->until_us)
     w->until_us = until_us;
   w->packet = *p;
+  w->service = service;
   w->len = len;
   memcpy (w->data, data, len);
   return AM_OK;
 }
 
+/* The last answer of the caller's function; most packets are of one
+   service.  */
+struct known
+{
+  bool valid;
+  bool free;
+  uint32_t service;
+};
+
+static bool
+is_free (struct known *k, uint32_t service, am_open_queue_free free,
+         void *userdata)
+{
+  if (!k->valid || k->service != service)
+    {
+      k->valid = true;
+      k->service = service;
+      k->free = free (userdata, service);
+    }
+  return k->free;
+}
+
 bool
-am_open_queue_take (struct am_open_queue *q, uint64_t now_us, bool free,
+am_open_queue_take (struct am_open_queue *q, uint64_t now_us,
+                    am_open_queue_free free, void *userdata,
                     struct am_waiting *w)
 {
-  size_t first = 0;
+  struct am_waiting *first = NULL;
+  struct known known = { 0 };
 
-  if (!q->count)
-    return false;
-  for (size_t i = 1; i < q->count; i++)
-    if (q->waiting[i].until_us < q->waiting[first].until_us)
-      first = i;
-  if (!free && now_us < q->waiting[first].until_us)
+  for (size_t i = 0; i < q->count; i++)
+    {
+      struct am_waiting *next = &q->waiting[i];
+
+      if (first && next->until_us >= first->until_us)
+        continue;
+      if (now_us >= next->until_us
+          || is_free (&known, next->service, free, userdata))
+        first = next;
+    }
+  if (!first)
     return false;
-  *w = q->waiting[first];
-  q->waiting[first] = q->waiting[--q->count];
+  *w = *first;
+  *first = q->waiting[--q->count];
   return true;
 }
--- a/src/flow/open_queue.h
+++ b/src/flow/open_queue.h
@@ -23,6 +23,7 @@
 struct am_waiting
 {
   struct am_packet packet;
+  uint32_t service; /* am_hash_name; 0: not known yet */
   uint64_t since_us;
   uint64_t until_us; /* it goes on at the latest */
   size_t len;
@@ -37,16 +38,21 @@
 
 void am_open_queue_init (struct am_open_queue *q);
 
-/* Adds P, whose bytes are DATA, to wait until UNTIL_US at most.  A later copy
-   of a SYN that waits takes its place and keeps the earlier end.  Returns
-   AM_OK, or AM_E_QUEUE_FULL or AM_E_TOO_LARGE with nothing added.  */
+/* Adds P of SERVICE, whose bytes are DATA, to wait until UNTIL_US at most.  A
+   later copy of a SYN that waits takes its place and keeps the earlier end.
+   Returns AM_OK, or AM_E_QUEUE_FULL or AM_E_TOO_LARGE with nothing added.  */
 int am_open_queue_add (struct am_open_queue *q, const struct am_packet *p,
-                       const uint8_t *data, size_t len, uint64_t now_us,
-                       uint64_t until_us);
+                       uint32_t service, const uint8_t *data, size_t len,
+                       uint64_t now_us, uint64_t until_us);
 
-/* Takes the packet that goes on at NOW_US into W: the one whose wait ends
-   first, if it has ended or FREE.  Returns false if there is none.  */
-bool am_open_queue_take (struct am_open_queue *q, uint64_t now_us, bool free,
+/* Returns true if SERVICE has free slots.  */
+typedef bool (*am_open_queue_free) (void *userdata, uint32_t service);
+
+/* Takes the packet that goes on at NOW_US into W: of those whose wait has
+   ended or whose service is FREE, the one whose wait ends first.  Returns
+   false if there is none.  FREE is called once for each run of one service. */
+bool am_open_queue_take (struct am_open_queue *q, uint64_t now_us,
+                         am_open_queue_free free, void *userdata,
                          struct am_waiting *w);
 
 #endif
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -167,29 +167,38 @@
               const uint8_t *data, size_t len, struct am_decision d,
               uint64_t now_us)
 {
-  if (am_open_queue_add (&p->queue, packet, data, len, now_us,
+  const struct am_route *route = am_route_find (p->routes, packet->route);
+  uint32_t service
+      = route ? am_route_service (route, am_flow_hash (packet)) : 0;
+
+  if (am_open_queue_add (&p->queue, packet, service, data, len, now_us,
                          latest (packet, now_us)))
     d.verdict = AM_VERDICT_DROP;
   return d;
 }
 
+struct free_query
+{
+  struct am_path *path;
+  uint64_t now_us;
+};
+
+static bool
+is_free (void *userdata, uint32_t service)
+{
+  struct free_query *q = userdata;
+
+  return !service || !is_busy (q->path, service, q->now_us);
+}
+
 bool
 am_path_waited (struct am_path *p, struct am_waiting *w, struct am_decision *d,
                 uint64_t now_us)
 {
-  const struct am_waiting *any = p->queue.waiting;
-  const struct am_route *route;
-  bool free;
+  struct free_query query = { p, now_us };
 
-  if (!p->queue.count || !p->routes->in_force.version)
-    return false;
-  /* Nearly all traffic is of one service: the first packet's stands for
-     all.  */
-  route = am_route_find (p->routes, any->packet.route);
-  free = !route
-         || !is_busy (p, am_route_service (route, am_flow_hash (&any->packet)),
-                      now_us);
-  if (!am_open_queue_take (&p->queue, now_us, free, w))
+  if (!p->queue.count || !p->routes->in_force.version
+      || !am_open_queue_take (&p->queue, now_us, is_free, &query, w))
     return false;
   am_histogram_add (&p->wait_times, (now_us - w->since_us) * 1000u);
   *d = open_flow (p, &w->packet, true, now_us);
--- a/test/test_open_queue.c
+++ b/test/test_open_queue.c
@@ -13,12 +13,29 @@
   am_open_queue_init (&q);
 }
 
+/* Services that are free, by bit.  */
+static uint32_t free_services;
+
+static bool
+is_free (void *userdata, uint32_t service)
+{
+  (void)userdata;
+  return free_services >> service & 1;
+}
+
+static bool
+take (uint64_t now_us, uint32_t free, struct am_waiting *w)
+{
+  free_services = free;
+  return am_open_queue_take (&q, now_us, is_free, NULL, w);
+}
+
 static int
 add (uint16_t port, uint32_t copy, uint64_t until_us)
 {
   struct am_packet p = syn (port, copy);
 
-  return am_open_queue_add (&q, &p, bytes, 32, 0, until_us);
+  return am_open_queue_add (&q, &p, 1 + port % 2, bytes, 32, 0, until_us);
 }
 
 /* Guards against a caller whose attempt ends while later ones go first.  */
@@ -29,9 +46,9 @@
   add (1, 0, 300);
   add (2, 0, 100);
   add (3, 0, 200);
-  ck_assert (am_open_queue_take (&q, 0, true, &w));
+  ck_assert (take (0, 6, &w));
   ck_assert_uint_eq (w.packet.caller.port, 2);
-  ck_assert (am_open_queue_take (&q, 0, true, &w));
+  ck_assert (take (0, 6, &w));
   ck_assert_uint_eq (w.packet.caller.port, 3);
 }
 END_TEST
@@ -43,9 +60,9 @@
   struct am_waiting w;
 
   add (1, 0, 300);
-  ck_assert (!am_open_queue_take (&q, 299, false, &w));
-  ck_assert (am_open_queue_take (&q, 300, false, &w));
-  ck_assert (!am_open_queue_take (&q, 300, true, &w));
+  ck_assert (!take (299, 0, &w));
+  ck_assert (take (300, 0, &w));
+  ck_assert (!take (300, 6, &w));
 }
 END_TEST
 
@@ -58,11 +75,28 @@
   add (1, 1, 300);
   add (1, 2, 500);
   ck_assert_uint_eq (q.count, 1);
-  ck_assert (am_open_queue_take (&q, 300, false, &w));
+  ck_assert (take (300, 0, &w));
   ck_assert_uint_eq (w.packet.ack, 2);
 }
 END_TEST
 
+/* Guards against a packet that waits although its service has free slots,
+   because another service is busy.  */
+START_TEST (test_services_wait_apart)
+{
+  struct am_waiting w;
+
+  add (1, 0, 100);
+  add (2, 0, 200);
+  add (3, 0, 300);
+  ck_assert (take (0, 1u << 1, &w));
+  ck_assert_uint_eq (w.packet.caller.port, 2);
+  ck_assert (!take (0, 1u << 1, &w));
+  ck_assert (take (0, 1u << 2, &w));
+  ck_assert_uint_eq (w.packet.caller.port, 1);
+}
+END_TEST
+
 /* Guards against memory that callers can fill.  */
 START_TEST (test_queue_is_bounded)
 {
@@ -72,7 +106,7 @@
     ck_assert_int_eq (add (port, 0, 1), AM_OK);
   ck_assert_int_eq (add (AM_OPEN_QUEUE_MAX + 1, 0, 1), AM_E_QUEUE_FULL);
   ck_assert_int_eq (
-      am_open_queue_add (&q, &p, bytes, AM_OPEN_QUEUE_DATA + 1, 0, 1),
+      am_open_queue_add (&q, &p, 1, bytes, AM_OPEN_QUEUE_DATA + 1, 0, 1),
       AM_E_TOO_LARGE);
 }
 END_TEST
@@ -87,6 +121,7 @@
   tcase_add_test (tc, test_earliest_end_goes_first);
   tcase_add_test (tc, test_wait_ends);
   tcase_add_test (tc, test_copies_wait_as_one);
+  tcase_add_test (tc, test_services_wait_apart);
   tcase_add_test (tc, test_queue_is_bounded);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
