Ask the load of each service once when packets wait

Cause: the take from the queue asked the load anew whenever the service changed from one waiting packet to the next, up to 512 looks at all targets a packet.

Change: each service's answer is kept for the call.

--- a/src/entry/line_log.h
+++ b/src/entry/line_log.h
@@ -15,10 +15,10 @@
 
 #define AM_LINE_LOG_SIZE 65536
 
-/* Lines a second.  Twice the new flows of a VM on the users' busiest days;
-   50 KB a second at the most.  */
-#define AM_LINE_FLOW_BUDGET 120u
-#define AM_LINE_REFUSE_BUDGET 60u
+/* Lines a second.  The first is twice the new flows of a VM on the users'
+   busiest days.  */
+#define AM_LINE_FLOW_BUDGET 40u
+#define AM_LINE_REFUSE_BUDGET 40u
 #define AM_LINE_BELIEF_BUDGET 60u
 #define AM_LINE_STATE_BUDGET 40u
 
--- a/src/flow/open_queue.c
+++ b/src/flow/open_queue.c
@@ -50,26 +50,29 @@
   return AM_OK;
 }
 
-/* The last answer of the caller's function; most packets are of one
-   service.  */
+/* Services whose load is asked once a call; further ones count as busy.  */
+#define SERVICES 8
+
+/* Answers of the caller's function: it looks at every target.  */
 struct known
 {
-  bool valid;
-  bool free;
-  uint32_t service;
+  size_t count;
+  uint32_t services[SERVICES];
+  bool free[SERVICES];
 };
 
 static bool
 is_free (struct known *k, uint32_t service, am_open_queue_free free,
          void *userdata)
 {
-  if (!k->valid || k->service != service)
-    {
-      k->valid = true;
-      k->service = service;
-      k->free = free (userdata, service);
-    }
-  return k->free;
+  for (size_t i = 0; i < k->count; i++)
+    if (k->services[i] == service)
+      return k->free[i];
+  if (k->count == SERVICES)
+    return false;
+  k->services[k->count] = service;
+  k->free[k->count] = free (userdata, service);
+  return k->free[k->count++];
 }
 
 bool
