--- a/test/integration/entry_operations.py
+++ b/test/integration/entry_operations.py
@@ -57,7 +57,7 @@
 
 async def refused_order(fleet):
     """An order was refused: no target took new flows."""
-    for t in [t for t in fleet.targets.values() if t.service == "orders"]:
+    for t in fleet.targets_of("orders"):
         t.state = "draining"
         fleet.store.put(t.key, t.entry())
     await asyncio.sleep(1)
@@ -68,7 +68,7 @@
     await wait_for(lambda: lines(fleet, caller, "reason=no_target"), 1,
                    "the refusal")
     assert lines(fleet, "target id=", "state=draining", "before=ready")
-    for t in [t for t in fleet.targets.values() if t.service == "orders"]:
+    for t in fleet.targets_of("orders"):
         t.state = "ready"
         fleet.store.put(t.key, t.entry())
     await asyncio.sleep(1)
@@ -76,9 +76,8 @@
 
 async def late_drawing(fleet):
     """A drawing came late: the first target left the SYN unanswered."""
-    for t in [t for t in fleet.targets.values() if t.service == "archive"]:
-        if t.zone == fleet.zones[0]:
-            fleet.lost |= {(v.ip, t.address[0]) for v in fleet.vms}
+    for t in fleet.targets_of("archive", near=fleet.vms[0]):
+        fleet.lost |= {(v.ip, t.address[0]) for v in fleet.vms}
     flow, caller = open_flow(fleet, "archive")
     assert await flow.connect()
     await wait_for(lambda: lines(fleet, caller, "reason=placed_again"), 1,
--- a/test/integration/entry_start_without_store.py
+++ b/test/integration/entry_start_without_store.py
@@ -29,8 +29,7 @@
                                for line in lines(fleet, version)),
                    CONFIG_S, "the new version without the store")
 
-    victim = next(t for t in fleet.targets.values()
-                  if t.service == "archive" and t.zone == cut.zone)
+    victim = fleet.targets_of("archive", near=cut)[0]
     victim.state = "draining"
     fleet.store.put(victim.key, victim.entry())
     await wait_for(lambda: any(cut.name in line for line in lines(
@@ -39,8 +38,7 @@
 
     # The highest version stays, whatever the store says after.
     before = fleet.version
-    fleet.version -= 1
-    fleet.store.put("op/config", b'{"version": 1, "routes": []}')
+    fleet.put_older_configuration()
     await asyncio.sleep(1.5)
     flow = fleet.hosts[0].open_flow((number(fleet.route_ip()),
                                      ROUTES["feed"][0]))
