Count store calls by kind and outcome; measure decisions and the list's age

Cause: an outage of the store, a store that turns calls away and a slow one looked alike in the metrics: one counter of calls and one of failures. Time to decide and the age of the list that decides were in no metric. An age is counted from the start while no copy was ever confirmed; it was the age of the clock. Test: entry_operations lets the store refuse and reset calls and finds them by outcome; it failed before (amaranth_decide_seconds missing).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -64,6 +64,14 @@
     am_readiness_lag (&e->readiness, lag_us, now_us);
 }
 
+uint64_t
+am_entry_store_age_us (const struct am_entry *e, uint64_t now_us)
+{
+  uint64_t fresh_us = e->contact.fresh_us;
+
+  return now_us - (fresh_us ? fresh_us : e->started_us);
+}
+
 static void
 check_contact (struct am_entry *e, uint64_t now_us)
 {
@@ -82,7 +90,7 @@
     am_line_log_add (&e->log, AM_LINE_STATE, now_us,
                      "contact %s revision=%" PRIu64 " age_ms=%" PRIu64,
                      before ? "lost" : "regained", e->replica.revision,
-                     (now_us - e->contact.fresh_us) / 1000);
+                     am_entry_store_age_us (e, now_us) / 1000);
 }
 
 static void
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include "entry/adapter.h"
 #include "entry/line_log.h"
 #include "entry/settings.h"
+#include "entry/store_calls.h"
 #include "flow/contact.h"
 #include "flow/fleet.h"
 #include "flow/packet_path.h"
@@ -28,8 +29,6 @@
   X (malformed, "packets_malformed", "packets that could not be read")      \
   X (resets, "resets", "resets sent to callers")                            \
   X (drops, "packets_dropped", "packets dropped by decision")               \
-  X (store_calls, "store_calls", "calls to the store")                      \
-  X (store_failures, "store_failures", "calls without a usable answer")     \
   X (pulls, "pulls", "changes asked of peers")                              \
   X (pull_failures, "pull_failures", "pulls without a usable answer")       \
   X (digests_in, "digests_in", "digests of peers")                          \
@@ -58,8 +57,10 @@
   uint32_t failures;              /* in a row */
   uint64_t call_us;               /* begin of the call in progress */
   struct am_histogram list_times; /* of listings that were answered */
-  uint64_t ok_us;                 /* last usable answer; 0: none */
-  bool works;                     /* the last call was answered */
+  struct am_store_calls calls;
+  enum am_store_call call; /* in progress */
+  uint64_t ok_us;          /* last usable answer; 0: none */
+  bool works;              /* the last call was answered */
 };
 
 struct am_entry
@@ -83,6 +84,8 @@
 
   struct am_udp_port packets;
   struct am_udp_batch packets_out;
+  struct am_histogram decide_times;     /* of packets that open a flow */
+  struct am_histogram target_list_ages; /* when such a packet was decided */
   bool carrying; /* packets are read; before that they wait in the socket */
 
   struct am_udp_port digests;
@@ -113,6 +116,10 @@
                    const struct am_adapter *adapter,
                    const char *settings_file);
 
+/* entry.c: time since the copy of the store was confirmed, or since the start
+   if it never was.  */
+uint64_t am_entry_store_age_us (const struct am_entry *e, uint64_t now_us);
+
 /* packets.c: carry packets, from the moment when something is known of where
    they belong.  open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_packets_open (struct am_entry *e);
--- a/src/entry/packets.c
+++ b/src/entry/packets.c
@@ -33,7 +33,7 @@
       t ? t->load.busy + t->peers_load.busy : 0,
       t ? t->load.open_flows + t->peers_load.open_flows : 0,
       e->routes.in_force.version, (now_us - e->configured_us) / 1000,
-      (now_us - e->contact.fresh_us) / 1000);
+      am_entry_store_age_us (e, now_us) / 1000);
 }
 
 static void
@@ -109,12 +109,23 @@
     }
 }
 
+/* A packet that opens a flow has been decided; it was read at READ_NS.  */
+static void
+measure_opening (struct am_entry *e, uint64_t read_ns)
+{
+  uint64_t age_us = am_entry_store_age_us (e, read_ns / 1000u);
+
+  am_histogram_add (&e->decide_times, am_clock_ns () - read_ns);
+  am_histogram_add (&e->target_list_ages, age_us * 1000u);
+}
+
 static void
 on_packet (void *userdata, struct am_address from, const uint8_t *data,
            size_t len)
 {
   struct am_entry *e = userdata;
-  uint64_t now_us = am_clock_us ();
+  uint64_t now_ns = am_clock_ns ();
+  uint64_t now_us = now_ns / 1000u;
   struct am_packet p;
   struct am_decision d;
 
@@ -127,6 +138,8 @@
       return;
     }
   d = am_path_packet (&e->path, &p, data, len, now_us);
+  if (p.opens)
+    measure_opening (e, now_ns);
   carry_out (e, &p, &d, data, len, now_us);
   carry_waited (e, now_us);
 }
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -46,7 +46,6 @@
 {
   struct am_entry_reader *r = &e->reader;
 
-  e->counters.store_failures++;
   r->failures++;
   r->retry_us = now_us + retry_pause_us (e, r->failures);
   if (r->works || r->failures == 1)
@@ -104,6 +103,15 @@
   return on_item (page->e, i);
 }
 
+/* Gives up the call in progress.  */
+static void
+drop_call (struct am_entry_reader *r)
+{
+  if (am_http_client_busy (&r->client))
+    am_store_calls_add (&r->calls, r->call, AM_STORE_OUTCOME_DROPPED);
+  am_http_client_reset (&r->client);
+}
+
 static void
 end_listing (struct am_entry *e)
 {
@@ -146,6 +154,7 @@
                                    on_listed, &page);
   if (!err && reply.more && !page.last_key)
     err = AM_E_FORMAT;
+  am_store_calls_add (&r->calls, r->call, am_store_outcome_of (err));
   if (err)
     {
       free (page.last_key);
@@ -184,7 +193,8 @@
       r->list_us = am_clock_us ();
     }
   e->adapter->list_path (path, sizeof path, r->list_kind, r->list_after);
-  e->counters.store_calls++;
+  r->call = r->list_kind == AM_ITEM_TARGET ? AM_STORE_CALL_TARGETS
+                                           : AM_STORE_CALL_CONFIGURATION;
   r->call_us = am_clock_us ();
   am_http_get (&r->client, path, LIST_TIMEOUT_MS, on_list, e);
 }
@@ -203,6 +213,8 @@
   if (!err)
     err = e->adapter->answer_read (&reply, a->status, a->body, a->body_len,
                                    on_item, e);
+  am_store_calls_add (&e->reader.calls, e->reader.call,
+                      am_store_outcome_of (err));
   if (err == AM_E_EXPIRED)
     {
       am_line_log_add (&e->log, AM_LINE_STATE, now_us,
@@ -228,7 +240,7 @@
   char path[AM_HTTP_PATH_SIZE];
 
   e->adapter->watch_path (path, sizeof path, e->replica.revision, WATCH_MS);
-  e->counters.store_calls++;
+  e->reader.call = AM_STORE_CALL_WATCH;
   am_http_get (&e->reader.client, path, WATCH_TIMEOUT_MS, on_watch, e);
 }
 
@@ -266,14 +278,14 @@
 {
   if (!e->reader.listing)
     return;
-  am_http_client_reset (&e->reader.client);
+  drop_call (&e->reader);
   end_listing (e);
 }
 
 void
 am_entry_reader_wake (struct am_entry *e)
 {
-  am_http_client_reset (&e->reader.client);
+  drop_call (&e->reader);
   end_listing (e);
   e->reader.works = false;
   e->reader.retry_us = 0;
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -71,8 +71,14 @@
   add_times (t, "open", "From a SYN handed on to the caller's next packet.",
              &e->path.open_times);
   add_times (t, "wait", "Time of SYNs in the queue.", &e->path.wait_times);
+  add_times (t, "decide", "From reading a SYN to its decision.",
+             &e->decide_times);
+  add_times (t, "target_list_age",
+             "Time since the list of targets was confirmed, at each SYN.",
+             &e->target_list_ages);
   add_times (t, "store_list", "Calls that listed the store, if answered.",
              &e->reader.list_times);
+  am_store_calls_render (&e->reader.calls, t);
   add_value (t, "ready", AM_METRIC_GAUGE, "Whether callers may be sent here.",
              am_entry_is_ready (e, now_us));
   add_value (t, "store_contact", AM_METRIC_GAUGE,
@@ -80,10 +86,14 @@
              e->contact.present);
   add_value (t, "store_age_ms", AM_METRIC_GAUGE,
              "Time since the copy of the store was confirmed.",
-             (double)(now_us - e->contact.fresh_us) / 1e3);
+             (double)am_entry_store_age_us (e, now_us) / 1e3);
   add_value (t, "configuration_version", AM_METRIC_GAUGE,
              "Version of the configuration in force.",
              (double)e->routes.in_force.version);
+  if (e->configured_us)
+    add_value (t, "configuration_age_ms", AM_METRIC_GAUGE,
+               "Time since the configuration in force came.",
+               (double)(now_us - e->configured_us) / 1e3);
   add_value (t, "targets_ready", AM_METRIC_GAUGE,
              "Targets that take new flows.", (double)e->targets.ready_count);
   add_value (t, "flows", AM_METRIC_GAUGE, "Flows seen lately.",
--- /dev/null
+++ b/src/entry/store_calls.h
@@ -0,0 +1,58 @@
+/* Counts of the calls to the store, by kind and outcome.  */
+
+#ifndef AM_ENTRY_STORE_CALLS_H
+#define AM_ENTRY_STORE_CALLS_H
+
+#include <stdint.h>
+
+#include "base/metrics.h"
+
+/* X (symbol, label)  */
+#define AM_STORE_CALL_LIST(X)                      \
+  X (AM_STORE_CALL_TARGETS, "targets")             \
+  X (AM_STORE_CALL_CONFIGURATION, "configuration") \
+  X (AM_STORE_CALL_WATCH, "watch")
+
+/* X (symbol, label).  DROPPED: this VM gave the call up.  */
+#define AM_STORE_OUTCOME_LIST(X)                \
+  X (AM_STORE_OUTCOME_OK, "ok")                 \
+  X (AM_STORE_OUTCOME_EXPIRED, "expired")       \
+  X (AM_STORE_OUTCOME_REFUSED, "refused")       \
+  X (AM_STORE_OUTCOME_TIMEOUT, "timeout")       \
+  X (AM_STORE_OUTCOME_CONNECTION, "connection") \
+  X (AM_STORE_OUTCOME_UNREADABLE, "unreadable") \
+  X (AM_STORE_OUTCOME_DROPPED, "dropped")
+
+enum am_store_call
+{
+#define AM_STORE_CALL_ENUM(symbol, label) symbol,
+  AM_STORE_CALL_LIST (AM_STORE_CALL_ENUM)
+#undef AM_STORE_CALL_ENUM
+      AM_STORE_CALL_COUNT
+};
+
+enum am_store_outcome
+{
+#define AM_STORE_OUTCOME_ENUM(symbol, label) symbol,
+  AM_STORE_OUTCOME_LIST (AM_STORE_OUTCOME_ENUM)
+#undef AM_STORE_OUTCOME_ENUM
+      AM_STORE_OUTCOME_COUNT
+};
+
+struct am_store_calls
+{
+  uint64_t counts[AM_STORE_CALL_COUNT][AM_STORE_OUTCOME_COUNT];
+};
+
+/* Returns the outcome of a call that ended with ERROR, AM_OK or an error of
+   am_http_get or of the adapter's answer_read.  */
+enum am_store_outcome am_store_outcome_of (int error);
+
+void am_store_calls_add (struct am_store_calls *c, enum am_store_call call,
+                         enum am_store_outcome outcome);
+
+/* Appends the counter store_calls, one value a kind and outcome.  */
+void am_store_calls_render (const struct am_store_calls *c,
+                            struct am_metrics_text *t);
+
+#endif
--- a/src/io/clock.c
+++ b/src/io/clock.c
@@ -3,12 +3,18 @@
 #include <time.h>
 
 uint64_t
-am_clock_us (void)
+am_clock_ns (void)
 {
   struct timespec t;
 
   clock_gettime (CLOCK_MONOTONIC, &t);
-  return (uint64_t)t.tv_sec * 1000000u + (uint64_t)t.tv_nsec / 1000u;
+  return (uint64_t)t.tv_sec * 1000000000u + (uint64_t)t.tv_nsec;
+}
+
+uint64_t
+am_clock_us (void)
+{
+  return am_clock_ns () / 1000u;
 }
 
 uint64_t
--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -8,6 +8,9 @@
 /* Returns microseconds of CLOCK_MONOTONIC.  */
 uint64_t am_clock_us (void);
 
+/* Returns nanoseconds of CLOCK_MONOTONIC.  */
+uint64_t am_clock_ns (void);
+
 /* Returns milliseconds of CLOCK_REALTIME.  */
 uint64_t am_clock_wall_ms (void);
 
--- a/test/integration/entry_operations.py
+++ b/test/integration/entry_operations.py
@@ -90,6 +90,25 @@
     flow.close()
 
 
+async def read_metrics(vm):
+    """The text that vm serves."""
+    reader, writer = await asyncio.open_connection(vm.ip, METRICS_PORT)
+    writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+    text = (await asyncio.wait_for(reader.read(), 2)).decode()
+    writer.close()
+    return text
+
+
+async def total(fleet, name):
+    """The sum of a metric, with its labels, over all VMs."""
+    found = 0.0
+    for vm in fleet.vms:
+        for line in (await read_metrics(vm)).splitlines():
+            if line.startswith(name + " "):
+                found += float(line.split()[-1])
+    return found
+
+
 async def metrics(fleet):
     """Counters and histograms are there, and a client that hangs or sends
     garbage does not take them away.  Guards against alerts that never see the
@@ -99,23 +118,41 @@
     hanging[1].write(b"GET /met")
     garbage = await asyncio.open_connection(vm.ip, METRICS_PORT)
     garbage[1].write(b"\x00\xff\r\n\r\n")
-    reader, writer = await asyncio.open_connection(vm.ip, METRICS_PORT)
-    writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
-    text = (await asyncio.wait_for(reader.read(), 2)).decode()
+    text = await read_metrics(vm)
     page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     names = set(re.findall(r"amaranth_[a-z_]+", page))
     assert len(names) > 5
     for name in names:
         assert re.search(rf"^{name}(_total|_bucket)?[{{ ]", text, re.M), name
-    for _, end in (hanging, garbage, (reader, writer)):
+    for _, end in (hanging, garbage):
         end.close()
 
 
+async def store_calls(fleet):
+    """Calls to the store are counted by kind and outcome, and the ages of what
+    decides are measured.  Guards against an outage of the store that no metric
+    tells from a slow one."""
+    for kind in ("targets", "configuration", "watch"):
+        assert await total(
+            fleet, f'amaranth_store_calls_total{{kind="{kind}",outcome="ok"}}')
+    for fault, outcome in (("busy", "refused"), ("reset", "connection")):
+        failed = f'amaranth_store_calls_total{{kind="watch",outcome="{outcome}"}}'
+        before = await total(fleet, failed)
+        fleet.store.fault = fault
+        await asyncio.sleep(3)
+        fleet.store.fault = ""
+        assert await total(fleet, failed) > before, outcome
+    for name in ("decide_seconds", "target_list_age_seconds"):
+        assert await total(fleet, f"amaranth_{name}_count{{}}"), name
+    assert await total(fleet, "amaranth_configuration_age_ms") > 0
+
+
 async def body(fleet):
     await frozen_feed(fleet)
     await refused_order(fleet)
     await late_drawing(fleet)
     await metrics(fleet)
+    await store_calls(fleet)
     starts = lines(fleet, " started version=")
     assert len(starts) == len(fleet.vms), "one line at each start"
 
