Report findings first, close both handles of a connection in one place

With more than 64 loaded targets a VM's findings about silent ones could be cut off its digest; they come first now (test_findings_come_first failed before), and a digest that is too long for a datagram loses loads instead of not being sent. The HTTP client and server share the closing of socket and timer and the room for reading.

--- a/src/entry/digests.c
+++ b/src/entry/digests.c
@@ -86,8 +86,9 @@
   size_t far_len;
 
   fill_digest (e, &d, now_us);
-  if (fleet__digest__get_packed_size (&d.message) > sizeof near)
-    return;
+  while (d.message.n_loads
+         && fleet__digest__get_packed_size (&d.message) > sizeof near)
+    d.message.n_loads--;
   near_len = fleet__digest__pack (&d.message, near);
   d.message.n_loads = 0;
   far_len = fleet__digest__pack (&d.message, far);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -145,9 +145,10 @@
 /* peers.c: digests, pulls and their answers.  */
 int am_entry_peers_open (struct am_entry *e);
 void am_entry_peers_tick (struct am_entry *e, uint64_t now_us);
-/* The copy of the store has advanced: peers are told at once.  */
-void am_entry_peers_announce (struct am_entry *e, uint64_t now_us);
 void am_entry_peers_wake (struct am_entry *e);
+/* Sends a digest at once to all whom it concerns: the copy of the store has
+   advanced.  */
+void am_entry_digests_send (struct am_entry *e, uint64_t now_us);
 
 /* status.c: answers of the readiness and metrics ports.  */
 void am_entry_status_handle (void *userdata, const char *path,
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -48,12 +48,6 @@
   return err;
 }
 
-void
-am_entry_peers_announce (struct am_entry *e, uint64_t now_us)
-{
-  am_entry_digests_send (e, now_us);
-}
-
 void
 am_entry_peers_tick (struct am_entry *e, uint64_t now_us)
 {
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -22,10 +22,9 @@
                                        const Fleet__Member *m,
                                        uint64_t now_us);
 
-/* digests.c: open the port; send a digest to all whom it concerns.
+/* digests.c: open the port; send digests at their interval.
    am_entry_digests_open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_digests_open (struct am_entry *e);
-void am_entry_digests_send (struct am_entry *e, uint64_t now_us);
 void am_entry_digests_tick (struct am_entry *e, uint64_t now_us);
 
 /* changes.c: answers the requests of peers; handler of an HTTP server.  */
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -136,7 +136,7 @@
   am_replica_list_end (&e->replica, r->list_revision);
   end_listing (e);
   succeeded (e, now_us);
-  am_entry_peers_announce (e, now_us);
+  am_entry_digests_send (e, now_us);
 }
 
 static void
@@ -231,7 +231,7 @@
   succeeded (e, now_us);
   e->reader.retry_us = now_us + PAUSE_US;
   if (e->replica.revision > before)
-    am_entry_peers_announce (e, now_us);
+    am_entry_digests_send (e, now_us);
 }
 
 static void
--- a/src/flow/peer_load.c
+++ b/src/flow/peer_load.c
@@ -40,22 +40,33 @@
          && now_us - t->failure_us < AM_LIVENESS_RETRY_US;
 }
 
-size_t
-am_peer_load_collect (const struct am_target_table *t,
-                      struct am_load_report *reports, uint64_t now_us)
+static bool
+has_load (const struct am_target_load *l)
 {
-  size_t n = 0;
+  return l->opening || l->open_flows || l->busy;
+}
 
+/* Appends to the N reports the targets that are silent, or those that are not
+   and have load.  Returns the number of reports.  */
+static size_t
+collect (const struct am_target_table *t, bool silent,
+         struct am_load_report *reports, size_t n, uint64_t now_us)
+{
   am_list_each (g, &t->targets, struct am_target, node)
   {
-    const struct am_target_load *l = &g->load;
-    bool silent = is_silent (g, now_us);
-
-    if (!l->opening && !l->open_flows && !l->busy && !silent)
-      continue;
-    reports[n++] = (struct am_load_report){ g->ticket, *l, silent };
     if (n == AM_PEER_LOAD_MAX)
       break;
+    if (is_silent (g, now_us) == silent && (silent || has_load (&g->load)))
+      reports[n++] = (struct am_load_report){ g->ticket, g->load, silent };
   }
   return n;
 }
+
+size_t
+am_peer_load_collect (const struct am_target_table *t,
+                      struct am_load_report *reports, uint64_t now_us)
+{
+  size_t n = collect (t, true, reports, 0, now_us);
+
+  return collect (t, false, reports, n, now_us);
+}
--- a/src/flow/peer_load.h
+++ b/src/flow/peer_load.h
@@ -31,8 +31,8 @@
                        const struct am_load_report *reports, size_t count);
 
 /* Writes the load of the targets in T by this VM's own flows, and which of
-   them are silent, to REPORTS, which has room for AM_PEER_LOAD_MAX.  Returns
-   their number.  */
+   them are silent, to REPORTS, which has room for AM_PEER_LOAD_MAX; the silent
+   ones first, as the rest may be cut off.  Returns their number.  */
 size_t am_peer_load_collect (const struct am_target_table *t,
                              struct am_load_report *reports, uint64_t now_us);
 
--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -91,18 +91,20 @@
 {
   struct am_target *lowest = NULL;
 
-  am_list_each (g, ticket_bucket (t, ticket), struct am_target,
-                by_ticket) if (g->ticket == ticket
-                               && (!lowest || g->spec.id < lowest->spec.id))
-      lowest
-      = g;
-  am_list_each (g, ticket_bucket (t, ticket), struct am_target,
-                by_ticket) if (g->ticket == ticket) g->ambiguous
-      = g != lowest;
+  am_list_each (g, ticket_bucket (t, ticket), struct am_target, by_ticket)
+  {
+    if (g->ticket == ticket && (!lowest || g->spec.id < lowest->spec.id))
+      lowest = g;
+  }
+  am_list_each (g, ticket_bucket (t, ticket), struct am_target, by_ticket)
+  {
+    if (g->ticket == ticket)
+      g->ambiguous = g != lowest;
+  }
 }
 
 static struct am_target *
-add (struct am_target_table *t, uint64_t id, uint64_t now_us)
+add (struct am_target_table *t, uint64_t id)
 {
   struct am_target *g = calloc (1, sizeof *g);
 
@@ -110,7 +112,6 @@
     return NULL;
   g->spec.id = id;
   g->ticket = am_target_ticket (id);
-  g->known_us = now_us;
   g->state = AM_TARGET_GONE;
   am_list_push_back (ticket_bucket (t, g->ticket), &g->by_ticket);
   am_list_push_back (id_bucket (t, id), &g->by_id);
@@ -151,7 +152,7 @@
   struct am_target *g = am_target_by_id (t, s->id);
 
   if (!g)
-    g = add (t, s->id, now_us);
+    g = add (t, s->id);
   if (!g)
     return AM_E_MEMORY;
   if (g->spec.born_ms != s->born_ms)
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -21,7 +21,6 @@
 /* A flow may be this old before the platform allows to forget it.  */
 #define AM_TARGET_KEEP_US 60000000u
 
-#define AM_TARGET_NAME_SIZE 64
 #define AM_TARGET_BUCKETS 1024
 
 enum am_target_state
@@ -61,7 +60,6 @@
   uint32_t ticket;
   enum am_target_state state;
   bool ambiguous;             /* shares its ticket with a target of lower id */
-  uint64_t known_us;          /* when this entry VM first heard of it */
   uint64_t warm_us;           /* end of its warm-up */
   uint64_t absent_us;         /* registration missing since; 0: present */
   uint64_t gone_us;           /* when it was taken as gone */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -7,20 +7,19 @@
 
 #include "base/error.h"
 #include "base/socket_address.h"
+#include "base/list.h"
+#include "net/tcp_timer.h"
 
-#define READ_SIZE 65536
 #define REQUEST_SIZE (AM_HTTP_PATH_SIZE + 128)
 
 /* A connection frees itself once its handles are closed, so that a client can
    drop it at any time.  */
 struct am_http_connection
 {
-  uv_tcp_t tcp;
-  uv_timer_t timer;
+  struct am_tcp_timer end;
   uv_connect_t connect;
   uv_write_t write;
   struct am_http_client *client; /* NULL once dropped */
-  unsigned handles;
   bool connected;
   char request[REQUEST_SIZE];
   size_t request_len;
@@ -32,13 +31,17 @@
   bool complete;
 };
 
+static struct am_http_connection *
+connection_of (struct am_tcp_timer *end)
+{
+  return am_container_of (end, struct am_http_connection, end);
+}
+
 static void
-on_closed (uv_handle_t *handle)
+on_closed (struct am_tcp_timer *end)
 {
-  struct am_http_connection *n = handle->data;
+  struct am_http_connection *n = connection_of (end);
 
-  if (--n->handles > 0)
-    return;
   free (n->body);
   free (n);
 }
@@ -52,8 +55,7 @@
     return;
   c->connection = NULL;
   n->client = NULL;
-  uv_close ((uv_handle_t *)&n->tcp, on_closed);
-  uv_close ((uv_handle_t *)&n->timer, on_closed);
+  am_tcp_timer_close (&n->end);
 }
 
 void
@@ -163,7 +165,7 @@
           .body_len = n->body_len };
   uint8_t *body = n->body;
 
-  uv_timer_stop (&n->timer);
+  uv_timer_stop (&n->end.timer);
   n->body = NULL;
   n->body_size = 0;
   if (!http_should_keep_alive (&n->parser))
@@ -185,20 +187,10 @@
 
 /* ---- connection --------------------------------------------------- */
 
-static void
-on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-  static char room[READ_SIZE];
-
-  (void)handle;
-  (void)size;
-  *buf = uv_buf_init (room, sizeof room);
-}
-
 static void
 on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
-  struct am_http_connection *n = stream->data;
+  struct am_http_connection *n = connection_of (stream->data);
 
   if (!n->client || len == 0)
     return;
@@ -223,7 +215,7 @@
   uv_buf_t buf = uv_buf_init (n->request, (unsigned)n->request_len);
 
   n->write.data = n;
-  if (uv_write (&n->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written))
+  if (uv_write (&n->write, (uv_stream_t *)&n->end.tcp, &buf, 1, on_written))
     fail (n, AM_E_CONNECTION);
 }
 
@@ -234,20 +226,22 @@
 
   if (!n->client)
     return;
-  if (status < 0 || uv_read_start ((uv_stream_t *)&n->tcp, on_alloc, on_read))
+  if (status < 0
+      || uv_read_start ((uv_stream_t *)&n->end.tcp, am_tcp_timer_alloc,
+                        on_read))
     {
       fail (n, AM_E_CONNECTION);
       return;
     }
   n->connected = true;
-  uv_tcp_nodelay (&n->tcp, 1);
+  uv_tcp_nodelay (&n->end.tcp, 1);
   send_request (n);
 }
 
 static void
 on_timeout (uv_timer_t *timer)
 {
-  struct am_http_connection *n = timer->data;
+  struct am_http_connection *n = connection_of (timer->data);
 
   fail (n, AM_E_TIMEOUT);
 }
@@ -260,11 +254,7 @@
   if (!n)
     return NULL;
   n->client = c;
-  n->handles = 2;
-  uv_tcp_init (c->loop, &n->tcp);
-  uv_timer_init (c->loop, &n->timer);
-  n->tcp.data = n;
-  n->timer.data = n;
+  am_tcp_timer_init (&n->end, c->loop, on_closed);
   n->connect.data = n;
   return n;
 }
@@ -274,7 +264,7 @@
 {
   struct sockaddr_in sa = am_address_to_socket (server);
 
-  if (uv_tcp_connect (&n->connect, &n->tcp, (const struct sockaddr *)&sa,
+  if (uv_tcp_connect (&n->connect, &n->end.tcp, (const struct sockaddr *)&sa,
                       on_connected))
     return AM_E_CONNECTION;
   return AM_OK;
@@ -315,10 +305,10 @@
   n->request_len = (size_t)len;
   c->done = done;
   c->userdata = userdata;
-  uv_timer_start (&n->timer, on_timeout, timeout_ms, 0);
+  uv_timer_start (&n->end.timer, on_timeout, timeout_ms, 0);
   if (n->connected)
     send_request (n);
   else if (connect_to (n, c->server))
-    uv_timer_start (&n->timer, on_timeout, 0, 0);
+    uv_timer_start (&n->end.timer, on_timeout, 0, 0);
   return AM_OK;
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -8,8 +8,8 @@
 
 #include "base/error.h"
 #include "base/socket_address.h"
+#include "net/tcp_timer.h"
 
-#define READ_SIZE 4096
 #define HEAD_SIZE 160
 #define BACKLOG 64
 
@@ -17,9 +17,7 @@
 {
   struct am_list node; /* in am_http_server.connections */
   struct am_http_server *server;
-  uv_tcp_t tcp;
-  uv_timer_t timer;
-  unsigned handles;
+  struct am_tcp_timer end;
   bool closing;
   bool is_get;
   http_parser parser;
@@ -37,13 +35,16 @@
   char head[HEAD_SIZE];
 };
 
-static void
-on_closed (uv_handle_t *handle)
+static struct connection *
+connection_of (struct am_tcp_timer *end)
 {
-  struct connection *n = handle->data;
+  return am_container_of (end, struct connection, end);
+}
 
-  if (--n->handles == 0)
-    free (n);
+static void
+on_closed (struct am_tcp_timer *end)
+{
+  free (connection_of (end));
 }
 
 static void
@@ -54,14 +55,13 @@
   n->closing = true;
   am_list_remove (&n->node);
   n->server->connection_count--;
-  uv_close ((uv_handle_t *)&n->tcp, on_closed);
-  uv_close ((uv_handle_t *)&n->timer, on_closed);
+  am_tcp_timer_close (&n->end);
 }
 
 static void
 on_idle (uv_timer_t *timer)
 {
-  close_connection (timer->data);
+  close_connection (connection_of (timer->data));
 }
 
 /* ---- answer ------------------------------------------------------- */
@@ -118,8 +118,8 @@
                   last ? "Connection: close\r\n" : "");
   bufs[0] = uv_buf_init (s->head, (unsigned)len);
   bufs[1] = uv_buf_init ((char *)r->body, (unsigned)r->body_len);
-  if (uv_write (&s->write, (uv_stream_t *)&n->tcp, bufs, r->body_len ? 2 : 1,
-                on_written))
+  if (uv_write (&s->write, (uv_stream_t *)&n->end.tcp, bufs,
+                r->body_len ? 2 : 1, on_written))
     {
       free (s->body);
       free (s);
@@ -162,7 +162,7 @@
     return 1;
   if (p->method == HTTP_GET)
     s->handler (s->userdata, n->path, &r);
-  uv_timer_again (&n->timer);
+  uv_timer_again (&n->end.timer);
   send_reply (n, &r, !http_should_keep_alive (p));
   return 0;
 }
@@ -172,20 +172,10 @@
         .on_url = on_url,
         .on_message_complete = on_message_complete };
 
-static void
-on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-  static char room[READ_SIZE];
-
-  (void)handle;
-  (void)size;
-  *buf = uv_buf_init (room, sizeof room);
-}
-
 static void
 on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
-  struct connection *n = stream->data;
+  struct connection *n = connection_of (stream->data);
   size_t used;
 
   if (len == 0 || n->closing)
@@ -213,24 +203,21 @@
   if (!n)
     return;
   n->server = s;
-  n->handles = 2;
-  uv_tcp_init (s->loop, &n->tcp);
-  uv_timer_init (s->loop, &n->timer);
-  n->tcp.data = n;
-  n->timer.data = n;
+  am_tcp_timer_init (&n->end, s->loop, on_closed);
   am_list_push_back (&s->connections, &n->node);
   s->connection_count++;
   http_parser_init (&n->parser, HTTP_REQUEST);
   n->parser.data = n;
-  if (uv_accept (stream, (uv_stream_t *)&n->tcp)
+  if (uv_accept (stream, (uv_stream_t *)&n->end.tcp)
       || s->connection_count > AM_HTTP_SERVER_CONNECTIONS
-      || uv_read_start ((uv_stream_t *)&n->tcp, on_alloc, on_read))
+      || uv_read_start ((uv_stream_t *)&n->end.tcp, am_tcp_timer_alloc,
+                        on_read))
     {
       close_connection (n);
       return;
     }
-  uv_tcp_nodelay (&n->tcp, 1);
-  uv_timer_start (&n->timer, on_idle, AM_HTTP_SERVER_IDLE_MS,
+  uv_tcp_nodelay (&n->end.tcp, 1);
+  uv_timer_start (&n->end.timer, on_idle, AM_HTTP_SERVER_IDLE_MS,
                   AM_HTTP_SERVER_IDLE_MS);
 }
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "flow/fleet.h"
+#include "flow/liveness.h"
 #include "suite.h"
 
 #define HERE am_hash_name ("here")
@@ -196,6 +197,30 @@
 }
 END_TEST
 
+/* Guards against a finding that peers never hear of because a VM with many
+   targets has no room for it in a report.  */
+START_TEST (test_findings_come_first)
+{
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+  struct am_target *t = NULL;
+  size_t n;
+
+  for (uint64_t id = 1; id <= 2 * AM_PEER_LOAD_MAX; id++)
+    {
+      struct am_target_spec s = { .id = id, .service = 1 };
+
+      am_target_table_put (&targets, &s, NOW, &t);
+      t->load.open_flows = 1;
+    }
+  am_liveness_asked (t, NOW - 2 * AM_LIVENESS_SILENCE_US);
+  am_liveness_failure (t, NOW);
+  n = am_peer_load_collect (&targets, reports, NOW);
+  ck_assert_uint_eq (n, AM_PEER_LOAD_MAX);
+  ck_assert_uint_eq (reports[0].ticket, t->ticket);
+  ck_assert (reports[0].silent);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -212,6 +237,7 @@
   tcase_add_test (tc, test_silent_peer_is_forgotten);
   tcase_add_test (tc, test_rare_digests_are_waited_for);
   tcase_add_test (tc, test_report_replaces_the_one_before);
+  tcase_add_test (tc, test_findings_come_first);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
