--- a/scripts/lib/plot.py
+++ b/scripts/lib/plot.py
@@ -13,6 +13,7 @@
 set border 3
 set xtics nomirror
 set ytics nomirror
+set key below
 """
 
 
