--- a/src/core/binding.c
+++ b/src/core/binding/binding.c
@@ -1,4 +1,4 @@
-#include "core/binding.h"
+#include "core/binding/binding.h"
 
 #include "base/error.h"
 #include "core/board.h"
--- a/src/core/flow_count.c
+++ b/src/core/binding/flow_count.c
@@ -1,4 +1,4 @@
-#include "core/flow_count.h"
+#include "core/binding/flow_count.h"
 
 #include <stdlib.h>
 
--- a/src/core/forward.c
+++ b/src/core/binding/forward.c
@@ -1,4 +1,4 @@
-#include "core/forward.h"
+#include "core/binding/forward.h"
 
 #include <string.h>
 
--- a/src/core/key_ring.c
+++ b/src/core/binding/key_ring.c
@@ -1,4 +1,4 @@
-#include "core/key_ring.h"
+#include "core/binding/key_ring.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/ticket_binding.c
+++ b/src/core/binding/ticket_binding.c
@@ -1,14 +1,14 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/choice.h"
-#include "core/confirm.h"
-#include "core/flow_count.h"
-#include "core/forward.h"
-#include "core/key_ring.h"
-#include "core/opening.h"
-#include "core/request.h"
+#include "core/binding/binding.h"
+#include "core/placement/choice.h"
+#include "core/targets/confirm.h"
+#include "core/binding/flow_count.h"
+#include "core/binding/forward.h"
+#include "core/binding/key_ring.h"
+#include "core/placement/opening.h"
+#include "core/requests/request.h"
 
 /* One packet of a caller on its way through this binding.  */
 struct arrival
--- a/src/core/tracked_batch.c
+++ b/src/core/binding/tracked_batch.c
@@ -1,4 +1,4 @@
-#include "core/tracked_batch.h"
+#include "core/binding/tracked_batch.h"
 
 #include <stdlib.h>
 
--- a/src/core/tracked_batch.h
+++ b/src/core/binding/tracked_batch.h
@@ -13,7 +13,7 @@
 #ifndef AM_CORE_TRACKED_BATCH_H
 #define AM_CORE_TRACKED_BATCH_H
 
-#include "core/tracked.h"
+#include "core/binding/tracked.h"
 
 #define AM_TRACKED_BATCH_HEADER_SIZE 5
 
--- a/src/core/tracked_binding.c
+++ b/src/core/binding/tracked_binding.c
@@ -2,11 +2,11 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/confirm.h"
-#include "core/forward.h"
-#include "core/owned.h"
-#include "core/tracked_owner.h"
+#include "core/binding/binding.h"
+#include "core/targets/confirm.h"
+#include "core/binding/forward.h"
+#include "core/ownership/owned.h"
+#include "core/binding/tracked_owner.h"
 #include "wire/bytes.h"
 
 #define BIND_SIZE 15
--- a/src/core/tracked_copy.c
+++ b/src/core/binding/tracked_copy.c
@@ -1,8 +1,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/tracked.h"
-#include "core/tracked_batch.h"
+#include "core/binding/tracked.h"
+#include "core/binding/tracked_batch.h"
 #include "wire/bytes.h"
 
 #define ACK_SIZE 5
--- a/src/core/tracked_owner.c
+++ b/src/core/binding/tracked_owner.c
@@ -1,10 +1,10 @@
-#include "core/tracked_owner.h"
+#include "core/binding/tracked_owner.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "core/confirm.h"
-#include "core/forward.h"
+#include "core/targets/confirm.h"
+#include "core/binding/forward.h"
 #include "wire/bytes.h"
 
 /* Introduction: kind, flags, caller (6), hint and its incarnation (8), guess
--- a/src/core/tracked_owner.h
+++ b/src/core/binding/tracked_owner.h
@@ -4,7 +4,7 @@
 #ifndef AM_CORE_TRACKED_OWNER_H
 #define AM_CORE_TRACKED_OWNER_H
 
-#include "core/tracked.h"
+#include "core/binding/tracked.h"
 
 /* The sender's bucket changed: it waits for AM_TRACKED_CLEAR.  */
 #define AM_TRACKED_FLAG_CHANGED 1u
--- a/src/core/tracked_table.c
+++ b/src/core/binding/tracked_table.c
@@ -4,7 +4,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/tracked.h"
+#include "core/binding/tracked.h"
 
 /* One pass of expiry looks at most at this many flows.  */
 #define EXPIRE_MAX 4096
--- a/src/core/control_config.c
+++ b/src/core/configuration/control_config.c
@@ -1,4 +1,4 @@
-#include "core/control_config.h"
+#include "core/configuration/control_config.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/control_delta.c
+++ b/src/core/configuration/control_delta.c
@@ -1,11 +1,11 @@
-#include "core/control_delta.h"
+#include "core/configuration/control_delta.h"
 
 #include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "core/control_config.h"
+#include "core/configuration/control_config.h"
 
 void
 am_delta_finish (struct am_control *c)
--- a/src/core/control_readers.c
+++ b/src/core/configuration/control_readers.c
@@ -1,13 +1,13 @@
-#include "core/control_readers.h"
+#include "core/configuration/control_readers.h"
 
 #include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "core/control_config.h"
-#include "core/control_members.h"
-#include "core/control_spread.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_spread.h"
 
 #define BACKOFF_MIN_US (AM_SECOND_US / 2)
 #define BACKOFF_MAX_US (10 * AM_SECOND_US)
--- a/src/core/control_spread.c
+++ b/src/core/configuration/control_spread.c
@@ -1,6 +1,6 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
-#include "core/control_spread_parts.h"
+#include "core/configuration/control_spread_parts.h"
 
 void
 am_spread_init (struct am_control *c)
--- a/src/core/control_spread_announce.c
+++ b/src/core/configuration/control_spread_announce.c
@@ -1,8 +1,8 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
-#include "core/control_members.h"
-#include "core/control_readers.h"
-#include "core/control_spread_parts.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_readers.h"
+#include "core/configuration/control_spread_parts.h"
 
 /* A version counts as recent this long; the announcements and the probes of a
    fleet of 1,000 need about three seconds.  */
--- a/src/core/control_spread_answer.c
+++ b/src/core/configuration/control_spread_answer.c
@@ -1,13 +1,13 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/log.h"
-#include "core/control_config.h"
-#include "core/control_members.h"
-#include "core/control_spread_parts.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_spread_parts.h"
 
 /* One part of an answer; a frame holds at most 4 MB.  */
 #define PART_BYTES (1u << 20)
--- a/src/core/control_spread_exchange.c
+++ b/src/core/configuration/control_spread_exchange.c
@@ -1,10 +1,10 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
 #include <stdlib.h>
 
 #include "base/log.h"
-#include "core/control_members.h"
-#include "core/control_spread_parts.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_spread_parts.h"
 
 /* A whole exchange waits until the fast spread of the last change is over.  */
 #define SYNC_QUIET_US (3 * AM_SECOND_US)
--- a/src/core/control_spread_pull.c
+++ b/src/core/configuration/control_spread_pull.c
@@ -1,12 +1,12 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/control_config.h"
-#include "core/control_members.h"
-#include "core/control_readers.h"
-#include "core/control_spread_parts.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_readers.h"
+#include "core/configuration/control_spread_parts.h"
 
 /* A pull without an answer is tried at another peer after this time.  */
 #define PULL_US AM_SECOND_US
--- a/src/core/control_spread_version.c
+++ b/src/core/configuration/control_spread_version.c
@@ -1,10 +1,10 @@
-#include "core/control_spread.h"
+#include "core/configuration/control_spread.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/control_members.h"
-#include "core/control_spread_parts.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_spread_parts.h"
 
 void
 am_spread_version_describe (const struct am_config_entry *e,
--- a/src/core/snapshot.c
+++ b/src/core/configuration/snapshot.c
@@ -1,10 +1,10 @@
-#include "core/snapshot.h"
+#include "core/configuration/snapshot.h"
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/credit.h"
-#include "core/snapshot_check.h"
-#include "core/snapshot_parts.h"
+#include "core/binding/binding.h"
+#include "core/lending/credit.h"
+#include "core/configuration/snapshot_check.h"
+#include "core/configuration/snapshot_parts.h"
 
 static void
 find_home (struct am_board *b, struct am_service *s)
--- a/src/core/snapshot_check.c
+++ b/src/core/configuration/snapshot_check.c
@@ -1,11 +1,11 @@
-#include "core/snapshot_check.h"
+#include "core/configuration/snapshot_check.h"
 
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
-#include "core/snapshot_parts.h"
+#include "core/configuration/snapshot_parts.h"
 
 #define PORT_MAX 65535u
 #define CLASS_ID_MAX 255u
--- a/src/core/snapshot_diff.c
+++ b/src/core/configuration/snapshot_diff.c
@@ -1,4 +1,4 @@
-#include "core/snapshot_diff.h"
+#include "core/configuration/snapshot_diff.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/snapshot_members.c
+++ b/src/core/configuration/snapshot_members.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/snapshot.h"
-#include "core/snapshot_parts.h"
+#include "core/configuration/snapshot.h"
+#include "core/configuration/snapshot_parts.h"
 
 static struct am_member *
 add_member (struct am_board *b, uint32_t id)
--- a/src/core/snapshot_pack.c
+++ b/src/core/configuration/snapshot_pack.c
@@ -1,11 +1,11 @@
-#include "core/snapshot_pack.h"
+#include "core/configuration/snapshot_pack.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/choice.h"
+#include "core/binding/binding.h"
+#include "core/placement/choice.h"
 
 /* Messages under construction.  They point into the board, so that only the
    arrays and the messages themselves are freed.  */
--- a/src/core/snapshot_services.c
+++ b/src/core/configuration/snapshot_services.c
@@ -1,10 +1,10 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/choice.h"
-#include "core/request.h"
-#include "core/snapshot_parts.h"
+#include "core/binding/binding.h"
+#include "core/placement/choice.h"
+#include "core/requests/request.h"
+#include "core/configuration/snapshot_parts.h"
 
 #define PING_INTERVAL_MS_DEFAULT 1000
 #define PING_MISSES_DEFAULT 3
--- a/src/core/snapshot_upstreams.c
+++ b/src/core/configuration/snapshot_upstreams.c
@@ -1,10 +1,10 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/binding.h"
-#include "core/confirm.h"
-#include "core/request.h"
-#include "core/snapshot_parts.h"
+#include "core/binding/binding.h"
+#include "core/targets/confirm.h"
+#include "core/requests/request.h"
+#include "core/configuration/snapshot_parts.h"
 
 #define WEIGHT_DEFAULT 100
 
--- a/src/core/snapshot_verdicts.c
+++ b/src/core/configuration/snapshot_verdicts.c
@@ -1,8 +1,8 @@
-#include "core/snapshot_parts.h"
+#include "core/configuration/snapshot_parts.h"
 
 #include <string.h>
 
-#include "core/key_ring.h"
+#include "core/binding/key_ring.h"
 
 void
 am_snapshot_keys (struct am_board *b, const Amaranth__Snapshot *snap)
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -5,14 +5,14 @@
 
 #include "base/error.h"
 #include "core/control_board.h"
-#include "core/control_config.h"
-#include "core/control_link.h"
-#include "core/control_members.h"
-#include "core/control_owners.h"
-#include "core/control_probe.h"
-#include "core/control_readers.h"
-#include "core/control_spread.h"
-#include "core/control_verdicts.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_link.h"
+#include "core/membership/control_members.h"
+#include "core/ownership/control_owners.h"
+#include "core/membership/control_probe.h"
+#include "core/configuration/control_readers.h"
+#include "core/configuration/control_spread.h"
+#include "core/targets/control_verdicts.h"
 
 /* How long a stopping agent waits for its forwarder to begin its own stop,
    and then for the end of that stop.  */
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -12,7 +12,7 @@
 #include "base/list.h"
 #include "base/rng.h"
 #include "core/control.h"
-#include "core/snapshot_diff.h"
+#include "core/configuration/snapshot_diff.h"
 #include "record/record.h"
 
 struct am_owners;
--- a/src/core/control_status.c
+++ b/src/core/control_status.c
@@ -3,8 +3,8 @@
 
 #include "base/error.h"
 #include "core/control_board.h"
-#include "core/control_config.h"
-#include "core/control_members.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_members.h"
 
 void
 am_control_look (const struct am_control *c, struct am_control_view *v)
--- a/src/core/borrower.c
+++ b/src/core/lending/borrower.c
@@ -1,11 +1,11 @@
-#include "core/borrower.h"
+#include "core/lending/borrower.h"
 
 #include <stdlib.h>
 
-#include "core/admission.h"
-#include "core/credit.h"
-#include "core/lending.h"
-#include "core/owned.h"
+#include "core/placement/admission.h"
+#include "core/lending/credit.h"
+#include "core/lending/lending.h"
+#include "core/ownership/owned.h"
 
 /* An ASK costs at most four datagrams of about 90 bytes with their IP and UDP
    headers; at this rate lending stays below 3 KB/s for each side.  */
--- a/src/core/borrower.h
+++ b/src/core/lending/borrower.h
@@ -1,10 +1,10 @@
 /* Slots that this VM borrows from peers.  am_credit_borrow and
-   am_credit_expire (core/credit.h) are here as well.  */
+   am_credit_expire (core/lending/credit.h) are here as well.  */
 
 #ifndef AM_CORE_BORROWER_H
 #define AM_CORE_BORROWER_H
 
-#include "core/credit_message.h"
+#include "core/lending/credit_message.h"
 
 struct borrowing;
 
--- a/src/core/credit.c
+++ b/src/core/lending/credit.c
@@ -1,13 +1,13 @@
-#include "core/credit.h"
+#include "core/lending/credit.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/lending.h"
-#include "core/policy.h"
-#include "core/subset.h"
+#include "core/lending/lending.h"
+#include "core/placement/policy.h"
+#include "core/placement/subset.h"
 
 /* Rounds of scaling; the sums are then within 1 % for 7 VMs and 15 upstreams.
  */
--- a/src/core/credit.h
+++ b/src/core/lending/credit.h
@@ -31,10 +31,10 @@
      4      4    service id
      8      4    number of the ASK; in a LEND that of the ASK it answers
      12     2    idle slots that the sender keeps
-     14     2    ASK: 1 if the owner of the requests (core/owned.h) asks, who
-                 wants its loans renewed, else 0; LEND: how many items, the
-                 last ones, are loans that were renewed
-     16     8n   items: loan id (4), upstream id (4)
+     14     2    ASK: 1 if the owner of the requests (core/ownership/owned.h)
+   asks, who wants its loans renewed, else 0; LEND: how many items, the last
+   ones, are loans that were renewed 16     8n   items: loan id (4), upstream
+   id (4)
 
    ASK goes to one peer; LEND answers it with 0 or more slots.  RETURN gives
    loans back and is repeated until RETURNED confirms them.  A renewal counts
--- a/src/core/credit_message.c
+++ b/src/core/lending/credit_message.c
@@ -1,7 +1,7 @@
-#include "core/credit_message.h"
+#include "core/lending/credit_message.h"
 
 #include "base/error.h"
-#include "core/credit.h"
+#include "core/lending/credit.h"
 #include "wire/bytes.h"
 #include "wire/peer.h"
 
--- a/src/core/lender.c
+++ b/src/core/lending/lender.c
@@ -1,14 +1,14 @@
-#include "core/lender.h"
+#include "core/lending/lender.h"
 
 #include <stdlib.h>
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/admission.h"
-#include "core/credit.h"
-#include "core/lending.h"
-#include "core/owned.h"
-#include "core/request_table.h"
+#include "core/placement/admission.h"
+#include "core/lending/credit.h"
+#include "core/lending/lending.h"
+#include "core/ownership/owned.h"
+#include "core/requests/request_table.h"
 
 /* ASKs that are answered.  Several borrowers may ask the one peer with idle
    slots; to those without an answer it has none.  */
--- a/src/core/lender.h
+++ b/src/core/lending/lender.h
@@ -3,7 +3,7 @@
 #ifndef AM_CORE_LENDER_H
 #define AM_CORE_LENDER_H
 
-#include "core/credit_message.h"
+#include "core/lending/credit_message.h"
 
 struct am_lender
 {
--- a/src/core/lending.c
+++ b/src/core/lending/lending.c
@@ -1,10 +1,10 @@
-#include "core/lending.h"
+#include "core/lending/lending.h"
 
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/credit.h"
-#include "core/request_table.h"
+#include "core/lending/credit.h"
+#include "core/requests/request_table.h"
 
 int
 am_lending_init (struct am_board *b)
--- a/src/core/lending.h
+++ b/src/core/lending/lending.h
@@ -1,12 +1,13 @@
-/* Lending of idle slots between home VMs; see core/credit.h.  core/lender.h
-   and core/borrower.h are its two sides, core/credit_message.h what they send.
+/* Lending of idle slots between home VMs; see core/lending/credit.h.
+   core/lending/lender.h and core/lending/borrower.h are its two sides,
+   core/lending/credit_message.h what they send.
  */
 
 #ifndef AM_CORE_LENDING_H
 #define AM_CORE_LENDING_H
 
-#include "core/borrower.h"
-#include "core/lender.h"
+#include "core/lending/borrower.h"
+#include "core/lending/lender.h"
 
 /* A borrower begins work on a loan for this long after its ASK.  Shorter than
    the hold-down, so that a loan ends before its lender's share moves on.  */
--- a/src/core/lifecycle.c
+++ b/src/core/lifecycle.c
@@ -1,9 +1,9 @@
 #include "core/lifecycle.h"
 
-#include "core/binding.h"
-#include "core/opening.h"
-#include "core/owned.h"
-#include "core/request.h"
+#include "core/binding/binding.h"
+#include "core/placement/opening.h"
+#include "core/ownership/owned.h"
+#include "core/requests/request.h"
 
 void
 am_lifecycle_stop (struct am_dispatch *d)
--- a/src/core/control_gossip.c
+++ b/src/core/membership/control_gossip.c
@@ -1,8 +1,8 @@
-#include "core/control_gossip.h"
+#include "core/membership/control_gossip.h"
 
-#include "core/control_members.h"
-#include "core/control_readers.h"
-#include "core/control_verdicts.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_readers.h"
+#include "core/targets/control_verdicts.h"
 
 #define UPDATES_MAX 24
 #define EVIDENCE_MAX 40
--- a/src/core/control_link.c
+++ b/src/core/membership/control_link.c
@@ -1,15 +1,15 @@
-#include "core/control_link.h"
+#include "core/membership/control_link.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/log.h"
-#include "core/control_config.h"
-#include "core/control_delta.h"
-#include "core/control_members.h"
-#include "core/control_owners.h"
-#include "core/control_verdicts.h"
+#include "core/configuration/control_config.h"
+#include "core/configuration/control_delta.h"
+#include "core/membership/control_members.h"
+#include "core/ownership/control_owners.h"
+#include "core/targets/control_verdicts.h"
 
 #define KEYS_RECORD "ticket-keys"
 
--- a/src/core/control_members.c
+++ b/src/core/membership/control_members.c
@@ -1,4 +1,4 @@
-#include "core/control_members.h"
+#include "core/membership/control_members.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/control_probe.c
+++ b/src/core/membership/control_probe.c
@@ -1,12 +1,12 @@
-#include "core/control_probe.h"
+#include "core/membership/control_probe.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "core/control_gossip.h"
-#include "core/control_members.h"
-#include "core/control_spread.h"
-#include "core/control_verdicts.h"
+#include "core/membership/control_gossip.h"
+#include "core/membership/control_members.h"
+#include "core/configuration/control_spread.h"
+#include "core/targets/control_verdicts.h"
 
 /* One dead member or silent seed is tried this often, so that the sides of a
    healed partition meet again within two seconds.  */
--- a/src/core/control_owner_parts.h
+++ b/src/core/ownership/control_owner_parts.h
@@ -1,11 +1,11 @@
-/* Parts of the lease (core/control_owner.h) that its state machine uses:
-   control_owner_rules.c says who may acquire the key and when,
+/* Parts of the lease (core/ownership/control_owner.h) that its state machine
+   uses: control_owner_rules.c says who may acquire the key and when,
    control_owner_promise.c keeps the promises.  */
 
 #ifndef AM_CORE_CONTROL_OWNER_PARTS_H
 #define AM_CORE_CONTROL_OWNER_PARTS_H
 
-#include "core/control_owner.h"
+#include "core/ownership/control_owner.h"
 
 /* Returns the place of this VM in the home set, or its count if it has none.
  */
--- a/src/core/control_owner_promise.c
+++ b/src/core/ownership/control_owner_promise.c
@@ -1,4 +1,4 @@
-#include "core/control_owner_parts.h"
+#include "core/ownership/control_owner_parts.h"
 
 uint64_t
 am_lease_promised_until (const struct am_lease *l)
--- a/src/core/control_owner_rules.c
+++ b/src/core/ownership/control_owner_rules.c
@@ -1,4 +1,4 @@
-#include "core/control_owner_parts.h"
+#include "core/ownership/control_owner_parts.h"
 
 #include "base/error.h"
 
--- a/src/core/control_owners.c
+++ b/src/core/ownership/control_owners.c
@@ -1,4 +1,4 @@
-#include "core/control_owners.h"
+#include "core/ownership/control_owners.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,8 +7,8 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "core/control_members.h"
-#include "core/owner_value.h"
+#include "core/membership/control_members.h"
+#include "core/ownership/owner_value.h"
 
 /* The forwarder is told again after this time, because a message to one that
    has just connected may be lost.  */
--- a/src/core/control_owners.h
+++ b/src/core/ownership/control_owners.h
@@ -1,11 +1,11 @@
 /* Leases of the agent: one for each service of its region with tracked binding
-   and classes of requests (core/control_owner.h).  */
+   and classes of requests (core/ownership/control_owner.h).  */
 
 #ifndef AM_CORE_CONTROL_OWNERS_H
 #define AM_CORE_CONTROL_OWNERS_H
 
 #include "core/control_board.h"
-#include "core/control_owner.h"
+#include "core/ownership/control_owner.h"
 
 struct am_owners
 {
--- a/src/core/owned.c
+++ b/src/core/ownership/owned.c
@@ -1,12 +1,12 @@
-#include "core/owned.h"
+#include "core/ownership/owned.h"
 
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/owned_route.h"
-#include "core/request.h"
-#include "core/request_reply.h"
-#include "core/request_table.h"
+#include "core/ownership/owned_route.h"
+#include "core/requests/request.h"
+#include "core/requests/request_reply.h"
+#include "core/requests/request_table.h"
 #include "wire/bytes.h"
 
 static struct am_owned *
--- a/src/core/owned.h
+++ b/src/core/ownership/owned.h
@@ -1,16 +1,16 @@
 /* Ticketless requests of services with tracked binding: path of a REQUEST or
    CANCEL at the forwarder (docs/notes/one-time-tracked.md).
 
-   The owner admits a request under its gate (core/owner.h); after that it is a
-   request as any other.  Other entry VMs pass it to the owner
-   (core/owned_route.h).  */
+   The owner admits a request under its gate (core/ownership/owner.h); after
+   that it is a request as any other.  Other entry VMs pass it to the owner
+   (core/ownership/owned_route.h).  */
 
 #ifndef AM_CORE_OWNED_H
 #define AM_CORE_OWNED_H
 
 #include "core/board.h"
-#include "core/owned_table.h"
-#include "core/owner.h"
+#include "core/ownership/owned_table.h"
+#include "core/ownership/owner.h"
 
 struct am_request;
 
--- a/src/core/owned_route.c
+++ b/src/core/ownership/owned_route.c
@@ -1,7 +1,7 @@
-#include "core/owned_route.h"
+#include "core/ownership/owned_route.h"
 
 #include "base/error.h"
-#include "core/forward.h"
+#include "core/binding/forward.h"
 #include "wire/bytes.h"
 
 #define CLAIM_SIZE 13
--- a/src/core/owned_route.h
+++ b/src/core/ownership/owned_route.h
@@ -10,7 +10,7 @@
 #ifndef AM_CORE_OWNED_ROUTE_H
 #define AM_CORE_OWNED_ROUTE_H
 
-#include "core/owned.h"
+#include "core/ownership/owned.h"
 
 /* How long an owner counts as known.  A wrong one answers the next request
    that is passed to it, and a dead one is not used.  */
--- a/src/core/owned_table.c
+++ b/src/core/ownership/owned_table.c
@@ -1,9 +1,9 @@
-#include "core/owned_table.h"
+#include "core/ownership/owned_table.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "core/owned.h"
+#include "core/ownership/owned.h"
 #include "wire/bytes.h"
 
 #define HEADER_SIZE 17u
--- a/src/core/owner.c
+++ b/src/core/ownership/owner.c
@@ -1,4 +1,4 @@
-#include "core/owner.h"
+#include "core/ownership/owner.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner.h
+++ b/src/core/ownership/owner.h
@@ -14,7 +14,7 @@
 #include <uthash.h>
 
 #include "base/list.h"
-#include "core/control_owner.h"
+#include "core/ownership/control_owner.h"
 
 /* Lifetime of an id, and how much longer a copy may be on its way: 1 s on each
    of two ways and AM_OWNER_PAUSE_US at each of two VMs.  */
--- a/src/core/owner_value.c
+++ b/src/core/ownership/owner_value.c
@@ -1,4 +1,4 @@
-#include "core/owner_value.h"
+#include "core/ownership/owner_value.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/src/core/owner_value.h
+++ b/src/core/ownership/owner_value.h
@@ -6,7 +6,7 @@
 #ifndef AM_CORE_OWNER_VALUE_H
 #define AM_CORE_OWNER_VALUE_H
 
-#include "core/control_owner.h"
+#include "core/ownership/control_owner.h"
 
 #define AM_OWNER_VALUE_SIZE 512
 
--- a/src/core/admission.c
+++ b/src/core/placement/admission.c
@@ -1,10 +1,10 @@
-#include "core/admission.h"
+#include "core/placement/admission.h"
 
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/credit.h"
-#include "core/retry_budget.h"
+#include "core/lending/credit.h"
+#include "core/requests/retry_budget.h"
 
 /* Weight of a new sample in the smoothed time to answer is 1/8.  */
 #define ANSWER_SMOOTHING 8u
--- a/src/core/admission.h
+++ b/src/core/placement/admission.h
@@ -11,7 +11,7 @@
 #define AM_CORE_ADMISSION_H
 
 #include "core/board.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 
 /* Requests of higher classes that may be sent while a lower one waits.  It
    leaves a lower class at least 1/17 of the slots.  Ageing by waiting time
--- a/src/core/choice.c
+++ b/src/core/placement/choice.c
@@ -1,10 +1,10 @@
-#include "core/choice.h"
+#include "core/placement/choice.h"
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/confirm.h"
-#include "core/credit.h"
-#include "core/policy.h"
+#include "core/targets/confirm.h"
+#include "core/lending/credit.h"
+#include "core/placement/policy.h"
 
 /* A report of draining counts for this long.  */
 #define DRAINING_LIFE_US 5000000u
--- a/src/core/choice.h
+++ b/src/core/placement/choice.h
@@ -11,8 +11,8 @@
 
 /* Most upstreams that one choice looks at, which bounds the number of
    connections an entry VM holds.  With more, those of its subset are looked at
-   (core/subset.h); if none of them is free, those of the others with the
-   highest rendezvous score for this entry VM.  */
+   (core/placement/subset.h); if none of them is free, those of the others with
+   the highest rendezvous score for this entry VM.  */
 #define AM_CANDIDATES_MAX 64
 
 enum am_work
--- a/src/core/open_rate.c
+++ b/src/core/placement/open_rate.c
@@ -1,4 +1,4 @@
-#include "core/open_rate.h"
+#include "core/placement/open_rate.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/opening.c
+++ b/src/core/placement/opening.c
@@ -1,15 +1,15 @@
-#include "core/opening.h"
+#include "core/placement/opening.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/choice.h"
-#include "core/flow_count.h"
-#include "core/forward.h"
-#include "core/key_ring.h"
-#include "core/open_rate.h"
+#include "core/placement/choice.h"
+#include "core/binding/flow_count.h"
+#include "core/binding/forward.h"
+#include "core/binding/key_ring.h"
+#include "core/placement/open_rate.h"
 
 /* Identifies one OPEN: connection id, then service id and caller address.  */
 struct key
--- a/src/core/opening.h
+++ b/src/core/placement/opening.h
@@ -41,9 +41,9 @@
 int am_opens_arrive (struct am_board *b, struct am_service *s,
                      struct am_address caller, uint64_t connection_id);
 
-/* Counts one OPEN of CALLER against its bound (core/open_rate.h), at the entry
-   VM that serves it: one outside the home set passes OPEN on without a look.
-   Returns AM_OK or AM_E_RATE.  */
+/* Counts one OPEN of CALLER against its bound (core/placement/open_rate.h), at
+   the entry VM that serves it: one outside the home set passes OPEN on without
+   a look. Returns AM_OK or AM_E_RATE.  */
 int am_opens_admit (struct am_board *b, const struct am_service *s,
                     struct am_address caller);
 
--- a/src/core/policy.c
+++ b/src/core/placement/policy.c
@@ -1,9 +1,9 @@
-#include "core/policy.h"
+#include "core/placement/policy.h"
 
 #include <math.h>
 
 #include "base/hash.h"
-#include "core/credit.h"
+#include "core/lending/credit.h"
 
 /* A report counts less with its age and nothing after this time.  */
 #define REPORT_LIFE_US 1000000.0
--- a/src/core/policy.h
+++ b/src/core/placement/policy.h
@@ -1,9 +1,9 @@
-/* Policies of upstream choice; see core/choice.h.  */
+/* Policies of upstream choice; see core/placement/choice.h.  */
 
 #ifndef AM_CORE_POLICY_H
 #define AM_CORE_POLICY_H
 
-#include "core/choice.h"
+#include "core/placement/choice.h"
 
 extern const struct am_choice_ops am_policy_local;
 extern const struct am_choice_ops am_policy_two_choices;
--- a/src/core/subset.c
+++ b/src/core/placement/subset.c
@@ -1,9 +1,9 @@
-#include "core/subset.h"
+#include "core/placement/subset.h"
 
 #include <stdlib.h>
 
 #include "base/hash.h"
-#include "core/choice.h"
+#include "core/placement/choice.h"
 
 struct ranked
 {
--- a/src/core/request.c
+++ b/src/core/requests/request.c
@@ -1,13 +1,13 @@
-#include "core/request.h"
+#include "core/requests/request.h"
 
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/admission.h"
-#include "core/choice.h"
-#include "core/credit.h"
-#include "core/request_step.h"
-#include "core/request_table.h"
+#include "core/placement/admission.h"
+#include "core/placement/choice.h"
+#include "core/lending/credit.h"
+#include "core/requests/request_step.h"
+#include "core/requests/request_table.h"
 
 int
 am_requests_init (struct am_board *b)
--- a/src/core/request_arrival.c
+++ b/src/core/requests/request_arrival.c
@@ -1,9 +1,9 @@
 #include "base/error.h"
-#include "core/admission.h"
-#include "core/request.h"
-#include "core/request_reply.h"
-#include "core/request_step.h"
-#include "core/request_table.h"
+#include "core/placement/admission.h"
+#include "core/requests/request.h"
+#include "core/requests/request_reply.h"
+#include "core/requests/request_step.h"
+#include "core/requests/request_table.h"
 
 /* Tickets, arrivals and cancellations of requests.  */
 
--- a/src/core/request_reply.c
+++ b/src/core/requests/request_reply.c
@@ -1,9 +1,9 @@
-#include "core/request_reply.h"
+#include "core/requests/request_reply.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "core/owned.h"
+#include "core/ownership/owned.h"
 
 #define RUN_SIZE_MAX \
   (AM_PACKET_HEADER_SIZE + AM_RUN_BODY_SIZE + AM_REQUEST_SIZE_MAX)
--- a/src/core/request_reply.h
+++ b/src/core/requests/request_reply.h
@@ -4,7 +4,7 @@
 #define AM_CORE_REQUEST_REPLY_H
 
 #include "core/board.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 
 /* Tells the caller the final state of R.  Of an answer the segments that
    RECEIVED does not mark are sent; an answer no longer held is UNKNOWN.  */
--- a/src/core/request_state.c
+++ b/src/core/requests/request_state.c
@@ -1,4 +1,4 @@
-#include "core/request_state.h"
+#include "core/requests/request_state.h"
 
 #define TO(symbol) (AM_REQUEST_##symbol + 1)
 #define ON(symbol) AM_REQUEST_ON_##symbol
--- a/src/core/request_step.c
+++ b/src/core/requests/request_step.c
@@ -1,12 +1,12 @@
-#include "core/request_step.h"
+#include "core/requests/request_step.h"
 
 #include "base/error.h"
-#include "core/admission.h"
-#include "core/choice.h"
-#include "core/credit.h"
-#include "core/owned.h"
-#include "core/request_reply.h"
-#include "core/retry_budget.h"
+#include "core/placement/admission.h"
+#include "core/placement/choice.h"
+#include "core/lending/credit.h"
+#include "core/ownership/owned.h"
+#include "core/requests/request_reply.h"
+#include "core/requests/retry_budget.h"
 
 #define NS_PER_US 1000u
 
--- a/src/core/request_step.h
+++ b/src/core/requests/request_step.h
@@ -1,11 +1,11 @@
 /* Steps of a request through the state table, and sending from the queues.
-   Used by the files of core/request.h only.  */
+   Used by the files of core/requests/request.h only.  */
 
 #ifndef AM_CORE_REQUEST_STEP_H
 #define AM_CORE_REQUEST_STEP_H
 
 #include "core/board.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 
 /* Applies EVENT to R for the reason ERROR.  On reaching a final state the
    caller is told, unless it was answered, which the user of this function
--- a/src/core/request_table.c
+++ b/src/core/requests/request_table.c
@@ -1,10 +1,10 @@
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
-#include "core/credit.h"
+#include "core/lending/credit.h"
 
 struct am_request *
 am_table_add (struct am_requests *t, uint64_t serial)
--- a/src/core/request_table.h
+++ b/src/core/requests/request_table.h
@@ -8,9 +8,9 @@
 #define AM_CORE_REQUEST_TABLE_H
 
 #include "core/board.h"
-#include "core/request.h"
-#include "core/request_state.h"
-#include "core/serial_window.h"
+#include "core/requests/request.h"
+#include "core/requests/request_state.h"
+#include "core/requests/serial_window.h"
 
 /* Deadline of a class whose record gives none.  */
 #define AM_DEADLINE_DEFAULT_MS 5000u
--- a/src/core/request_upstream.c
+++ b/src/core/requests/request_upstream.c
@@ -1,12 +1,12 @@
 #include "base/error.h"
-#include "core/admission.h"
-#include "core/choice.h"
-#include "core/credit.h"
-#include "core/request.h"
-#include "core/request_reply.h"
-#include "core/request_step.h"
-#include "core/request_table.h"
-#include "core/retry_budget.h"
+#include "core/placement/admission.h"
+#include "core/placement/choice.h"
+#include "core/lending/credit.h"
+#include "core/requests/request.h"
+#include "core/requests/request_reply.h"
+#include "core/requests/request_step.h"
+#include "core/requests/request_table.h"
+#include "core/requests/retry_budget.h"
 
 /* Answers, refusals and lost connections of upstreams.  */
 
--- a/src/core/retry_budget.c
+++ b/src/core/requests/retry_budget.c
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/requests/retry_budget.h"
 
 /* Ten tenths added up in binary are a little less than one.  */
 #define ROUNDING 1e-9
--- a/src/core/serial_window.c
+++ b/src/core/requests/serial_window.c
@@ -1,4 +1,4 @@
-#include "core/serial_window.h"
+#include "core/requests/serial_window.h"
 
 #include <string.h>
 
--- a/src/core/control_verdicts.c
+++ b/src/core/targets/control_verdicts.c
@@ -1,11 +1,11 @@
-#include "core/control_verdicts.h"
+#include "core/targets/control_verdicts.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/log.h"
-#include "core/control_members.h"
+#include "core/membership/control_members.h"
 
 #define EVIDENCE_LIMIT 16384
 
--- a/src/core/health.c
+++ b/src/core/targets/health.c
@@ -1,4 +1,4 @@
-#include "core/choice.h"
+#include "core/placement/choice.h"
 
 /* Back-off after refusals.  */
 #define BACKOFF_MIN_US 50000u
--- a/src/core/probe.c
+++ b/src/core/targets/probe.c
@@ -1,10 +1,10 @@
-#include "core/probe.h"
+#include "core/targets/probe.h"
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/choice.h"
-#include "core/confirm.h"
-#include "core/forward.h"
+#include "core/placement/choice.h"
+#include "core/targets/confirm.h"
+#include "core/binding/forward.h"
 
 static const struct am_address probe_source = { 0, 0 };
 
--- a/src/core/report.c
+++ b/src/core/targets/report.c
@@ -3,7 +3,7 @@
 
 #include "base/error.h"
 #include "core/dispatch.h"
-#include "core/request.h"
+#include "core/requests/request.h"
 
 struct counter
 {
--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "core/snapshot_pack.h"
+#include "core/configuration/snapshot_pack.h"
 #include "wire/amaranth.pb-c.h"
 
 /* Agents of this entry VM: one, and its successor during a restart.  */
--- a/src/forwarder/forwarder_metrics.c
+++ b/src/forwarder/forwarder_metrics.c
@@ -2,8 +2,8 @@
 
 #include <stdio.h>
 
-#include "core/opening.h"
-#include "core/request.h"
+#include "core/placement/opening.h"
+#include "core/requests/request.h"
 #include "forwarder/forwarder.h"
 
 #define LABELS_SIZE 256
--- a/standin/caller.c
+++ b/standin/caller/caller.c
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "io/program.h"
-#include "standin_caller.h"
+#include "caller/standin_caller.h"
 
 #define US_PER_SECOND 1000000u
 #define TICK_MS 5
--- a/standin/standin_caller.h
+++ b/standin/caller/standin_caller.h
@@ -13,10 +13,10 @@
 
 #include "base/rng.h"
 #include "io/udp_port.h"
-#include "standin_datagram.h"
-#include "standin_history.h"
-#include "standin_program.h"
-#include "standin_wheel.h"
+#include "common/standin_datagram.h"
+#include "common/standin_history.h"
+#include "common/standin_program.h"
+#include "caller/standin_wheel.h"
 #include "wire/packet.h"
 
 #define STANDIN_CALLER_TICK_US 5000u
--- a/standin/standin_flow.c
+++ b/standin/caller/standin_flow.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "standin_upstream.h"
+#include "upstream/standin_upstream.h"
 
 #define US_PER_MS 1000u
 
--- a/standin/standin_load.c
+++ b/standin/caller/standin_load.c
@@ -7,7 +7,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "standin_caller.h"
+#include "caller/standin_caller.h"
 
 #define US_PER_MS 1000u
 #define US_PER_SECOND 1000000u
--- a/standin/standin_wheel.c
+++ b/standin/caller/standin_wheel.c
@@ -1,4 +1,4 @@
-#include "standin_wheel.h"
+#include "caller/standin_wheel.h"
 
 void
 standin_wheel_init (struct standin_wheel *w, uint64_t tick_us, uint64_t now_us)
--- a/standin/history_check.c
+++ b/standin/check/history_check.c
@@ -6,7 +6,7 @@
 
 #include "base/error.h"
 #include "io/program.h"
-#include "standin_check.h"
+#include "check/standin_check.h"
 
 struct options
 {
--- a/standin/standin_check.c
+++ b/standin/check/standin_check.c
@@ -1,4 +1,4 @@
-#include "standin_check_parts.h"
+#include "check/standin_check_parts.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/standin/standin_check_parts.h
+++ b/standin/check/standin_check_parts.h
@@ -3,7 +3,7 @@
 #ifndef STANDIN_CHECK_PARTS_H
 #define STANDIN_CHECK_PARTS_H
 
-#include "standin_check.h"
+#include "check/standin_check.h"
 
 /* Counts a violation of PROMISE and names the first few, with the lines at A
    and B unless they are nowhere.  */
--- a/standin/standin_check_read.c
+++ b/standin/check/standin_check_read.c
@@ -1,4 +1,4 @@
-#include "standin_check.h"
+#include "check/standin_check.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/standin/standin_check_report.c
+++ b/standin/check/standin_check_report.c
@@ -1,4 +1,4 @@
-#include "standin_check.h"
+#include "check/standin_check.h"
 
 /* Short names of the promises of docs/design.md, section 1.2.  */
 static const char *const promise_names[HISTORY_PROMISES] = {
--- a/standin/standin_control.c
+++ b/standin/common/standin_control.c
@@ -1,4 +1,4 @@
-#include "standin_control.h"
+#include "common/standin_control.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/standin/standin_datagram.c
+++ b/standin/common/standin_datagram.c
@@ -1,4 +1,4 @@
-#include "standin_datagram.h"
+#include "common/standin_datagram.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/standin/standin_history.c
+++ b/standin/common/standin_history.c
@@ -1,10 +1,10 @@
-#include "standin_history.h"
+#include "common/standin_history.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
 
 #include "base/error.h"
-#include "standin_program.h"
+#include "common/standin_program.h"
 
 #define BUFFER_BYTES (256 << 10)
 
--- a/standin/standin_program.c
+++ b/standin/common/standin_program.c
@@ -1,4 +1,4 @@
-#include "standin_program.h"
+#include "common/standin_program.h"
 
 #include <argp.h>
 #include <errno.h>
--- a/standin/blast.c
+++ b/standin/network/blast.c
@@ -14,7 +14,7 @@
 
 #include "base/error.h"
 #include "io/program.h"
-#include "standin_program.h"
+#include "common/standin_program.h"
 #include "wire/packet.h"
 #include "wire/proxy_header.h"
 
--- a/standin/fabric.c
+++ b/standin/network/fabric.c
@@ -11,8 +11,8 @@
 #include "base/hash.h"
 #include "base/rng.h"
 #include "io/program.h"
-#include "standin_control.h"
-#include "standin_program.h"
+#include "common/standin_control.h"
+#include "common/standin_program.h"
 #include "wire/proxy_header.h"
 
 #define SERVICES_MAX 1024
--- a/standin/relay.c
+++ b/standin/network/relay.c
@@ -12,10 +12,10 @@
 #include "base/list.h"
 #include "io/program.h"
 #include "io/udp_port.h"
-#include "standin_control.h"
-#include "standin_program.h"
-#include "standin_relay.h"
-#include "standin_wheel.h"
+#include "common/standin_control.h"
+#include "common/standin_program.h"
+#include "network/standin_relay.h"
+#include "caller/standin_wheel.h"
 
 #define LISTENS_MAX 8192
 #define TICK_MS 1
--- a/standin/standin_relay.c
+++ b/standin/network/standin_relay.c
@@ -1,12 +1,12 @@
-#include "standin_relay.h"
+#include "network/standin_relay.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
 #include "base/error.h"
-#include "standin_datagram.h"
-#include "standin_program.h"
+#include "common/standin_datagram.h"
+#include "common/standin_program.h"
 
 #define US_PER_MS 1000u
 
--- a/standin/standin_kv.c
+++ b/standin/store/standin_kv.c
@@ -1,4 +1,4 @@
-#include "standin_kv.h"
+#include "store/standin_kv.h"
 
 #include <inttypes.h>
 #include <sodium.h>
--- a/standin/store.c
+++ b/standin/store/store.c
@@ -15,8 +15,8 @@
 #include "base/socket_address.h"
 #include "base/list.h"
 #include "io/program.h"
-#include "standin_kv.h"
-#include "standin_program.h"
+#include "store/standin_kv.h"
+#include "common/standin_program.h"
 
 #define TICK_MS 5
 #define US_PER_MS 1000u
--- a/standin/standin_feed.c
+++ b/standin/upstream/standin_feed.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "standin_caller.h"
+#include "caller/standin_caller.h"
 #include "wire/ticket.h"
 
 #define US_PER_MS 1000u
--- a/standin/standin_run.c
+++ b/standin/upstream/standin_run.c
@@ -6,7 +6,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "io/clock.h"
-#include "standin_upstream.h"
+#include "upstream/standin_upstream.h"
 
 #define US_PER_MS 1000u
 
--- a/standin/standin_target.c
+++ b/standin/upstream/standin_target.c
@@ -1,4 +1,4 @@
-#include "standin_target.h"
+#include "upstream/standin_target.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/standin/standin_upstream.h
+++ b/standin/upstream/standin_upstream.h
@@ -15,11 +15,11 @@
 #include "base/rng.h"
 #include "io/stream.h"
 #include "io/udp_port.h"
-#include "standin_datagram.h"
-#include "standin_history.h"
-#include "standin_program.h"
-#include "standin_target.h"
-#include "standin_wheel.h"
+#include "common/standin_datagram.h"
+#include "common/standin_history.h"
+#include "common/standin_program.h"
+#include "upstream/standin_target.h"
+#include "caller/standin_wheel.h"
 
 #define STANDIN_TICK_MS 5
 #define STANDIN_TICK_US 5000u
--- a/standin/upstream.c
+++ b/standin/upstream/upstream.c
@@ -9,8 +9,8 @@
 
 #include "base/error.h"
 #include "io/program.h"
-#include "standin_control.h"
-#include "standin_upstream.h"
+#include "common/standin_control.h"
+#include "upstream/standin_upstream.h"
 
 #define US_PER_MS 1000u
 
--- a/test/core_board.h
+++ b/test/core_board.h
@@ -9,10 +9,10 @@
 #include <string.h>
 
 #include "base/hash.h"
-#include "core/choice.h"
-#include "core/credit.h"
-#include "core/owned.h"
-#include "core/request.h"
+#include "core/placement/choice.h"
+#include "core/lending/credit.h"
+#include "core/ownership/owned.h"
+#include "core/requests/request.h"
 #include "suite.h"
 
 struct board_options
--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -8,7 +8,7 @@
 
 #include "base/error.h"
 #include "core_board.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 #include "wire/peer.h"
 #include "wire/proxy_header.h"
 
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -1,7 +1,7 @@
 /* Order of classes in the admission queue.  */
 
 #include "base/error.h"
-#include "core/admission.h"
+#include "core/placement/admission.h"
 #include "core_board.h"
 
 #define WAITING 200
--- a/test/test_confirm.c
+++ b/test/test_confirm.c
@@ -1,6 +1,6 @@
 #include "core_fixture.h"
 
-#include "core/confirm.h"
+#include "core/targets/confirm.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_control_config.c
+++ b/test/test_control_config.c
@@ -2,7 +2,7 @@
    older than its past.  */
 
 #include "control_net.h"
-#include "core/control_readers.h"
+#include "core/configuration/control_readers.h"
 #include "suite.h"
 
 static void
--- a/test/test_control_states.c
+++ b/test/test_control_states.c
@@ -2,8 +2,8 @@
 
 #include "control_net.h"
 #include "core/control_board.h"
-#include "core/control_config.h"
-#include "core/control_members.h"
+#include "core/configuration/control_config.h"
+#include "core/membership/control_members.h"
 #include "suite.h"
 
 /* ---- entry VM ----------------------------------------------------- */
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1,7 +1,7 @@
 #include "core_fixture.h"
 
 #include "core/action_digest.h"
-#include "core/probe.h"
+#include "core/targets/probe.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_explore_owner.c
+++ b/test/test_explore_owner.c
@@ -13,7 +13,7 @@
 
 #include "base/error.h"
 #include "base/rng.h"
-#include "core/owner.h"
+#include "core/ownership/owner.h"
 #include "suite.h"
 
 #define NODES 4
--- a/test/test_explore_request.c
+++ b/test/test_explore_request.c
@@ -8,7 +8,7 @@
 #include <stdio.h>
 
 #include "base/error.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 #include "core_board.h"
 #include "wire/proxy_header.h"
 
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
-#include "standin_check.h"
+#include "check/standin_check.h"
 
 /* Shorthands for one line each.  T is in milliseconds.  */
 #define LINE(t, who, ev, rest) \
--- a/test/test_key_ring.c
+++ b/test/test_key_ring.c
@@ -1,6 +1,6 @@
 #include "core_fixture.h"
 
-#include "core/key_ring.h"
+#include "core/binding/key_ring.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_open_rate.c
+++ b/test/test_open_rate.c
@@ -2,7 +2,7 @@
 
 #include "base/error.h"
 #include "base/rng.h"
-#include "core/open_rate.h"
+#include "core/placement/open_rate.h"
 #include "core_board.h"
 #include "suite.h"
 
--- a/test/test_opening.c
+++ b/test/test_opening.c
@@ -1,7 +1,7 @@
 #include "core_fixture.h"
 
-#include "core/open_rate.h"
-#include "core/opening.h"
+#include "core/placement/open_rate.h"
+#include "core/placement/opening.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/owner.h"
+#include "core/ownership/owner.h"
 #include "suite.h"
 
 #define SECOND UINT64_C (1000000)
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 
-#include "standin_datagram.h"
+#include "common/standin_datagram.h"
 #include "standin_process.h"
-#include "standin_relay.h"
+#include "network/standin_relay.h"
 #include "suite.h"
 
 #define SEED 20261204
--- a/test/test_request_states.c
+++ b/test/test_request_states.c
@@ -1,7 +1,7 @@
 /* Every event in every state of a request, in the table and at the issuer.  */
 
 #include "base/error.h"
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 #include "core_board.h"
 #include "wire/proxy_header.h"
 
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -1,7 +1,7 @@
 #include "core_fixture.h"
 
-#include "core/snapshot.h"
-#include "core/snapshot_pack.h"
+#include "core/configuration/snapshot.h"
+#include "core/configuration/snapshot_pack.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_snapshot_cost.c
+++ b/test/test_snapshot_cost.c
@@ -14,7 +14,7 @@
 #include "measure.h"
 
 #include "core/control_board.h"
-#include "core/control_members.h"
+#include "core/membership/control_members.h"
 #include "core/dispatch.h"
 #include "wire/frame.h"
 #include "suite.h"
--- a/test/test_snapshot_delta.c
+++ b/test/test_snapshot_delta.c
@@ -2,8 +2,8 @@
 
 #include "core_fixture.h"
 
-#include "core/snapshot_diff.h"
-#include "core/snapshot_pack.h"
+#include "core/configuration/snapshot_diff.h"
+#include "core/configuration/snapshot_pack.h"
 
 #define SERVICES 5
 #define MEMBERS 10
--- a/test/test_store_standin.c
+++ b/test/test_store_standin.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 
-#include "standin_kv.h"
+#include "store/standin_kv.h"
 #include "standin_process.h"
 #include "suite.h"
 
--- a/test/test_subset.c
+++ b/test/test_subset.c
@@ -1,7 +1,7 @@
 #include "core_board.h"
 
 #include "base/error.h"
-#include "core/subset.h"
+#include "core/placement/subset.h"
 
 #define MOST 448
 
--- a/test/test_ticket_binding.c
+++ b/test/test_ticket_binding.c
@@ -1,7 +1,7 @@
 #include "core_fixture.h"
 
-#include "core/forward.h"
-#include "core/opening.h"
+#include "core/binding/forward.h"
+#include "core/placement/opening.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_tracked_binding.c
+++ b/test/test_tracked_binding.c
@@ -1,6 +1,6 @@
 #include "core_fixture.h"
 
-#include "core/tracked.h"
+#include "core/binding/tracked.h"
 
 static struct net net;
 static struct config config;
--- a/test/test_tracked_copy.c
+++ b/test/test_tracked_copy.c
@@ -1,6 +1,6 @@
 #include "core_fixture.h"
 
-#include "core/tracked_batch.h"
+#include "core/binding/tracked_batch.h"
 #include "suite.h"
 
 /* Bound for a configuration to be in force everywhere (design 1.2).  */
--- a/test/test_tracked_orphans.c
+++ b/test/test_tracked_orphans.c
@@ -2,7 +2,7 @@
 
 #include "core_fixture.h"
 
-#include "core/tracked.h"
+#include "core/binding/tracked.h"
 #include "suite.h"
 
 #define FLOWS 400
--- a/test/test_upstream_standin.c
+++ b/test/test_upstream_standin.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 
 #include "base/hash.h"
-#include "standin_datagram.h"
+#include "common/standin_datagram.h"
 #include "standin_process.h"
 #include "wire/bytes.h"
 #include "suite.h"
