--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -15,18 +15,6 @@
 #define RECONNECT_MS 250
 #define TICK_MS (AM_CONTROL_TICK_US / 1000u)
 
-void
-am_agent_event (struct am_agent *a, struct am_control_event *e)
-{
-  int err;
-
-  e->now_us = am_clock_us ();
-  err = am_control_event (a->control, e);
-  if (err && e->type != AM_CONTROL_STORE)
-    am_log_line (&a->log, AM_LOG_DEBUG, "event=refused type=%d error=%s",
-                 e->type, am_error_name (err));
-}
-
 /* ---- store -------------------------------------------------------- */
 
 static const char *
--- a/src/core/binding/hash_binding.c
+++ b/src/core/binding/hash_binding.c
@@ -1,8 +1,8 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "core/binding/binding.h"
-#include "core/targets/confirm.h"
 #include "core/binding/forward.h"
+#include "core/targets/confirm.h"
 
 /* Baseline: plain hash of the flow over the active upstreams.  Every change of
    the upstreams moves most flows.  */
--- a/src/core/binding/ticket_binding.c
+++ b/src/core/binding/ticket_binding.c
@@ -2,13 +2,13 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
-#include "core/placement/choice.h"
-#include "core/targets/confirm.h"
 #include "core/binding/flow_count.h"
 #include "core/binding/forward.h"
 #include "core/binding/key_ring.h"
+#include "core/placement/choice.h"
 #include "core/placement/opening.h"
 #include "core/requests/request.h"
+#include "core/targets/confirm.h"
 
 /* One packet of a caller on its way through this binding.  */
 struct arrival
--- a/src/core/binding/tracked.h
+++ b/src/core/binding/tracked.h
@@ -191,14 +191,14 @@
 /* Recomputes defaults, owners, backups and exceptions.  */
 void am_tracked_recompute (struct am_board *b, struct am_service *s);
 
+/* Plans a copy of F to the member that will need it.  */
+void am_tracked_plan_copy (struct am_tracked *t, struct am_tracked_flow *f);
+
 /* Forgets idle flows and reports silent ones.  */
 void am_tracked_expire (struct am_board *b, struct am_service *s);
 
 /* ---- tracked_copy ------------------------------------------------- */
 
-/* Plans a copy of F to the member that will need it.  */
-void am_tracked_copy_plan (struct am_tracked *t, struct am_tracked_flow *f);
-
 /* Sends due batches; starts the hand-over of a stopping forwarder.  */
 void am_tracked_copy_tick (struct am_board *b, struct am_service *s);
 
--- a/src/core/binding/tracked_binding.c
+++ b/src/core/binding/tracked_binding.c
@@ -3,10 +3,10 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
-#include "core/targets/confirm.h"
 #include "core/binding/forward.h"
-#include "core/ownership/owned.h"
 #include "core/binding/tracked_owner.h"
+#include "core/ownership/owned.h"
+#include "core/targets/confirm.h"
 #include "wire/bytes.h"
 
 #define BIND_SIZE 15
--- a/src/core/binding/tracked_copy.c
+++ b/src/core/binding/tracked_copy.c
@@ -16,13 +16,6 @@
 
 #define MICROSECONDS 1e6
 
-void
-am_tracked_copy_plan (struct am_tracked *t, struct am_tracked_flow *f)
-{
-  am_list_remove (&f->copy_node);
-  am_list_push_back (&t->copy_queue, &f->copy_node);
-}
-
 /* Returns the member that needs a copy of a flow of K, or NULL.  */
 static const struct am_member *
 destination (struct am_board *b, const struct am_tracked_bucket *k)
@@ -165,7 +158,7 @@
   {
     if (f->owned)
       {
-        am_tracked_copy_plan (t, f);
+        am_tracked_plan_copy (t, f);
         planned++;
       }
   }
--- a/src/core/binding/tracked_owner.c
+++ b/src/core/binding/tracked_owner.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/targets/confirm.h"
 #include "core/binding/forward.h"
+#include "core/targets/confirm.h"
 #include "wire/bytes.h"
 
 /* Introduction: kind, flags, caller (6), hint and its incarnation (8), guess
@@ -209,7 +209,7 @@
   else
     am_tracked_assign (b, s, f, u->id, u->incarnation);
   if (t->handing_over || !am_tracked_is_owner (b, &t->buckets[bucket]))
-    am_tracked_copy_plan (t, f);
+    am_tracked_plan_copy (t, f);
   am_board_decision (
       b, f->key,
       "event=bound flow=%llu service=%s upstream=%s policy=tracked bucket=%u "
--- a/src/core/binding/tracked_table.c
+++ b/src/core/binding/tracked_table.c
@@ -47,6 +47,13 @@
     t->buckets[f->bucket].exceptions--;
 }
 
+void
+am_tracked_plan_copy (struct am_tracked *t, struct am_tracked_flow *f)
+{
+  am_list_remove (&f->copy_node);
+  am_list_push_back (&t->copy_queue, &f->copy_node);
+}
+
 void
 am_tracked_forget (struct am_tracked *t, struct am_tracked_flow *f)
 {
@@ -142,7 +149,7 @@
   if (exception && !f->exception)
     {
       b->counters.tracked_exceptions++;
-      am_tracked_copy_plan (t, f);
+      am_tracked_plan_copy (t, f);
     }
   set_exception (t, f, exception);
 }
@@ -355,7 +362,7 @@
     f->hint = k->orphaned && !was_owned;
     if (am_tracked_is_owner (b, k) || was_owned || k->owner_restarted
         || (k->orphaned && !am_tracked_is_guess (b, f)))
-      am_tracked_copy_plan (t, f);
+      am_tracked_plan_copy (t, f);
   }
 }
 
--- a/src/core/configuration/control_readers.c
+++ b/src/core/configuration/control_readers.c
@@ -6,8 +6,9 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "core/configuration/control_config.h"
-#include "core/membership/control_members.h"
 #include "core/configuration/control_spread.h"
+#include "core/configuration/control_store_index.h"
+#include "core/membership/control_members.h"
 
 #define BACKOFF_MIN_US (AM_SECOND_US / 2)
 #define BACKOFF_MAX_US (10 * AM_SECOND_US)
@@ -24,29 +25,6 @@
    reads everything.  */
 #define INDEX_WAIT_US (2 * AM_SECOND_US)
 
-uint64_t
-am_readers_index (const struct am_control *c)
-{
-  const struct am_readers *r = &c->readers;
-
-  if (r->known.digest == c->config.digest && r->known.index)
-    return r->known.index;
-  return r->hint.digest == c->config.digest ? r->hint.index : 0;
-}
-
-void
-am_readers_heard (struct am_control *c, uint64_t digest, uint64_t index)
-{
-  struct am_store_point p = { digest, index };
-
-  if (index == 0 || digest == 0)
-    return;
-  if (digest != c->config.digest)
-    c->readers.hint = p;
-  else if (index > am_readers_index (c))
-    c->readers.known = p;
-}
-
 static bool
 chosen (struct am_control *c)
 {
@@ -209,9 +187,9 @@
   if (!r->reader && !fresh_needs_read (c))
     return;
   if (r->reader && !r->reread && r->index == 0 && r->error == AM_OK
-      && am_readers_index (c))
+      && am_store_index (c))
     {
-      r->index = am_readers_index (c);
+      r->index = am_store_index (c);
       r->next_us = c->now_us;
     }
   if (c->now_us >= r->next_us)
--- a/src/core/configuration/control_readers.h
+++ b/src/core/configuration/control_readers.h
@@ -26,13 +26,6 @@
 /* Handles the result of a read.  Returns AM_OK or the store's error.  */
 int am_readers_result (struct am_control *c, const struct am_control_store *s);
 
-/* A member says that the store held the configuration DIGEST at INDEX.  */
-void am_readers_heard (struct am_control *c, uint64_t digest, uint64_t index);
-
-/* Returns the index at which the store held the present configuration, or
-   0.  */
-uint64_t am_readers_index (const struct am_control *c);
-
 /* Decides whether this VM is a reader and starts a read that is due.  */
 void am_readers_tick (struct am_control *c);
 
--- a/src/core/configuration/control_spread_announce.c
+++ b/src/core/configuration/control_spread_announce.c
@@ -1,8 +1,8 @@
 #include "core/configuration/control_spread.h"
 
-#include "core/membership/control_members.h"
-#include "core/configuration/control_readers.h"
 #include "core/configuration/control_spread_parts.h"
+#include "core/configuration/control_store_index.h"
+#include "core/membership/control_members.h"
 
 /* A version counts as recent this long; the announcements and the probes of a
    fleet of 1,000 need about three seconds.  */
@@ -27,7 +27,7 @@
   a.versions = list;
   a.n_versions = n;
   a.config_digest = c->config.digest;
-  a.store_index = am_readers_index (c);
+  a.store_index = am_store_index (c);
   e.body_case = AMARANTH__ENVELOPE__BODY_ANNOUNCE;
   e.announce = &a;
   c->counters.announcements++;
@@ -70,7 +70,7 @@
   const struct am_config_entry *entries[AM_ANNOUNCE_MAX];
   size_t n;
 
-  am_readers_heard (c, g->config_digest, g->store_index);
+  am_store_index_heard (c, g->config_digest, g->store_index);
   if (g->config_digest == c->config.digest)
     {
       c->spread.mismatch_id = 0;
--- a/src/core/configuration/control_spread_answer.c
+++ b/src/core/configuration/control_spread_answer.c
@@ -6,8 +6,8 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "core/configuration/control_config.h"
-#include "core/membership/control_members.h"
 #include "core/configuration/control_spread_parts.h"
+#include "core/membership/control_members.h"
 
 /* One part of an answer; a frame holds at most 4 MB.  */
 #define PART_BYTES (1u << 20)
--- a/src/core/configuration/control_spread_exchange.c
+++ b/src/core/configuration/control_spread_exchange.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 
 #include "base/log.h"
-#include "core/membership/control_members.h"
 #include "core/configuration/control_spread_parts.h"
+#include "core/membership/control_members.h"
 
 /* A whole exchange waits until the fast spread of the last change is over.  */
 #define SYNC_QUIET_US (3 * AM_SECOND_US)
--- a/src/core/configuration/control_spread_pull.c
+++ b/src/core/configuration/control_spread_pull.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include "core/configuration/control_config.h"
-#include "core/membership/control_members.h"
-#include "core/configuration/control_readers.h"
 #include "core/configuration/control_spread_parts.h"
+#include "core/configuration/control_store_index.h"
+#include "core/membership/control_members.h"
 
 /* A pull without an answer is tried at another peer after this time.  */
 #define PULL_US AM_SECOND_US
@@ -102,7 +102,7 @@
 
   if (!v)
     return;
-  am_readers_heard (c, a->config_digest, a->store_index);
+  am_store_index_heard (c, a->config_digest, a->store_index);
   for (size_t i = 0; i < a->n_versions; i++)
     want (c, v, a->versions[i]);
 }
--- a/src/core/configuration/control_spread_version.c
+++ b/src/core/configuration/control_spread_version.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/membership/control_members.h"
 #include "core/configuration/control_spread_parts.h"
+#include "core/membership/control_members.h"
 
 void
 am_spread_version_describe (const struct am_config_entry *e,
--- a/src/core/configuration/snapshot.c
+++ b/src/core/configuration/snapshot.c
@@ -2,9 +2,9 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
-#include "core/lending/credit.h"
 #include "core/configuration/snapshot_check.h"
 #include "core/configuration/snapshot_parts.h"
+#include "core/lending/credit.h"
 
 static void
 find_home (struct am_board *b, struct am_service *s)
--- a/src/core/configuration/snapshot_services.c
+++ b/src/core/configuration/snapshot_services.c
@@ -2,9 +2,9 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
+#include "core/configuration/snapshot_parts.h"
 #include "core/placement/choice.h"
 #include "core/requests/request.h"
-#include "core/configuration/snapshot_parts.h"
 
 #define PING_INTERVAL_MS_DEFAULT 1000
 #define PING_MISSES_DEFAULT 3
--- a/src/core/configuration/snapshot_upstreams.c
+++ b/src/core/configuration/snapshot_upstreams.c
@@ -2,9 +2,9 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
-#include "core/targets/confirm.h"
-#include "core/requests/request.h"
 #include "core/configuration/snapshot_parts.h"
+#include "core/requests/request.h"
+#include "core/targets/confirm.h"
 
 #define WEIGHT_DEFAULT 100
 
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -4,14 +4,14 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/control_board.h"
 #include "core/configuration/control_config.h"
+#include "core/configuration/control_readers.h"
+#include "core/configuration/control_spread.h"
+#include "core/control_board.h"
 #include "core/membership/control_link.h"
 #include "core/membership/control_members.h"
-#include "core/ownership/control_owners.h"
 #include "core/membership/control_probe.h"
-#include "core/configuration/control_readers.h"
-#include "core/configuration/control_spread.h"
+#include "core/ownership/control_owners.h"
 #include "core/targets/control_verdicts.h"
 
 /* How long a stopping agent waits for its forwarder to begin its own stop,
--- a/src/core/control_board.h
+++ b/src/core/control_board.h
@@ -11,8 +11,8 @@
 
 #include "base/list.h"
 #include "base/rng.h"
-#include "core/control.h"
 #include "core/configuration/snapshot_diff.h"
+#include "core/control.h"
 #include "record/record.h"
 
 struct am_owners;
--- a/src/core/control_status.c
+++ b/src/core/control_status.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "core/control_board.h"
 #include "core/configuration/control_config.h"
+#include "core/control_board.h"
 #include "core/membership/control_members.h"
 
 void
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -5,16 +5,17 @@
 
 #include "base/error.h"
 #include "core/binding/binding.h"
-#include "core/targets/confirm.h"
-#include "core/lending/credit.h"
 #include "core/binding/forward.h"
 #include "core/binding/key_ring.h"
+#include "core/configuration/snapshot.h"
+#include "core/lending/credit.h"
 #include "core/lifecycle.h"
-#include "core/placement/opening.h"
 #include "core/ownership/owned.h"
-#include "core/targets/probe.h"
+#include "core/placement/opening.h"
 #include "core/requests/request.h"
-#include "core/configuration/snapshot.h"
+#include "core/targets/confirm.h"
+#include "core/targets/probe.h"
+#include "core/targets/probe_packet.h"
 #include "wire/frame.h"
 #include "wire/proxy_header.h"
 
@@ -119,6 +120,17 @@
                                     e->len - used);
 }
 
+static int
+take_credit (struct am_board *b, uint32_t sender_id, const uint8_t *body,
+             size_t len)
+{
+  int err = am_credit_peer (b, sender_id, body, len);
+
+  if (!err)
+    am_requests_tick (b);
+  return err;
+}
+
 static int
 from_peer (struct am_board *b, const struct am_event *e)
 {
@@ -134,7 +146,7 @@
   if (h.type == AM_PEER_FORWARD)
     return from_caller (b, NULL, body, len);
   if (h.type == AM_PEER_CREDIT)
-    return am_credit_peer (b, h.sender_id, body, len);
+    return take_credit (b, h.sender_id, body, len);
   if (h.type == AM_PEER_OWNER)
     return am_owned_peer (b, h.sender_id, h.service_id, body, len);
   s = am_board_service (b, h.service_id);
--- a/src/core/lending/borrower.c
+++ b/src/core/lending/borrower.c
@@ -2,10 +2,10 @@
 
 #include <stdlib.h>
 
-#include "core/placement/admission.h"
 #include "core/lending/credit.h"
 #include "core/lending/lending.h"
 #include "core/ownership/owned.h"
+#include "core/placement/admission.h"
 
 /* An ASK costs at most four datagrams of about 90 bytes with their IP and UDP
    headers; at this rate lending stays below 3 KB/s for each side.  */
--- a/src/core/lending/credit.c
+++ b/src/core/lending/credit.c
@@ -5,9 +5,8 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/lending/lending.h"
-#include "core/placement/policy.h"
 #include "core/placement/subset.h"
+#include "core/placement/weight.h"
 
 /* Rounds of scaling; the sums are then within 1 % for 7 VMs and 15 upstreams.
  */
@@ -201,7 +200,7 @@
   bool active = u->state == AMARANTH__UPSTREAM_STATE__UPSTREAM_ACTIVE;
 
   for (size_t h = 0; h < s->credit_home_count; h++)
-    x->part[h] = active ? x->units[SLOTS][h] * am_policy_weight (u) : 0;
+    x->part[h] = active ? x->units[SLOTS][h] * am_upstream_weight (u) : 0;
   u->credit.slots = own < AM_HOME_MAX ? x->units[SLOTS][own] : 0;
   u->credit.connections = own < AM_HOME_MAX ? x->units[CONNECTIONS][own] : 0;
 }
@@ -209,7 +208,7 @@
 static double
 wanted_by (const struct am_upstream *u)
 {
-  return u->slots * am_policy_weight (u);
+  return u->slots * am_upstream_weight (u);
 }
 
 static void
@@ -413,9 +412,8 @@
 }
 
 void
-am_credit_tick (struct am_board *b)
+am_credit_adopt_due (struct am_board *b)
 {
   if (b->credit_next_us && b->now_us >= b->credit_next_us)
     adopt_due (b);
-  am_lending_tick (b);
 }
--- a/src/core/lending/credit.h
+++ b/src/core/lending/credit.h
@@ -72,6 +72,9 @@
 /* The same for S alone.  */
 void am_credit_recompute_service (struct am_board *b, struct am_service *s);
 
+/* Splits the services anew whose new home set has lasted long enough.  */
+void am_credit_adopt_due (struct am_board *b);
+
 /* Returns how many requests may be in flight at U: own and borrowed slots
    without those lent.  */
 uint32_t am_credit_slots (const struct am_upstream *u);
@@ -83,7 +86,8 @@
 /* Asks a peer for an idle slot of S, at most once per request interval.  */
 void am_credit_borrow (struct am_board *b, struct am_service *s);
 
-/* Handles a borrow, lend or return message of a peer (see wire/peer.h).
+/* Handles a borrow, lend or return message of a peer (see wire/peer.h).  The
+   requests that wait may be sent after it.
    Returns AM_OK, AM_E_SHORT, AM_E_FORMAT, AM_E_SERVICE_UNKNOWN, AM_E_NOT_FOUND
    (no such member) or AM_E_STATE (lending is not set up).  */
 int am_credit_peer (struct am_board *b, uint32_t sender_id,
--- a/src/core/lending/lender.c
+++ b/src/core/lending/lender.c
@@ -4,10 +4,10 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/placement/admission.h"
 #include "core/lending/credit.h"
 #include "core/lending/lending.h"
 #include "core/ownership/owned.h"
+#include "core/placement/admission.h"
 #include "core/requests/request_table.h"
 
 /* ASKs that are answered.  Several borrowers may ask the one peer with idle
--- a/src/core/lending/lending.c
+++ b/src/core/lending/lending.c
@@ -31,8 +31,9 @@
 }
 
 void
-am_lending_tick (struct am_board *b)
+am_credit_tick (struct am_board *b)
 {
+  am_credit_adopt_due (b);
   if (!b->lending)
     return;
   am_lender_tick (b);
@@ -65,7 +66,6 @@
       break;
     case AM_CREDIT_LEND:
       am_borrower_lent (b, s, sender_id, &m);
-      am_requests_tick (b);
       break;
     case AM_CREDIT_RETURN:
       am_lender_returned (b, sender_id, &m);
--- a/src/core/lending/lending.h
+++ b/src/core/lending/lending.h
@@ -22,8 +22,4 @@
   struct am_borrower borrower;
 };
 
-/* Ends the validity of loans that nobody uses, repeats RETURN, takes back
-   lent slots whose time is up or whose borrower is gone.  */
-void am_lending_tick (struct am_board *b);
-
 #endif
--- a/src/core/lifecycle.c
+++ b/src/core/lifecycle.c
@@ -1,8 +1,8 @@
 #include "core/lifecycle.h"
 
 #include "core/binding/binding.h"
-#include "core/placement/opening.h"
 #include "core/ownership/owned.h"
+#include "core/placement/opening.h"
 #include "core/requests/request.h"
 
 void
--- a/src/core/membership/control_gossip.c
+++ b/src/core/membership/control_gossip.c
@@ -1,7 +1,7 @@
 #include "core/membership/control_gossip.h"
 
+#include "core/configuration/control_store_index.h"
 #include "core/membership/control_members.h"
-#include "core/configuration/control_readers.h"
 #include "core/targets/control_verdicts.h"
 
 #define UPDATES_MAX 24
@@ -47,7 +47,7 @@
   m->gossip.sequence = sequence;
   m->gossip.sender = &m->sender;
   m->gossip.config_digest = c->config.digest;
-  m->gossip.store_index = am_readers_index (c);
+  m->gossip.store_index = am_store_index (c);
   m->gossip.updates = m->member_list;
   m->gossip.evidence = m->evidence_list;
   m->size = 0;
--- a/src/core/membership/control_probe.c
+++ b/src/core/membership/control_probe.c
@@ -3,9 +3,9 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "core/configuration/control_spread.h"
 #include "core/membership/control_gossip.h"
 #include "core/membership/control_members.h"
-#include "core/configuration/control_spread.h"
 #include "core/targets/control_verdicts.h"
 
 /* One dead member or silent seed is tried this often, so that the sides of a
--- a/src/core/ownership/control_owner.c
+++ b/src/core/ownership/control_owner.c
@@ -5,25 +5,13 @@
 
 #include "base/error.h"
 
-static void
-emit (struct am_lease *l, enum am_lease_action_type type)
-{
-  struct am_lease_action a = { .type = type,
-                               .call = l->call,
-                               .session = l->session,
-                               .value = &l->value,
-                               .epoch = l->value.epoch };
-
-  l->sink.emit (l->sink.userdata, &a);
-}
-
 /* Makes a call of the state; its result is awaited.  */
 static void
 send_call (struct am_lease *l, enum am_lease_action_type type)
 {
   l->call = ++l->calls;
   l->call_sent_us = l->now_us;
-  emit (l, type);
+  am_lease_emit (l, type);
 }
 
 /* Takes the result of CALL if the state, one of the bits STATES, waits for it.
@@ -71,21 +59,7 @@
   if (!l->grant.until_us)
     return;
   l->grant.until_us = 0;
-  emit (l, AM_LEASE_TELL);
-}
-
-void
-am_lease_extend (struct am_lease *l)
-{
-  uint64_t until = l->lease_until_us;
-  uint64_t promised = l->outage ? am_lease_promised_until (l) : 0;
-
-  if (promised > until)
-    until = promised;
-  if (until <= l->now_us || until <= l->grant.until_us)
-    return;
-  l->grant.until_us = until;
-  emit (l, AM_LEASE_TELL);
+  am_lease_emit (l, AM_LEASE_TELL);
 }
 
 /* ---- acquisition -------------------------------------------------- */
@@ -277,7 +251,7 @@
   l->state = AM_LEASE_LEAVING;
   l->call = 0;
   l->poll_us = l->grant.until_us;
-  emit (l, AM_LEASE_TELL);
+  am_lease_emit (l, AM_LEASE_TELL);
 }
 
 void
--- a/src/core/ownership/control_owner_parts.h
+++ b/src/core/ownership/control_owner_parts.h
@@ -1,6 +1,7 @@
 /* Parts of the lease (core/ownership/control_owner.h) that its state machine
    uses: control_owner_rules.c says who may acquire the key and when,
-   control_owner_promise.c keeps the promises.  */
+   control_owner_promise.c keeps the promises and extends the grant by them.
+ */
 
 #ifndef AM_CORE_CONTROL_OWNER_PARTS_H
 #define AM_CORE_CONTROL_OWNER_PARTS_H
@@ -20,6 +21,10 @@
    the whole table does not wait.  */
 bool am_lease_is_my_turn (struct am_lease *l, const struct am_lease_entry *e);
 
+/* Hands an action of this TYPE, with the lease's present call, session and
+   value, to the sink.  */
+void am_lease_emit (struct am_lease *l, enum am_lease_action_type type);
+
 /* Extends the grant by what the session and the promises allow.  */
 void am_lease_extend (struct am_lease *l);
 
--- a/src/core/ownership/control_owner_promise.c
+++ b/src/core/ownership/control_owner_promise.c
@@ -15,6 +15,20 @@
   return until > AM_LEASE_MARGIN_US ? until - AM_LEASE_MARGIN_US : 0;
 }
 
+void
+am_lease_extend (struct am_lease *l)
+{
+  uint64_t until = l->lease_until_us;
+  uint64_t promised = l->outage ? am_lease_promised_until (l) : 0;
+
+  if (promised > until)
+    until = promised;
+  if (until <= l->now_us || until <= l->grant.until_us)
+    return;
+  l->grant.until_us = until;
+  am_lease_emit (l, AM_LEASE_TELL);
+}
+
 /* An acquisition that may be on its way cannot be taken back, so nothing is
    promised from its sending until its session has ended.  */
 static bool
--- a/src/core/ownership/owned.c
+++ b/src/core/ownership/owned.c
@@ -4,36 +4,12 @@
 
 #include "base/error.h"
 #include "core/ownership/owned_route.h"
+#include "core/ownership/owned_state.h"
 #include "core/requests/request.h"
 #include "core/requests/request_reply.h"
 #include "core/requests/request_table.h"
 #include "wire/bytes.h"
 
-static struct am_owned *
-find (const struct am_board *b, uint32_t service_id)
-{
-  struct am_owned *o;
-
-  HASH_FIND (hh, b->owned, &service_id, sizeof service_id, o);
-  return o;
-}
-
-static struct am_owned *
-find_or_add (struct am_board *b, uint32_t service_id)
-{
-  struct am_owned *o = find (b, service_id);
-
-  if (o)
-    return o;
-  o = calloc (1, sizeof *o);
-  if (!o)
-    return NULL;
-  o->service_id = service_id;
-  am_owner_init (&o->gate, b->now_us, b->self.boot_id);
-  HASH_ADD (hh, b->owned, service_id, sizeof o->service_id, o);
-  return o;
-}
-
 void
 am_owned_finish (struct am_board *b)
 {
@@ -63,13 +39,6 @@
          && (p.type == AM_PACKET_REQUEST || p.type == AM_PACKET_CANCEL);
 }
 
-static struct am_owner_key
-key_of (struct am_address caller, uint64_t connection_id)
-{
-  return (struct am_owner_key){ .connection_id = connection_id,
-                                .ip = caller.ip };
-}
-
 static int
 tell (struct am_board *b, const struct am_service *s, struct am_address caller,
       const struct am_packet *p, enum am_outcome outcome, int error)
@@ -164,7 +133,7 @@
 judge (struct am_board *b, struct am_owned *o, struct am_request_arrival *a,
        const struct am_packet *p, const uint8_t *data, size_t len)
 {
-  struct am_owner_key key = key_of (a->caller, a->connection_id);
+  struct am_owner_key key = am_owned_key (a->caller, a->connection_id);
   enum am_owner_verdict verdict;
   struct am_owner_id *id;
 
@@ -199,7 +168,7 @@
 {
   struct am_request_arrival a
       = { .service = s, .caller = caller, .owned = true };
-  struct am_owned *o = find_or_add (b, s->id);
+  struct am_owned *o = am_owned_find_or_add (b, s->id);
   struct am_packet p;
   int err = am_packet_decode (&p, data, len);
 
@@ -221,47 +190,6 @@
   return judge (b, o, &a, &p, data, len);
 }
 
-void
-am_owned_ended (struct am_board *b, const struct am_request *r)
-{
-  struct am_owner_key key = key_of (r->caller, r->connection_id);
-  struct am_owned *o = find (b, r->service->id);
-  enum am_owner_outcome outcome = AM_OWNER_LOST;
-
-  if (r->state == AM_REQUEST_ANSWERED)
-    outcome = AM_OWNER_ANSWERED;
-  else if (r->state == AM_REQUEST_NOT_RUN)
-    outcome = AM_OWNER_NOT_RUN;
-  if (o)
-    am_owner_end (&o->gate, &key, outcome, r->error);
-}
-
-uint64_t
-am_owned_not_after_us (const struct am_board *b, uint32_t service_id)
-{
-  const struct am_owned *o = find (b, service_id);
-
-  return o ? am_owner_not_after (&o->gate, b->now_us) : 0;
-}
-
-bool
-am_owned_runs_all (const struct am_board *b, uint32_t service_id)
-{
-  const struct am_owned *o = find (b, service_id);
-
-  return o && !o->leaving && b->now_us < o->gate.until_us;
-}
-
-bool
-am_owned_is_owner (const struct am_board *b, uint32_t service_id,
-                   uint32_t member_id)
-{
-  const struct am_owned *o = find (b, service_id);
-
-  return o && o->owner_id == member_id && b->now_us < o->known_until_us
-         && b->now_us >= o->gate.until_us;
-}
-
 /* ---- grants and claims -------------------------------------------- */
 
 static int
@@ -291,7 +219,7 @@
                                .first = in->first,
                                .same = in->same,
                                .handed = in->handed };
-  o = find_or_add (b, in->service_id);
+  o = am_owned_find_or_add (b, in->service_id);
   err = take_grant (b, o, &g);
   if (!err)
     o->leaving = in->leaving && g.until_us;
@@ -313,7 +241,7 @@
 
   if (len == 0 || !am_board_service (b, service_id))
     return AM_E_FORMAT;
-  o = find_or_add (b, service_id);
+  o = am_owned_find_or_add (b, service_id);
   if (!o)
     return AM_E_MEMORY;
   switch (body[0])
--- a/src/core/ownership/owned.h
+++ b/src/core/ownership/owned.h
@@ -8,35 +8,7 @@
 #ifndef AM_CORE_OWNED_H
 #define AM_CORE_OWNED_H
 
-#include "core/board.h"
-#include "core/ownership/owned_table.h"
-#include "core/ownership/owner.h"
-
-struct am_request;
-
-/* After a hand-over the successor has the key within its poll of 2 s and a few
-   calls of the store.  Until then it answers nothing, so that the callers send
-   their requests again.  */
-#define AM_OWNED_AWAIT_US 5000000u
-
-/* Requests of one service.  Kept when the service is dropped, because the
-   memory of ids must outlast it.  */
-struct am_owned
-{
-  UT_hash_handle hh;
-  uint32_t service_id;
-  struct am_owner gate;
-  uint64_t awaited_until_us; /* has a whole table and waits for the grant */
-  uint64_t left_epoch;       /* given up; its grants do not count any more */
-  bool leaving;              /* takes nothing new, finishes, gives up */
-  uint64_t claim_us;         /* when home VMs are told next */
-  uint32_t owner_id;         /* of another VM that is known; 0: none */
-  uint64_t owner_epoch;      /* its epoch */
-  uint64_t told_us;          /* when it last told so itself; 0: never */
-  uint64_t known_until_us;
-  struct am_owned_parts to;   /* hand-over to the successor */
-  struct am_owned_parts from; /* table taken over */
-};
+#include "core/ownership/owned_state.h"
 
 void am_owned_finish (struct am_board *b);
 
@@ -59,21 +31,6 @@
 int am_owned_peer (struct am_board *b, uint32_t sender_id, uint32_t service_id,
                    const uint8_t *body, size_t len);
 
-/* Owned request R has reached a final state.  */
-void am_owned_ended (struct am_board *b, const struct am_request *r);
-
-/* Returns the time before which an upstream may begin a request of the service
-   that is sent now, or 0 if none may be sent.  */
-uint64_t am_owned_not_after_us (const struct am_board *b, uint32_t service_id);
-
-/* Returns true if this VM is the owner and takes new requests.  */
-bool am_owned_runs_all (const struct am_board *b, uint32_t service_id);
-
-/* Returns true if this VM knows member MEMBER_ID as the owner and so runs no
-   request of the service itself.  */
-bool am_owned_is_owner (const struct am_board *b, uint32_t service_id,
-                        uint32_t member_id);
-
 void am_owned_tick (struct am_board *b);
 bool am_owned_may_exit (const struct am_board *b);
 
--- a/src/core/placement/choice.c
+++ b/src/core/placement/choice.c
@@ -2,9 +2,9 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/targets/confirm.h"
 #include "core/lending/credit.h"
 #include "core/placement/policy.h"
+#include "core/targets/confirm.h"
 
 /* A report of draining counts for this long.  */
 #define DRAINING_LIFE_US 5000000u
--- a/src/core/placement/opening.c
+++ b/src/core/placement/opening.c
@@ -5,10 +5,10 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "core/placement/choice.h"
 #include "core/binding/flow_count.h"
 #include "core/binding/forward.h"
 #include "core/binding/key_ring.h"
+#include "core/placement/choice.h"
 #include "core/placement/open_rate.h"
 
 /* Identifies one OPEN: connection id, then service id and caller address.  */
--- a/src/core/placement/policy.c
+++ b/src/core/placement/policy.c
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "core/lending/credit.h"
+#include "core/placement/weight.h"
 
 /* A report counts less with its age and nothing after this time.  */
 #define REPORT_LIFE_US 1000000.0
@@ -30,12 +31,6 @@
 /* Step of the mark of an upstream whose share is 1.  */
 #define MARK_STEP 1000.0
 
-double
-am_policy_weight (const struct am_upstream *u)
-{
-  return u->weight ? u->weight / 100.0 : 1.0;
-}
-
 static double
 report_trust (const struct am_board *b, const struct am_upstream *u)
 {
@@ -50,7 +45,7 @@
 static double
 share_of (const struct am_board *b, const struct am_upstream *u)
 {
-  double share = am_policy_weight (u) * am_ramp_share (b, u);
+  double share = am_upstream_weight (u) * am_ramp_share (b, u);
 
   if ((u->report.load.flags & AM_LOAD_COLD) && report_trust (b, u) > 0)
     share *= COLD_SHARE;
@@ -126,7 +121,7 @@
 {
   double share = u->credit.share > 0 ? u->credit.share : 1.0 / (double)n;
 
-  return share * share_of (b, u) / am_policy_weight (u);
+  return share * share_of (b, u) / am_upstream_weight (u);
 }
 
 /* Returns true if U ramps up behind the others and has had its part of the
@@ -254,7 +249,7 @@
   for (size_t i = 0; i < n; i++)
     {
       double x = am_hash_rendezvous_weighted (
-          key, candidates[i]->id, am_policy_weight (candidates[i]));
+          key, candidates[i]->id, am_upstream_weight (candidates[i]));
 
       if (i == 0 || x > highest)
         {
--- a/src/core/placement/policy.h
+++ b/src/core/placement/policy.h
@@ -11,8 +11,4 @@
 extern const struct am_choice_ops am_policy_round_robin;
 extern const struct am_choice_ops am_policy_hash;
 
-/* Returns the weight of U as a share of a normal target, without its ramp.
-   A weight of 0 percent counts as not set, that is 100.  */
-double am_policy_weight (const struct am_upstream *u);
-
 #endif
--- a/src/core/requests/request.c
+++ b/src/core/requests/request.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 
 #include "base/error.h"
+#include "core/lending/credit.h"
 #include "core/placement/admission.h"
 #include "core/placement/choice.h"
-#include "core/lending/credit.h"
 #include "core/requests/request_step.h"
 #include "core/requests/request_table.h"
 
--- a/src/core/requests/request_step.c
+++ b/src/core/requests/request_step.c
@@ -1,10 +1,10 @@
 #include "core/requests/request_step.h"
 
 #include "base/error.h"
-#include "core/placement/admission.h"
-#include "core/placement/choice.h"
 #include "core/lending/credit.h"
 #include "core/ownership/owned.h"
+#include "core/placement/admission.h"
+#include "core/placement/choice.h"
 #include "core/requests/request_reply.h"
 #include "core/requests/retry_budget.h"
 
--- a/src/core/requests/request_upstream.c
+++ b/src/core/requests/request_upstream.c
@@ -1,7 +1,7 @@
 #include "base/error.h"
+#include "core/lending/credit.h"
 #include "core/placement/admission.h"
 #include "core/placement/choice.h"
-#include "core/lending/credit.h"
 #include "core/requests/request.h"
 #include "core/requests/request_reply.h"
 #include "core/requests/request_step.h"
--- a/src/core/targets/confirm.c
+++ b/src/core/targets/confirm.c
@@ -1,6 +1,6 @@
 #include "core/targets/confirm.h"
 
-#include "core/targets/probe.h"
+#include "core/targets/probe_packet.h"
 
 void
 am_confirm_seen (const struct am_board *b, struct am_upstream *u)
--- a/src/core/targets/probe.c
+++ b/src/core/targets/probe.c
@@ -2,17 +2,10 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "core/binding/forward.h"
 #include "core/placement/choice.h"
 #include "core/targets/confirm.h"
-#include "core/binding/forward.h"
-
-static const struct am_address probe_source = { 0, 0 };
-
-bool
-am_probe_is_source (struct am_address caller)
-{
-  return am_address_equal (caller, probe_source);
-}
+#include "core/targets/probe_packet.h"
 
 /* Returns true if this entry VM is among the first AM_PROBERS home VMs in
    rendezvous order of U.  */
@@ -30,14 +23,6 @@
   return better < AM_PROBERS;
 }
 
-void
-am_probe_ask (struct am_board *b, const struct am_upstream *u)
-{
-  struct am_packet p = { .type = AM_PACKET_PROBE };
-
-  am_board_send_upstream (b, u, probe_source, &p);
-}
-
 static void
 send_probe (struct am_board *b, struct am_upstream *u)
 {
--- a/src/core/targets/probe.h
+++ b/src/core/targets/probe.h
@@ -1,8 +1,5 @@
 /* Active probing: PROBE to the upstreams of the services this entry VM is home
-   to, by up to AM_PROBERS home VMs for each upstream.
-
-   A PROBE is sent for the caller 0.0.0.0:0, which no caller has; so the reply
-   is told apart whatever the service's binding is.  */
+   to, by up to AM_PROBERS home VMs for each upstream.  */
 
 #ifndef AM_CORE_PROBE_H
 #define AM_CORE_PROBE_H
@@ -18,15 +15,9 @@
 /* Sends the probes that are due and counts the ones without answer.  */
 void am_probe_tick (struct am_board *b);
 
-/* Sends a probe to U that is not counted as a failure if it has no answer.  */
-void am_probe_ask (struct am_board *b, const struct am_upstream *u);
-
 /* Handles the reply DATA (without PROXY header) of U.  Returns AM_OK or a
    typed error of am_packet_decode.  */
 int am_probe_reply (struct am_board *b, struct am_upstream *u,
                     const uint8_t *data, size_t len);
 
-/* Returns true if CALLER is the address that probes are sent for.  */
-bool am_probe_is_source (struct am_address caller);
-
 #endif
--- /dev/null
+++ b/src/entry/digest_arrival.c
@@ -0,0 +1,86 @@
+#include <inttypes.h>
+
+#include "entry/peers.h"
+#include "io/clock.h"
+
+/* Longest interval between two digests that a peer may tell.  */
+#define INTERVAL_MAX_US 5000000u
+
+static void
+take_loads (struct am_entry *e, struct am_peer *p, const Fleet__Digest *d)
+{
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+  size_t n = d->n_loads < AM_PEER_LOAD_MAX ? d->n_loads : AM_PEER_LOAD_MAX;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      reports[i].ticket = d->loads[i]->ticket;
+      reports[i].load.opening = d->loads[i]->opening;
+      reports[i].load.open_flows = d->loads[i]->open_flows;
+      reports[i].load.busy = d->loads[i]->busy;
+      reports[i].silent = d->loads[i]->silent;
+    }
+  am_peer_load_set (&p->load, &e->targets, reports, n);
+}
+
+/* Returns the interval that D tells, within what peers use.  */
+static uint64_t
+told_interval_us (const Fleet__Digest *d)
+{
+  uint64_t interval = (uint64_t)d->interval_ms * 1000u;
+
+  if (interval < AM_ENTRY_DIGEST_US)
+    return AM_ENTRY_DIGEST_US;
+  return interval < INTERVAL_MAX_US ? interval : INTERVAL_MAX_US;
+}
+
+/* The peer P says D.  */
+static void
+take_digest (struct am_entry *e, struct am_peer *p, const Fleet__Digest *d,
+             uint64_t now_us)
+{
+  if (!am_fleet_hears (p, now_us))
+    am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                     "peer-regained name=%s revision=%" PRIu64, p->name,
+                     d->revision);
+  p->address.ip = d->sender->ip;
+  p->address.port = (uint16_t)d->sender->port;
+  p->data_centre = d->sender->data_centre;
+  p->heard_us = now_us;
+  p->revision = d->revision;
+  p->horizon = d->horizon;
+  p->interval_us = told_interval_us (d);
+  am_fleet_set_link (p, d->link_mbps);
+  p->reads = d->reads;
+  take_loads (e, p, d);
+}
+
+static void
+on_digest (void *userdata, struct am_address from, const uint8_t *data,
+           size_t len)
+{
+  struct am_entry *e = userdata;
+  Fleet__Digest *d = fleet__digest__unpack (NULL, len, data);
+  uint64_t now_us = am_clock_us ();
+  struct am_peer *p;
+
+  (void)from;
+  e->counters.digests_in++;
+  if (!d)
+    {
+      e->counters.digests_bad++;
+      return;
+    }
+  p = am_entry_learn_member (e, d->sender, now_us);
+  if (p)
+    take_digest (e, p, d, now_us);
+  fleet__digest__free_unpacked (d, NULL);
+  if (p && p->revision > e->replica.revision)
+    am_entry_pull (e, now_us);
+}
+
+int
+am_entry_digests_open (struct am_entry *e)
+{
+  return am_udp_open (&e->digests, e->loop, e->settings.peers, on_digest, e);
+}
--- a/src/entry/digests.c
+++ b/src/entry/digests.c
@@ -1,10 +1,5 @@
-#include <inttypes.h>
-
-#include "base/error.h"
 #include "entry/peers.h"
-#include "io/clock.h"
 
-#define DIGEST_US 200000u
 /* With many peers in the data centre each sends less often, so that their
    number does not grow with its square.  */
 #define DIGEST_PEER_US 20000u
@@ -13,8 +8,6 @@
 /* Silent seeds are told of this VM at this interval.  */
 #define SEEDS_US 1000000u
 
-#define INTERVAL_MAX_US 5000000u
-
 #define DATAGRAM_MAX 1400
 
 /* The parts of a digest that point to each other.  */
@@ -32,8 +25,8 @@
 {
   uint64_t interval = e->path.peers * DIGEST_PEER_US;
 
-  if (interval < DIGEST_US)
-    interval = DIGEST_US;
+  if (interval < AM_ENTRY_DIGEST_US)
+    interval = AM_ENTRY_DIGEST_US;
   if (e->reader.works && interval > AM_FLEET_READER_US)
     interval = AM_FLEET_READER_US;
   return interval;
@@ -109,76 +102,6 @@
       am_udp_send (&e->digests, e->settings.seeds[i], far, far_len);
 }
 
-static void
-take_loads (struct am_entry *e, struct am_peer *p, const Fleet__Digest *d)
-{
-  struct am_load_report reports[AM_PEER_LOAD_MAX];
-  size_t n = d->n_loads < AM_PEER_LOAD_MAX ? d->n_loads : AM_PEER_LOAD_MAX;
-
-  for (size_t i = 0; i < n; i++)
-    {
-      reports[i].ticket = d->loads[i]->ticket;
-      reports[i].load.opening = d->loads[i]->opening;
-      reports[i].load.open_flows = d->loads[i]->open_flows;
-      reports[i].load.busy = d->loads[i]->busy;
-      reports[i].silent = d->loads[i]->silent;
-    }
-  am_peer_load_set (&p->load, &e->targets, reports, n);
-}
-
-/* Returns the interval that D tells, within what peers use.  */
-static uint64_t
-read_interval (const Fleet__Digest *d)
-{
-  uint64_t interval = (uint64_t)d->interval_ms * 1000u;
-
-  if (interval < DIGEST_US)
-    return DIGEST_US;
-  return interval < INTERVAL_MAX_US ? interval : INTERVAL_MAX_US;
-}
-
-static void
-on_digest (void *userdata, struct am_address from, const uint8_t *data,
-           size_t len)
-{
-  struct am_entry *e = userdata;
-  Fleet__Digest *d = fleet__digest__unpack (NULL, len, data);
-  uint64_t now_us = am_clock_us ();
-  struct am_peer *p = d ? am_entry_learn_member (e, d->sender, now_us) : NULL;
-
-  (void)from;
-  e->counters.digests_in++;
-  if (!d)
-    e->counters.digests_bad++;
-  if (p)
-    {
-      if (!am_fleet_hears (p, now_us))
-        am_line_log_add (&e->log, AM_LINE_STATE, now_us,
-                         "peer-regained name=%s revision=%" PRIu64, p->name,
-                         d->revision);
-      p->address.ip = d->sender->ip;
-      p->address.port = (uint16_t)d->sender->port;
-      p->data_centre = d->sender->data_centre;
-      p->heard_us = now_us;
-      p->revision = d->revision;
-      p->horizon = d->horizon;
-      p->interval_us = read_interval (d);
-      am_fleet_set_link (p, d->link_mbps);
-      p->reads = d->reads;
-      take_loads (e, p, d);
-      if (p->revision > e->replica.revision)
-        am_entry_pull (e, now_us);
-    }
-  if (d)
-    fleet__digest__free_unpacked (d, NULL);
-}
-
-int
-am_entry_digests_open (struct am_entry *e)
-{
-  return am_udp_open (&e->digests, e->loop, e->settings.peers, on_digest, e);
-}
-
 void
 am_entry_digests_tick (struct am_entry *e, uint64_t now_us)
 {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -64,14 +64,6 @@
     am_readiness_lag (&e->readiness, lag_us, now_us);
 }
 
-uint64_t
-am_entry_store_age_us (const struct am_entry *e, uint64_t now_us)
-{
-  uint64_t fresh_us = e->contact.fresh_us;
-
-  return now_us - (fresh_us ? fresh_us : e->started_us);
-}
-
 static void
 check_contact (struct am_entry *e, uint64_t now_us)
 {
@@ -90,7 +82,7 @@
     am_line_log_add (&e->log, AM_LINE_STATE, now_us,
                      "contact %s revision=%" PRIu64 " age_ms=%" PRIu64,
                      before ? "lost" : "regained", e->replica.revision,
-                     am_entry_store_age_us (e, now_us) / 1000);
+                     am_contact_age (&e->contact, now_us) / 1000);
 }
 
 static void
@@ -227,7 +219,7 @@
   am_target_table_init (&e->targets);
   am_route_table_init (&e->routes);
   am_path_init (&e->path, &e->targets, &e->routes, data_centre, seed);
-  am_contact_init (&e->contact);
+  am_contact_init (&e->contact, e->started_us);
   am_readiness_init (&e->readiness);
   am_fleet_init (&e->fleet, e->settings.name, data_centre,
                  e->settings.link_mbps);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -116,10 +116,6 @@
                    const struct am_adapter *adapter,
                    const char *settings_file);
 
-/* entry.c: time since the copy of the store was confirmed, or since the start
-   if it never was.  */
-uint64_t am_entry_store_age_us (const struct am_entry *e, uint64_t now_us);
-
 /* packets.c: carry packets, from the moment when something is known of where
    they belong.  open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_packets_open (struct am_entry *e);
--- /dev/null
+++ b/src/entry/members.c
@@ -0,0 +1,34 @@
+#include "entry/peers.h"
+
+void
+am_entry_fill_member (Fleet__Member *m, char *name, uint32_t data_centre,
+                      struct am_address a)
+{
+  fleet__member__init (m);
+  m->name = name;
+  m->data_centre = data_centre;
+  m->ip = a.ip;
+  m->port = a.port;
+}
+
+struct am_peer *
+am_entry_learn_member (struct am_entry *e, const Fleet__Member *m,
+                       uint64_t now_us)
+{
+  struct am_peer *p;
+
+  if (!m || !m->name[0] || !m->ip || !m->port || m->port > UINT16_MAX)
+    return NULL;
+  p = am_fleet_peer (&e->fleet, m->name, now_us);
+  if (!p)
+    return NULL;
+  p->known_us = now_us;
+  /* A digest tells a peer's address better than what others remember.  */
+  if (!am_fleet_hears (p, now_us))
+    {
+      p->address.ip = m->ip;
+      p->address.port = (uint16_t)m->port;
+      p->data_centre = m->data_centre;
+    }
+  return p;
+}
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -1,6 +1,7 @@
 /* Parts of the talk between VMs, one file each: digests.c tells peers how far
-   this VM's copy of the store goes, changes.c answers those that lack some of
-   it, pull.c asks when this VM does.  */
+   this VM's copy of the store goes, digest_arrival.c takes what they tell,
+   changes.c answers those that lack some of it, pull.c asks when this VM
+   does.  */
 
 #ifndef AM_ENTRY_PEERS_H
 #define AM_ENTRY_PEERS_H
@@ -14,7 +15,7 @@
 /* Bytes before a compressed answer: its length once uncompressed.  */
 #define AM_ENTRY_CHANGES_HEAD 4
 
-/* peers.c: the form of a member, and what one tells of a peer.
+/* members.c: the form of a member, and what one tells of a peer.
    am_entry_learn_member returns NULL for this VM or a malformed member.  */
 void am_entry_fill_member (Fleet__Member *m, char *name, uint32_t data_centre,
                            struct am_address a);
@@ -22,7 +23,11 @@
                                        const Fleet__Member *m,
                                        uint64_t now_us);
 
-/* digests.c: open the port; send digests at their interval.
+/* Shortest interval between two digests without news.  */
+#define AM_ENTRY_DIGEST_US 200000u
+
+/* digest_arrival.c: opens the port; digests.c: sends digests at their
+   interval.
    am_entry_digests_open returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_digests_open (struct am_entry *e);
 void am_entry_digests_tick (struct am_entry *e, uint64_t now_us);
--- a/src/flow/contact.c
+++ b/src/flow/contact.c
@@ -1,9 +1,15 @@
 #include "flow/contact.h"
 
 void
-am_contact_init (struct am_contact *c)
+am_contact_init (struct am_contact *c, uint64_t now_us)
 {
-  *c = (struct am_contact){ 0 };
+  *c = (struct am_contact){ .begin_us = now_us };
+}
+
+uint64_t
+am_contact_age (const struct am_contact *c, uint64_t now_us)
+{
+  return now_us - (c->fresh_us ? c->fresh_us : c->begin_us);
 }
 
 void
--- a/src/flow/contact.h
+++ b/src/flow/contact.h
@@ -21,11 +21,16 @@
 struct am_contact
 {
   bool present;         /* the copy is kept up to date */
-  uint64_t fresh_us;    /* last confirmation */
+  uint64_t begin_us;    /* when this VM started */
+  uint64_t fresh_us;    /* last confirmation; 0: none yet */
   uint64_t regained_us; /* begin of the present contact */
 };
 
-void am_contact_init (struct am_contact *c);
+void am_contact_init (struct am_contact *c, uint64_t now_us);
+
+/* Returns the time since the copy was confirmed, or since the start if it
+   never was.  */
+uint64_t am_contact_age (const struct am_contact *c, uint64_t now_us);
 
 /* The store, or a peer that is in contact with it, confirmed the copy.  */
 void am_contact_fresh (struct am_contact *c, uint64_t now_us);
--- a/src/forwarder/control.c
+++ b/src/forwarder/control.c
@@ -210,7 +210,8 @@
       take_metrics_request (f, s);
       return;
     case AMARANTH__ENVELOPE__BODY_STOP_REQUEST:
-      am_forwarder_stop (f);
+      if (am_forwarder_stop (f))
+        am_control_report (f);
       return;
     default:
       send_failure (s, AM_E_ARGUMENT);
--- a/src/forwarder/forwarder.c
+++ b/src/forwarder/forwarder.c
@@ -13,7 +13,6 @@
 #define PROGRAM "amaranth-forwarder"
 #define TICK_MS (AM_TICK_US / 1000)
 #define SECOND_MS 1000
-#define NANOSECONDS_PER_US 1000
 
 /* ---- core --------------------------------------------------------- */
 
@@ -54,32 +53,6 @@
     }
 }
 
-static void
-record (struct am_forwarder *f, const struct am_event *e)
-{
-  if (!f->recording || am_event_log_write (&f->events, e) == AM_OK)
-    return;
-  am_log_line (&f->log, AM_LOG_ERROR, "event=recording_failed");
-  f->recording = false;
-}
-
-int
-am_forwarder_event (struct am_forwarder *f, struct am_event *e)
-{
-  uint64_t start_ns;
-  int err;
-
-  /* First, so that a pause here makes times on the wall clock early.  */
-  e->wall_ms = am_clock_wall_ms ();
-  start_ns = uv_hrtime ();
-
-  e->now_us = start_ns / NANOSECONDS_PER_US;
-  record (f, e);
-  err = am_dispatch_event (&f->dispatch, e);
-  am_histogram_add (&f->durations[e->type], uv_hrtime () - start_ns);
-  return err;
-}
-
 /* ---- inputs ------------------------------------------------------- */
 
 static void
@@ -159,23 +132,14 @@
   am_pool_finish (&f->pool);
 }
 
-void
-am_forwarder_stop (struct am_forwarder *f)
-{
-  struct am_event e = { .type = AM_EVENT_STOP };
-
-  if (f->dispatch.board.stopping)
-    return;
-  am_log_line (&f->log, AM_LOG_NOTICE, "event=stopping");
-  (void)am_forwarder_event (f, &e);
-  am_control_report (f);
-}
-
 static void
 on_sigterm (uv_signal_t *handle, int signum)
 {
   (void)signum;
-  am_forwarder_stop (handle->data);
+  struct am_forwarder *f = handle->data;
+
+  if (am_forwarder_stop (f))
+    am_control_report (f);
 }
 
 static void
@@ -219,7 +183,7 @@
 {
   struct am_forwarder *f = handle->data;
 
-  am_decision_log_tick (&f->decisions, uv_hrtime () / NANOSECONDS_PER_US);
+  am_decision_log_tick (&f->decisions, am_clock_us ());
   am_control_report (f);
 }
 
--- a/src/forwarder/forwarder.h
+++ b/src/forwarder/forwarder.h
@@ -10,9 +10,9 @@
 #include "core/action_digest.h"
 #include "core/dispatch.h"
 #include "forwarder/decision_log.h"
-#include "io/pool.h"
 #include "io/event_log.h"
 #include "io/metrics_port.h"
+#include "io/pool.h"
 #include "io/settings.h"
 #include "io/stream.h"
 #include "io/udp_batch.h"
@@ -63,7 +63,7 @@
 /* Hands one event to the core and measures it.  Returns its result.  */
 int am_forwarder_event (struct am_forwarder *f, struct am_event *e);
 
-/* Begins the graceful stop.  */
-void am_forwarder_stop (struct am_forwarder *f);
+/* Begins the graceful stop.  Returns false if it has begun before.  */
+bool am_forwarder_stop (struct am_forwarder *f);
 
 #endif
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "base/socket_address.h"
 #include "base/list.h"
+#include "base/socket_address.h"
 #include "net/tcp_timer.h"
 
 #define REQUEST_SIZE (AM_HTTP_PATH_SIZE + 128)
--- a/standin/caller/caller.c
+++ b/standin/caller/caller.c
@@ -7,8 +7,8 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "io/program.h"
 #include "caller/standin_caller.h"
+#include "io/program.h"
 
 #define US_PER_SECOND 1000000u
 #define TICK_MS 5
--- a/standin/caller/standin_caller.h
+++ b/standin/caller/standin_caller.h
@@ -12,11 +12,11 @@
 #include <uthash.h>
 
 #include "base/rng.h"
-#include "io/udp_port.h"
+#include "caller/standin_wheel.h"
 #include "common/standin_datagram.h"
 #include "common/standin_history.h"
 #include "common/standin_program.h"
-#include "caller/standin_wheel.h"
+#include "io/udp_port.h"
 #include "wire/packet.h"
 
 #define STANDIN_CALLER_TICK_US 5000u
--- a/standin/check/history_check.c
+++ b/standin/check/history_check.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 
 #include "base/error.h"
-#include "io/program.h"
 #include "check/standin_check.h"
+#include "io/program.h"
 
 struct options
 {
--- a/standin/network/blast.c
+++ b/standin/network/blast.c
@@ -13,8 +13,8 @@
 #include <unistd.h>
 
 #include "base/error.h"
-#include "io/program.h"
 #include "common/standin_program.h"
+#include "io/program.h"
 #include "wire/packet.h"
 #include "wire/proxy_header.h"
 
--- a/standin/network/fabric.c
+++ b/standin/network/fabric.c
@@ -7,12 +7,12 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "io/udp_batch.h"
 #include "base/hash.h"
 #include "base/rng.h"
-#include "io/program.h"
 #include "common/standin_control.h"
 #include "common/standin_program.h"
+#include "io/program.h"
+#include "io/udp_batch.h"
 #include "wire/proxy_header.h"
 
 #define SERVICES_MAX 1024
--- a/standin/network/relay.c
+++ b/standin/network/relay.c
@@ -8,14 +8,14 @@
 #include <uthash.h>
 
 #include "base/error.h"
-#include "base/socket_address.h"
 #include "base/list.h"
-#include "io/program.h"
-#include "io/udp_port.h"
+#include "base/socket_address.h"
+#include "caller/standin_wheel.h"
 #include "common/standin_control.h"
 #include "common/standin_program.h"
+#include "io/program.h"
+#include "io/udp_port.h"
 #include "network/standin_relay.h"
-#include "caller/standin_wheel.h"
 
 #define LISTENS_MAX 8192
 #define TICK_MS 1
--- a/standin/store/store.c
+++ b/standin/store/store.c
@@ -12,11 +12,11 @@
 #include <sys/socket.h>
 
 #include "base/error.h"
-#include "base/socket_address.h"
 #include "base/list.h"
+#include "base/socket_address.h"
+#include "common/standin_program.h"
 #include "io/program.h"
 #include "store/standin_kv.h"
-#include "common/standin_program.h"
 
 #define TICK_MS 5
 #define US_PER_MS 1000u
--- a/standin/upstream/standin_upstream.h
+++ b/standin/upstream/standin_upstream.h
@@ -13,13 +13,13 @@
 
 #include "base/list.h"
 #include "base/rng.h"
-#include "io/stream.h"
-#include "io/udp_port.h"
+#include "caller/standin_wheel.h"
 #include "common/standin_datagram.h"
 #include "common/standin_history.h"
 #include "common/standin_program.h"
+#include "io/stream.h"
+#include "io/udp_port.h"
 #include "upstream/standin_target.h"
-#include "caller/standin_wheel.h"
 
 #define STANDIN_TICK_MS 5
 #define STANDIN_TICK_US 5000u
--- a/standin/upstream/upstream.c
+++ b/standin/upstream/upstream.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "io/program.h"
 #include "common/standin_control.h"
+#include "io/program.h"
 #include "upstream/standin_upstream.h"
 
 #define US_PER_MS 1000u
--- a/test/core_board.h
+++ b/test/core_board.h
@@ -9,9 +9,9 @@
 #include <string.h>
 
 #include "base/hash.h"
-#include "core/placement/choice.h"
 #include "core/lending/credit.h"
 #include "core/ownership/owned.h"
+#include "core/placement/choice.h"
 #include "core/requests/request.h"
 #include "suite.h"
 
--- a/test/core_fixture.h
+++ b/test/core_fixture.h
@@ -13,10 +13,10 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "core/dispatch.h"
+#include "suite.h"
 #include "wire/bytes.h"
 #include "wire/frame.h"
 #include "wire/proxy_header.h"
-#include "suite.h"
 
 #ifndef NODES_MAX
 #define NODES_MAX 3
--- a/test/core_fleet.h
+++ b/test/core_fleet.h
@@ -7,8 +7,8 @@
 #include <math.h>
 
 #include "base/error.h"
-#include "core_board.h"
 #include "core/requests/request_table.h"
+#include "core_board.h"
 #include "wire/peer.h"
 #include "wire/proxy_header.h"
 
@@ -348,8 +348,8 @@
     return;
   if (h.type == AM_PEER_OWNER)
     am_owned_peer (b, h.sender_id, h.service_id, body, len);
-  else
-    am_credit_peer (b, h.sender_id, body, len);
+  else if (am_credit_peer (b, h.sender_id, body, len) == AM_OK)
+    am_requests_tick (b);
 }
 
 static inline void
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -17,8 +17,8 @@
 #include "base/error.h"
 #include "own_address.h"
 #include "record_offer.h"
-#include "wire/frame.h"
 #include "suite.h"
+#include "wire/frame.h"
 
 #define AGENT AM_BINARY_DIR "/amaranth-agent"
 #define AGENTS 3
--- a/test/test_caller_standin.c
+++ b/test/test_caller_standin.c
@@ -4,9 +4,9 @@
 #include <unistd.h>
 
 #include "standin_process.h"
+#include "suite.h"
 #include "wire/packet.h"
 #include "wire/ticket.h"
-#include "suite.h"
 
 #define SERVICE "@1:8001"
 #define COMMON                                          \
--- a/test/test_contact.c
+++ b/test/test_contact.c
@@ -10,9 +10,19 @@
 static void
 begin (void)
 {
-  am_contact_init (&c);
+  am_contact_init (&c, START_US);
 }
 
+/* Guards against an age that is counted from the begin of the clock.  */
+START_TEST (test_age)
+{
+  ck_assert_uint_eq (am_contact_age (&c, START_US + 5), 5);
+  am_contact_fresh (&c, START_US + 5);
+  am_contact_lost (&c);
+  ck_assert_uint_eq (am_contact_age (&c, START_US + 12), 7);
+}
+END_TEST
+
 /* Guards against conclusions of a VM that has just started: entries may have
    lapsed while the store was away.  */
 START_TEST (test_start_is_not_settled)
@@ -57,6 +67,7 @@
   TCase *tc = tcase_create ("contact");
 
   tcase_add_checked_fixture (tc, begin, NULL);
+  tcase_add_test (tc, test_age);
   tcase_add_test (tc, test_start_is_not_settled);
   tcase_add_test (tc, test_grace_begins_anew_after_a_loss);
   tcase_add_test (tc, test_silence_is_a_loss);
--- a/test/test_control_states.c
+++ b/test/test_control_states.c
@@ -1,8 +1,8 @@
 /* Every event in every state: entry VM, record, key.  */
 
 #include "control_net.h"
-#include "core/control_board.h"
 #include "core/configuration/control_config.h"
+#include "core/control_board.h"
 #include "core/membership/control_members.h"
 #include "suite.h"
 
--- a/test/test_fabric.c
+++ b/test/test_fabric.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 
 #include "standin_process.h"
-#include "wire/proxy_header.h"
 #include "suite.h"
+#include "wire/proxy_header.h"
 
 #define RETURN "@1:7900"
 #define CONTROL "@1:7901"
--- a/test/test_overload.c
+++ b/test/test_overload.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 
-#include "core_fleet.h"
 #include "core/requests/retry_budget.h"
+#include "core_fleet.h"
 
 #define SEED 20261205
 #define SECOND 1000000u
--- a/test/test_owned.c
+++ b/test/test_owned.c
@@ -2,8 +2,8 @@
 
 #include "core_fixture.h"
 
-#include "core/placement/admission.h"
 #include "core/ownership/owned.h"
+#include "core/placement/admission.h"
 #include "suite.h"
 
 #define ID 4711u
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -9,8 +9,8 @@
 
 #include "io/pool.h"
 #include "own_address.h"
-#include "wire/packet.h"
 #include "suite.h"
+#include "wire/packet.h"
 
 #define TURNS 400
 #define TURN_US 5000u
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 
 #include "common/standin_datagram.h"
-#include "standin_process.h"
 #include "network/standin_relay.h"
+#include "standin_process.h"
 #include "suite.h"
 
 #define SEED 20261204
--- a/test/test_snapshot_cost.c
+++ b/test/test_snapshot_cost.c
@@ -14,10 +14,10 @@
 #include "measure.h"
 
 #include "core/control_board.h"
-#include "core/membership/control_members.h"
 #include "core/dispatch.h"
-#include "wire/frame.h"
+#include "core/membership/control_members.h"
 #include "suite.h"
+#include "wire/frame.h"
 
 #define TARGETS_A_SERVICE 10
 #define TARGET_SERVICES 580
--- a/test/test_store_standin.c
+++ b/test/test_store_standin.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 
-#include "store/standin_kv.h"
 #include "standin_process.h"
+#include "store/standin_kv.h"
 #include "suite.h"
 
 #define STORE "@1:8500"
--- a/test/test_upstream_standin.c
+++ b/test/test_upstream_standin.c
@@ -4,8 +4,8 @@
 #include "base/hash.h"
 #include "common/standin_datagram.h"
 #include "standin_process.h"
-#include "wire/bytes.h"
 #include "suite.h"
+#include "wire/bytes.h"
 
 #define TARGET "@1:9000"
 #define SERVICE "@2:8001"
