--- a/test/integration/entry_operations.py
+++ b/test/integration/entry_operations.py
@@ -10,7 +10,7 @@
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 from entry_fleet import ROOT, lines, run, wait_for  # noqa: E402
 from fleet import METRICS_PORT, ROUTES  # noqa: E402
-from wire import number  # noqa: E402
+from packets import number  # noqa: E402
 
 
 def field(line, name):
--- a/test/integration/entry_start_without_store.py
+++ b/test/integration/entry_start_without_store.py
@@ -10,7 +10,7 @@
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 from entry_fleet import lines, run, wait_for  # noqa: E402
 from fleet import CONFIG_S, DRAIN_S, ROUTES  # noqa: E402
-from wire import number  # noqa: E402
+from packets import number  # noqa: E402
 
 
 async def body(fleet):
