Read clocks in one place; a listing's end cannot fail

The entry program read the boot-time and wall clocks itself beside io/clock. am_replica_list_end returned AM_OK always and nobody looked at it. No change of behaviour; all unit tests and two integration tests of the entry pass.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 #include <signal.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "base/error.h"
@@ -25,15 +24,6 @@
 #define STOP_QUIET_US 1000000u
 #define STOP_MIN_US 2000000u
 
-static uint64_t
-boot_clock_us (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_BOOTTIME, &t);
-  return (uint64_t)t.tv_sec * 1000000u + (uint64_t)t.tv_nsec / 1000u;
-}
-
 /* What was believed before the VM stood still is old, and its connections may
    be dead.  */
 static void
@@ -51,7 +41,7 @@
 static void
 check_clocks (struct am_entry *e, uint64_t now_us)
 {
-  uint64_t boot_us = boot_clock_us ();
+  uint64_t boot_us = am_clock_boot_us ();
   uint64_t step_us = now_us - e->tick_us;
   uint64_t boot_step_us = boot_us - e->boot_us;
   uint64_t lag_us = step_us > TICK_US ? step_us - TICK_US : 0;
@@ -212,7 +202,7 @@
   e->settings_file = settings_file;
   e->started_us = am_clock_us ();
   e->tick_us = e->started_us;
-  e->boot_us = boot_clock_us ();
+  e->boot_us = am_clock_boot_us ();
   seed = am_hash_name (e->settings.name) ^ e->started_us;
   am_line_log_init (&e->log, STDOUT_FILENO);
   am_replica_init (&e->replica, am_entry_item_changed, e);
--- a/src/entry/line_log.c
+++ b/src/entry/line_log.c
@@ -6,9 +6,10 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
+#include "io/clock.h"
+
 #define LINE_SIZE 320
 
 static const uint32_t budgets[AM_LINE_CLASS_COUNT] = {
@@ -44,13 +45,12 @@
 static void
 append (struct am_line_log *l, const char *text)
 {
-  struct timespec t;
+  uint64_t wall_ms = am_clock_wall_ms ();
   char line[LINE_SIZE + 32];
   int n;
 
-  clock_gettime (CLOCK_REALTIME, &t);
-  n = snprintf (line, sizeof line, "%" PRIu64 ".%03u %s\n", (uint64_t)t.tv_sec,
-                (unsigned)(t.tv_nsec / 1000000), text);
+  n = snprintf (line, sizeof line, "%" PRIu64 ".%03u %s\n", wall_ms / 1000u,
+                (unsigned)(wall_ms % 1000u), text);
   if (l->len + (size_t)n > sizeof l->data)
     {
       l->lost++;
--- a/src/flow/replica.c
+++ b/src/flow/replica.c
@@ -176,7 +176,7 @@
       = false;
 }
 
-int
+void
 am_replica_list_end (struct am_replica *r, uint64_t revision)
 {
   am_list_each_safe (i, next, &r->by_revision, struct am_replica_item,
@@ -188,7 +188,6 @@
   if (revision > r->revision)
     r->horizon = revision;
   am_replica_advance (r, revision);
-  return AM_OK;
 }
 
 bool
--- a/src/flow/replica.h
+++ b/src/flow/replica.h
@@ -66,7 +66,7 @@
    am_replica_write, are removed at its end unless they changed after REVISION,
    that of its first page.  */
 void am_replica_list_begin (struct am_replica *r);
-int am_replica_list_end (struct am_replica *r, uint64_t revision);
+void am_replica_list_end (struct am_replica *r, uint64_t revision);
 
 /* Returns true if the items with a revision after REVISION are all that
    someone complete up to REVISION lacks.  */
--- a/src/io/clock.c
+++ b/src/io/clock.c
@@ -2,15 +2,21 @@
 
 #include <time.h>
 
-uint64_t
-am_clock_ns (void)
+static uint64_t
+read_ns (clockid_t clock)
 {
   struct timespec t;
 
-  clock_gettime (CLOCK_MONOTONIC, &t);
+  clock_gettime (clock, &t);
   return (uint64_t)t.tv_sec * 1000000000u + (uint64_t)t.tv_nsec;
 }
 
+uint64_t
+am_clock_ns (void)
+{
+  return read_ns (CLOCK_MONOTONIC);
+}
+
 uint64_t
 am_clock_us (void)
 {
@@ -18,10 +24,13 @@
 }
 
 uint64_t
-am_clock_wall_ms (void)
+am_clock_boot_us (void)
 {
-  struct timespec t;
+  return read_ns (CLOCK_BOOTTIME) / 1000u;
+}
 
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (uint64_t)t.tv_sec * 1000u + (uint64_t)t.tv_nsec / 1000000u;
+uint64_t
+am_clock_wall_ms (void)
+{
+  return read_ns (CLOCK_REALTIME) / 1000000u;
 }
--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -11,6 +11,9 @@
 /* Returns nanoseconds of CLOCK_MONOTONIC.  */
 uint64_t am_clock_ns (void);
 
+/* Returns microseconds of CLOCK_BOOTTIME, which counts suspended time too.  */
+uint64_t am_clock_boot_us (void);
+
 /* Returns milliseconds of CLOCK_REALTIME.  */
 uint64_t am_clock_wall_ms (void);
 
