--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -151,6 +151,7 @@
         self.counts = {"asked": 0, "served": 0, "unanswered": 0,
                        "not run": 0, "never opened": 0}
         self.runs = {}
+        self.asked = {}        # service by request
         self.next_request = 0
         for z, (zone, count) in enumerate(ZONES.items()):
             for i in range(count):
@@ -241,6 +242,11 @@
         self.runs.setdefault(request, []).append(f"{target.id:08x}")
         self.note("run", request=request, target=f"{target.id:08x}")
 
+    def ran_by(self, request):
+        """The services of the targets that began to work on request."""
+        by_id = {f"{t.id:08x}": t.service for t in self.targets}
+        return [by_id[x] for x in self.runs.get(request, [])]
+
     def syn_taken(self, target, key, p, vm):
         """Called for each SYN that reaches its target; for a script's use."""
 
@@ -284,6 +290,7 @@
                     flow.close()
                     flow = None
                     continue
+            self.asked[request] = service
             self.note("sent", request=request, service=service,
                       client=host.ip, port=flow.port)
             status = await flow.ask(request, size, deadline_s)
