--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -55,7 +55,9 @@
                 self.open.set()
             if p.seq == self.peer_seq:
                 self.send(ACK, self.sent)
-            return                     # of another target: not this flow's
+            elif self.host.world.last_echo:
+                self.echo = p.echo     # the last that came on this flow
+            return                     # of another target
         if not self.open.is_set():
             return
         self.echo = p.echo
--- a/review/lib/target.py
+++ b/review/lib/target.py
@@ -115,6 +115,9 @@
         p = Packet(flags, dst, dport, src, sport, flow.echo, seq, flow.next,
                    data)
         flow.pending = 0
+        if random.random() < self.world.loss:
+            self.world.lost["SYN+ACK" if flags & SYN else "other"] += 1
+            return
         self.transport.sendto(p.pack(), (text(src), self.world.packets_port))
 
     def reset(self, key, p):
@@ -169,7 +172,7 @@
             flow = self.flows[key] = Flow(p)
             flow.used_s = self.world.now()
             self.most = max(self.most, len(self.flows))
-            flow.sender = asyncio.ensure_future(self.offer(key, flow))
+            asyncio.ensure_future(self.offer(key, flow))
         flow.echo = p.echo
         if not flow.open:
             self.send(key, flow, SYN | ACK, flow.seq)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -141,6 +141,10 @@
         self.store = Store()
         self.services = services
         self.max_conns = max_conns
+        self.loss = 0.0         # share of the targets' datagrams that is lost
+        self.lost = {"SYN+ACK": 0, "other": 0}
+        self.last_echo = False  # clients take the echo of any SYN+ACK of a
+                                # flow, not only of that which opened it
         self.version = 0
         self.targets = []
         self.vms = []
@@ -180,7 +184,7 @@
     def configure(self, drop=(), **more):
         """Writes the next version; its acknowledgement is at once."""
         self.version += random.randint(1, 9)
-        routes = [{"name": f"r-{s}", "host": "198.18.0.1",
+        routes = [{"name": f"r-{s}", "host": self.ip(1, 9),
                    "prefix": f"/{port}/", "kind": kind, "timeout_ms": 2500,
                    "slo_ms": 200, "priority": 1, "service": s, "attempts": 2}
                   for s, (port, kind) in self.services.items()
@@ -212,7 +216,7 @@
             (key + v.name).encode(), digest_size=8).digest()).ip
 
     def route(self, service):
-        return number("198.18.0.1"), self.services[service][0]
+        return number(self.ip(1, 9)), self.services[service][0]
 
     async def add_target(self, service, zone, number_=None, **more):
         n = len(self.targets) + 1
