Conclude from unanswered data alone that a target has failed

Cause: a full target leaves SYNs unanswered. These counted towards am_liveness_failed like data without an answer, here and in the peers' reports, and is_orphaned then reset all flows of the target.

With the new tests, the code before this change fails test_flows_of_a_full_target_are_kept at "!am_path_next_orphan".

Change: SYNs and data without an answer are counted apart. SYNs keep new flows away, as before. The verdict takes own data and peers that report data; the digest's Load has the new field data_unanswered for this. Reports of peers that run the earlier code corroborate no failure.

Why it works: a live target acknowledges data of the flows that it holds, full or not.

Tests: in test_liveness.c the cases of corroboration now set the peers that report data; the thresholds are the same.

--- a/src/entry/digest_receive.c
+++ b/src/entry/digest_receive.c
@@ -20,6 +20,7 @@
       reports[i].load.open_flows = d->loads[i]->open_flows;
       reports[i].load.busy = d->loads[i]->busy;
       reports[i].unresponsive = d->loads[i]->silent;
+      reports[i].data_unanswered = d->loads[i]->data_unanswered;
     }
   am_peer_load_set (&p->load, &e->targets, reports, n, now_us);
   p->loads_us = now_us;
--- a/src/entry/digest_send.c
+++ b/src/entry/digest_send.c
@@ -32,6 +32,7 @@
       d->loads[i].open_flows = reports[i].load.open_flows;
       d->loads[i].busy = reports[i].load.busy;
       d->loads[i].silent = reports[i].unresponsive;
+      d->loads[i].data_unanswered = reports[i].data_unanswered;
       d->load_list[i] = &d->loads[i];
     }
   d->message.loads = d->load_list;
--- a/src/flow/liveness.c
+++ b/src/flow/liveness.c
@@ -29,13 +29,12 @@
   t->unanswered_since_us = 0;
   t->retry_us = 0;
   t->unanswered_count = 0;
+  t->data_unanswered_count = 0;
 }
 
-void
-am_liveness_unanswered (struct am_target *t, uint64_t now_us)
+static void
+unanswered (struct am_target *t, uint64_t now_us)
 {
-  if (!t->unanswered_count)
-    t->first_unanswered_us = now_us;
   t->unanswered_count++;
   t->last_unanswered_us = now_us;
   if (!t->unanswered_since_us)
@@ -44,6 +43,22 @@
     t->retry_us = now_us + retry_delay_us (t->unanswered_count);
 }
 
+void
+am_liveness_syn_unanswered (struct am_target *t, uint64_t now_us)
+{
+  unanswered (t, now_us);
+}
+
+void
+am_liveness_data_unanswered (struct am_target *t, uint64_t now_us)
+{
+  unanswered (t, now_us);
+  if (!t->data_unanswered_count)
+    t->first_data_unanswered_us = now_us;
+  t->data_unanswered_count++;
+  t->last_data_unanswered_us = now_us;
+}
+
 bool
 am_liveness_unresponsive (const struct am_target *t, uint64_t now_us)
 {
@@ -53,26 +68,29 @@
          || now_us - t->unanswered_since_us > AM_LIVENESS_SYN_TIMEOUT_US;
 }
 
-/* Returns the time since which T does not answer, here or at enough peers.  */
+/* Returns the time since which T does not answer data, here or at enough
+   peers.  */
 static uint64_t
-unanswered_since_us (const struct am_target *t)
+data_unanswered_since_us (const struct am_target *t)
 {
-  if (t->reporting_peers >= AM_LIVENESS_REPORTING_PEERS_MIN
-      && t->reported_since_us < t->first_unanswered_us)
-    return t->reported_since_us;
-  return t->first_unanswered_us;
+  if (t->data_reporting_peers >= AM_LIVENESS_REPORTING_PEERS_MIN
+      && t->data_reported_since_us < t->first_data_unanswered_us)
+    return t->data_reported_since_us;
+  return t->first_data_unanswered_us;
 }
 
 bool
 am_liveness_failed (const struct am_target *t, size_t peers, uint64_t now_us)
 {
-  if (peers >= AM_LIVENESS_CORROBORATION_PEERS && !t->reporting_peers)
+  uint32_t count = t->data_unanswered_count + t->data_reporting_peers;
+
+  if (peers >= AM_LIVENESS_CORROBORATION_PEERS && !t->data_reporting_peers)
     return false;
-  if (!t->unanswered_count
-      || t->unanswered_count + t->reporting_peers < AM_LIVENESS_UNANSWERED_MIN
-      || now_us - unanswered_since_us (t) < AM_LIVENESS_UNANSWERED_SPAN_MIN_US)
+  if (!t->data_unanswered_count || count < AM_LIVENESS_UNANSWERED_MIN
+      || now_us - data_unanswered_since_us (t)
+             < AM_LIVENESS_UNANSWERED_SPAN_MIN_US)
     return false;
-  return now_us - t->last_unanswered_us < AM_LIVENESS_EVIDENCE_MAX_AGE_US
+  return now_us - t->last_data_unanswered_us < AM_LIVENESS_EVIDENCE_MAX_AGE_US
          && now_us - t->last_progress_us > AM_LIVENESS_NO_PROGRESS_US;
 }
 
--- a/src/flow/liveness.h
+++ b/src/flow/liveness.h
@@ -4,7 +4,12 @@
    The VM sees only what callers send.  A caller that continues after its SYN,
    or acknowledges more of a response, has received packets from the target:
    this is progress.  A SYN that is followed by no further packet, or that is
-   retransmitted, was not answered.
+   retransmitted, was not answered; so was data that is retransmitted.
+
+   A target that holds all the flows it can answers no SYN, but serves the
+   flows that it has.  So a SYN without an answer only keeps new flows away;
+   that a target has failed, and its flows with it, is concluded from data
+   alone.
 
    All times are microseconds of the monotonic clock.  */
 
@@ -26,24 +31,24 @@
 #define AM_LIVENESS_RETRY_US 1000000u
 #define AM_LIVENESS_RETRY_MAX_US 8000000u
 
-/* A target counts as failed only once the number of its unanswered packets
-   plus the number of peers that report it as unresponsive is at least
+/* A target counts as failed only once the number of its unanswered data
+   packets plus the number of peers that report such packets is at least
    AM_LIVENESS_UNANSWERED_MIN, and the first of these packets is at least
    AM_LIVENESS_UNANSWERED_SPAN_MIN_US ago.  A link that is briefly congested
    delays responses by less than that.  In a large data centre each VM has few
    flows at a target, and each caller would wait for its second retransmission;
    so the first report of a peer counts as the first packet if at least
-   AM_LIVENESS_REPORTING_PEERS_MIN peers report the target.  */
+   AM_LIVENESS_REPORTING_PEERS_MIN peers report such packets.  */
 #define AM_LIVENESS_UNANSWERED_MIN 3
 #define AM_LIVENESS_UNANSWERED_SPAN_MIN_US 350000u
 
 /* With at least this many peers in the data centre, one of them must report
-   the target as unresponsive too: a VM whose own link is saturated delays
+   unanswered data too: a VM whose own link is saturated delays
    every packet.  */
 #define AM_LIVENESS_CORROBORATION_PEERS 2
 
 /* A target counts as failed only if its last progress is older than
-   AM_LIVENESS_NO_PROGRESS_US and its last unanswered packet is younger than
+   AM_LIVENESS_NO_PROGRESS_US and its last unanswered data is younger than
    AM_LIVENESS_EVIDENCE_MAX_AGE_US: old observations are not conclusive.  */
 #define AM_LIVENESS_NO_PROGRESS_US 300000u
 #define AM_LIVENESS_EVIDENCE_MAX_AGE_US 600000u
@@ -64,17 +69,19 @@
    again.  */
 void am_liveness_progress (struct am_target *t, uint64_t now_us);
 
-/* Records that a caller has retransmitted a packet that T did not answer.  */
-void am_liveness_unanswered (struct am_target *t, uint64_t now_us);
+/* Record that a caller has retransmitted a SYN, or data, that T did not
+   answer.  */
+void am_liveness_syn_unanswered (struct am_target *t, uint64_t now_us);
+void am_liveness_data_unanswered (struct am_target *t, uint64_t now_us);
 
 /* Returns true if T has not answered a SYN or a retransmitted packet and none
    of its flows has made progress since.  */
 bool am_liveness_unresponsive (const struct am_target *t, uint64_t now_us);
 
 /* Returns true if T has failed, by the thresholds above: enough unanswered
-   packets over a long enough time, the last of them recent, no recent
-   progress and, with enough PEERS, corroboration by a peer.  At least one
-   unanswered packet must have been seen here.  PEERS is the number of live
+   data over a long enough time, the last of it recent, no recent progress and,
+   with enough PEERS, corroboration by a peer.  At least one unanswered data
+   packet must have been seen here.  PEERS is the number of live
    peers (other entry VMs) in this data centre.  */
 bool am_liveness_failed (const struct am_target *t, size_t peers,
                          uint64_t now_us);
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -92,13 +92,24 @@
          > AM_PATH_LOAD_PER_SLOT_MAX;
 }
 
-/* A caller has retransmitted a packet that TARGET did not answer.  */
+/* A caller has retransmitted a SYN that TARGET did not answer.  */
 static void
-note_unanswered (struct am_path *p, struct am_target *target, uint64_t now_us)
+note_syn_unanswered (struct am_path *p, struct am_target *target,
+                     uint64_t now_us)
 {
   if (!target->unanswered_count)
     p->liveness_changes++;
-  am_liveness_unanswered (target, now_us);
+  am_liveness_syn_unanswered (target, now_us);
+}
+
+/* A caller has retransmitted data that TARGET did not answer.  */
+static void
+note_data_unanswered (struct am_path *p, struct am_target *target,
+                      uint64_t now_us)
+{
+  if (!target->data_unanswered_count)
+    p->liveness_changes++;
+  am_liveness_data_unanswered (target, now_us);
 }
 
 /* A caller of TARGET has received packets from it.  */
@@ -149,7 +160,7 @@
     return make_decision (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, target);
   if (!has_accepted_since (f))
     {
-      note_unanswered (p, target, now_us);
+      note_syn_unanswered (p, target, now_us);
       if (prefers_another (p, target, service, now_us))
         {
           am_flow_set_target (f, NULL);
@@ -302,7 +313,7 @@
     }
   else if (packet->data_len
            && now_us - f->forwarded_us >= AM_LIVENESS_RETRANSMIT_MIN_US)
-    note_unanswered (p, target, now_us);
+    note_data_unanswered (p, target, now_us);
   if (packet->finishes)
     {
       am_flow_set_busy (f, false);
@@ -399,7 +410,7 @@
     return false;
   if (was_removed (target))
     return true;
-  return target->unanswered_count
+  return target->data_unanswered_count
          && now_us - f->seen_us < AM_PATH_CALLER_WAIT_MAX_US
          && has_failed (p, target, now_us);
 }
--- a/src/flow/peer_load.c
+++ b/src/flow/peer_load.c
@@ -9,6 +9,7 @@
   g->peers_load.open_flows += r->load.open_flows;
   g->peers_load.busy += r->load.busy;
   g->reporting_peers += r->unresponsive;
+  g->data_reporting_peers += r->data_unanswered;
 }
 
 /* Takes AMOUNT off *VALUE, or all of it if that is less: a target that was
@@ -30,6 +31,7 @@
   take_off (&g->peers_load.open_flows, r->load.open_flows);
   take_off (&g->peers_load.busy, r->load.busy);
   take_off (&g->reporting_peers, r->unresponsive);
+  take_off (&g->data_reporting_peers, r->data_unanswered);
 }
 
 /* The new reports are added before the old ones are subtracted, so that a
@@ -48,8 +50,8 @@
 
       if (!g)
         continue;
-      if (reports[i].unresponsive && !g->reporting_peers)
-        g->reported_since_us = now_us;
+      if (reports[i].data_unanswered && !g->data_reporting_peers)
+        g->data_reported_since_us = now_us;
       add (g, &reports[i]);
       peer->reports[peer->count++] = reports[i];
     }
@@ -66,6 +68,13 @@
          && now_us - t->last_unanswered_us < AM_LIVENESS_RETRY_US;
 }
 
+static bool
+is_data_unanswered (const struct am_target *t, uint64_t now_us)
+{
+  return t->data_unanswered_count
+         && now_us - t->last_data_unanswered_us < AM_LIVENESS_RETRY_US;
+}
+
 static bool
 has_load (const struct am_target_load *l)
 {
@@ -85,8 +94,12 @@
       break;
     if (is_unresponsive (g, now_us) == unresponsive
         && (unresponsive || has_load (&g->load)))
-      reports[n++]
-          = (struct am_load_report){ g->ticket, g->load, unresponsive };
+      reports[n++] = (struct am_load_report){
+        .ticket = g->ticket,
+        .load = g->load,
+        .unresponsive = unresponsive,
+        .data_unanswered = unresponsive && is_data_unanswered (g, now_us),
+      };
   }
   return n;
 }
--- a/src/flow/peer_load.h
+++ b/src/flow/peer_load.h
@@ -17,7 +17,8 @@
 {
   uint32_t ticket; /* of the target */
   struct am_target_load load;
-  bool unresponsive; /* the target is unresponsive to the reporting VM */
+  bool unresponsive;    /* the target is unresponsive to the reporting VM */
+  bool data_unanswered; /* also to data that callers retransmit */
 };
 
 struct am_peer_load
@@ -27,7 +28,8 @@
 };
 
 /* Replaces the previous reports of PEER by the COUNT REPORTS, and adjusts
-   peers_load, reporting_peers and reported_since_us of the targets in T.
+   peers_load, reporting_peers, data_reporting_peers and data_reported_since_us
+   of the targets in T.
    Reports on unknown targets and reports beyond AM_PEER_LOAD_MAX are
    dropped.  */
 void am_peer_load_set (struct am_peer_load *peer, struct am_target_table *t,
--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -141,9 +141,11 @@
   g->last_accepted_us = 0;
   g->unanswered_since_us = 0;
   g->retry_us = 0;
-  g->first_unanswered_us = 0;
   g->last_unanswered_us = 0;
   g->unanswered_count = 0;
+  g->first_data_unanswered_us = 0;
+  g->last_data_unanswered_us = 0;
+  g->data_unanswered_count = 0;
 }
 
 int
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -74,12 +74,15 @@
   uint64_t unanswered_since_us; /* first SYN sent, or packet unanswered, since
                                    the last progress; 0: none */
   uint64_t retry_us; /* while it is unresponsive: no new flow before this */
-  uint64_t first_unanswered_us; /* first unanswered packet since the last
-                                   progress */
-  uint64_t last_unanswered_us;  /* last unanswered packet */
-  uint32_t unanswered_count;    /* unanswered packets since last progress */
-  uint32_t reporting_peers;     /* peers that report it as unresponsive */
-  uint64_t reported_since_us;   /* since when there is such a peer */
+  uint64_t last_unanswered_us;       /* last unanswered packet, SYN or data */
+  uint32_t unanswered_count;         /* such packets since last progress */
+  uint64_t first_data_unanswered_us; /* first unanswered data since the last
+                                        progress */
+  uint64_t last_data_unanswered_us;  /* last unanswered data */
+  uint32_t data_unanswered_count;    /* such packets since last progress */
+  uint32_t reporting_peers;          /* peers that report it as unresponsive */
+  uint32_t data_reporting_peers;     /* those that report unanswered data */
+  uint64_t data_reported_since_us;   /* since when there is one of these */
   /* Used by am_placement_choose alone.  */
   double cost;
   struct am_target *next_candidate;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -309,7 +309,7 @@
   (ProtobufCMessageInit) fleet__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor fleet__load__field_descriptors[6] =
 {
   {
     "ticket",
@@ -371,9 +371,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_unanswered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Load, data_unanswered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = busy */
+  5,   /* field[5] = data_unanswered */
   2,   /* field[2] = open_flows */
   1,   /* field[1] = opening */
   4,   /* field[4] = silent */
@@ -382,7 +395,7 @@
 static const ProtobufCIntRange fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor fleet__load__descriptor =
 {
@@ -392,7 +405,7 @@
   "Fleet__Load",
   "fleet",
   sizeof(Fleet__Load),
-  5,
+  6,
   fleet__load__field_descriptors,
   fleet__load__field_indices_by_name,
   1,  fleet__load__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -63,10 +63,14 @@
    * the sender hears nothing from it
    */
   protobuf_c_boolean silent;
+  /*
+   * nor do callers that have sent it data
+   */
+  protobuf_c_boolean data_unanswered;
 };
 #define FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/fuzz_peers.c
+++ b/test/fuzz_peers.c
@@ -211,7 +211,7 @@
   am_list_each (t, &e->targets.targets, struct am_target, node)
   {
     if (t->peers_load.opening || t->peers_load.open_flows || t->peers_load.busy
-        || t->reporting_peers)
+        || t->reporting_peers || t->data_reporting_peers)
       abort ();
   }
 }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -271,13 +271,15 @@
   struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
 
   am_target_table_put (&targets, &s, NOW, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true };
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true, true };
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
   ck_assert_uint_eq (t->peers_load.busy, 3);
   ck_assert_uint_eq (t->reporting_peers, 1);
+  ck_assert_uint_eq (t->data_reporting_peers, 1);
   am_fleet_expire (&f, &targets, NOW + PEER_TIMEOUT_US);
   ck_assert_uint_eq (t->peers_load.busy, 0);
   ck_assert_uint_eq (t->reporting_peers, 0);
+  ck_assert_uint_eq (t->data_reporting_peers, 0);
   ck_assert_uint_eq (f.count, 1);
   am_fleet_expire (&f, &targets, NOW + AM_FLEET_PEER_EXPIRY_US + 1);
   ck_assert_uint_eq (f.count, 0);
@@ -320,7 +322,7 @@
   struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
 
   am_target_table_put (&targets, &s, NOW, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, false };
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, false, false };
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
   report.load.busy = 1;
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
@@ -352,7 +354,7 @@
   uint64_t now_us = NOW;
 
   am_target_table_put (&targets, &s, now_us, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true };
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true, true };
   am_peer_load_set (&p->load, &targets, &report, 1, now_us);
   am_target_table_mark_absent (&targets, 1, now_us);
   for (int i = 0; i < 3; i++)
@@ -386,11 +388,28 @@
       t->load.open_flows = 1;
     }
   am_liveness_syn_sent (t, NOW - 2 * AM_LIVENESS_SYN_TIMEOUT_US);
-  am_liveness_unanswered (t, NOW);
+  am_liveness_data_unanswered (t, NOW);
   n = am_peer_load_collect (&targets, reports, NOW);
   ck_assert_uint_eq (n, AM_PEER_LOAD_MAX);
   ck_assert_uint_eq (reports[0].ticket, t->ticket);
   ck_assert (reports[0].unresponsive);
+  ck_assert (reports[0].data_unanswered);
+}
+END_TEST
+
+/* Guards against peers that take a full target for a failed one: it answers no
+   SYN, and its flows are served.  */
+START_TEST (test_unanswered_syns_are_reported_as_such)
+{
+  struct am_load_report reports[AM_PEER_LOAD_MAX];
+  struct am_target_spec s = { .id = 1, .service = 1 };
+  struct am_target *t;
+
+  am_target_table_put (&targets, &s, NOW, &t);
+  am_liveness_syn_unanswered (t, NOW);
+  ck_assert_uint_eq (am_peer_load_collect (&targets, reports, NOW), 1);
+  ck_assert (reports[0].unresponsive);
+  ck_assert (!reports[0].data_unanswered);
 }
 END_TEST
 
@@ -420,6 +439,7 @@
   tcase_add_test (tc, test_report_replaces_previous_one);
   tcase_add_test (tc, test_report_of_forgotten_target_is_not_subtracted);
   tcase_add_test (tc, test_unresponsive_targets_are_reported_first);
+  tcase_add_test (tc, test_unanswered_syns_are_reported_as_such);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
--- a/test/test_liveness.c
+++ b/test/test_liveness.c
@@ -28,7 +28,7 @@
   for (unsigned i = 0; i < n; i++)
     {
       f.now_us += pause_us;
-      am_liveness_unanswered (t, f.now_us);
+      am_liveness_data_unanswered (t, f.now_us);
     }
 }
 
@@ -50,7 +50,7 @@
 {
   am_liveness_syn_sent (t, f.now_us);
   f.now_us += 200 * MS;
-  am_liveness_unanswered (t, f.now_us);
+  am_liveness_data_unanswered (t, f.now_us);
   ck_assert (!am_liveness_usable (t, f.now_us + AM_LIVENESS_RETRY_US - 1));
   f.now_us += AM_LIVENESS_RETRY_US;
   ck_assert (am_liveness_usable (t, f.now_us));
@@ -78,7 +78,7 @@
   fail_times (10, 100 * MS);
   ck_assert (
       !am_liveness_failed (t, AM_LIVENESS_CORROBORATION_PEERS, f.now_us));
-  t->reporting_peers = 1;
+  t->data_reporting_peers = 1;
   ck_assert (
       am_liveness_failed (t, AM_LIVENESS_CORROBORATION_PEERS, f.now_us));
 }
@@ -90,16 +90,16 @@
 START_TEST (test_reports_of_peers_shorten_detection)
 {
   f.now_us += 10000 * MS;
-  t->reported_since_us = f.now_us;
+  t->data_reported_since_us = f.now_us;
   f.now_us += AM_LIVENESS_UNANSWERED_SPAN_MIN_US;
-  t->reporting_peers = 2;
+  t->data_reporting_peers = 2;
   ck_assert (!am_liveness_failed (t, 60, f.now_us));
-  am_liveness_unanswered (t, f.now_us);
+  am_liveness_data_unanswered (t, f.now_us);
   ck_assert (am_liveness_failed (t, 60, f.now_us));
-  t->reporting_peers = 1;
+  t->data_reporting_peers = 1;
   ck_assert (!am_liveness_failed (t, 60, f.now_us));
-  t->reporting_peers = 2;
-  t->reported_since_us += 1;
+  t->data_reporting_peers = 2;
+  t->data_reported_since_us += 1;
   ck_assert (!am_liveness_failed (t, 60, f.now_us));
 }
 END_TEST
@@ -108,7 +108,7 @@
    while packets of this VM's flows are answered.  */
 START_TEST (test_peer_reports_alone_are_no_failure)
 {
-  t->reporting_peers = 20;
+  t->data_reporting_peers = 20;
   ck_assert (!am_liveness_failed (t, 20, f.now_us));
   fail_times (4, 200 * MS);
   am_liveness_progress (t, f.now_us);
@@ -116,6 +116,24 @@
 }
 END_TEST
 
+/* A target holds all the flows it can: it leaves SYNs unanswered, here and at
+   peers, and serves the flows that it has.  Guards against its open flows
+   being reset, since many callers come at once.  */
+START_TEST (test_unanswered_syns_are_no_failure)
+{
+  t->reporting_peers = 20;
+  for (unsigned i = 0; i < 10; i++)
+    {
+      f.now_us += 100 * MS;
+      am_liveness_syn_unanswered (t, f.now_us);
+    }
+  ck_assert (!am_liveness_usable (t, f.now_us));
+  ck_assert (!am_liveness_failed (t, 0, f.now_us));
+  fail_times (2, 100 * MS);
+  ck_assert (!am_liveness_failed (t, 20, f.now_us));
+}
+END_TEST
+
 /* Guards against new flows to a target that several peers report as
    unresponsive, and against avoiding one that answers here.  */
 START_TEST (test_peer_reports_prevent_new_flows)
@@ -136,8 +154,8 @@
   struct am_target *other = add_target (&f, 2, NEAR);
   struct am_target *far = add_target (&f, 3, FAR);
 
-  am_liveness_unanswered (t, f.now_us);
-  am_liveness_unanswered (far, f.now_us);
+  am_liveness_data_unanswered (t, f.now_us);
+  am_liveness_data_unanswered (far, f.now_us);
   ck_assert (am_liveness_local_fault (&f.targets, f.now_us));
   am_liveness_progress (other, f.now_us);
   ck_assert (!am_liveness_local_fault (&f.targets, f.now_us));
@@ -157,6 +175,7 @@
   tcase_add_test (tc, test_failure_needs_corroboration);
   tcase_add_test (tc, test_reports_of_peers_shorten_detection);
   tcase_add_test (tc, test_peer_reports_alone_are_no_failure);
+  tcase_add_test (tc, test_unanswered_syns_are_no_failure);
   tcase_add_test (tc, test_peer_reports_prevent_new_flows);
   tcase_add_test (tc, test_most_targets_unresponsive_is_local_fault);
   suite_add_tcase (suite, tc);
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -271,6 +271,39 @@
 }
 END_TEST
 
+/* Many callers come at once, and a target that holds all the flows it can
+   leaves their SYNs unanswered.  Guards against a reset of its open flows, of
+   callers that wait for an answer and of idle ones.  */
+START_TEST (test_flows_of_a_full_target_are_kept)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_target *other;
+  struct am_packet reset;
+
+  open_flow_at (&f, 1);
+  open_flow_at (&f, 2);
+  other = add_target (&f, 2, NEAR);
+  for (uint16_t port = 3; port < 23; port++)
+    {
+      struct am_packet p = syn (port, 0);
+
+      f.now_us += 20 * MS;
+      am_flow_add (&f.path.flows, &p, t, AM_FLOW_OPENING, f.now_us);
+    }
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  for (uint16_t port = 3; port < 23; port++)
+    {
+      f.now_us += 20 * MS;
+      am_liveness_progress (other, f.now_us);
+      expect (send_packet (&f, syn (port, 1)), AM_VERDICT_RESET,
+              AM_REASON_SYN_UNANSWERED);
+      ck_assert (!am_path_next_orphan (&f.path, &reset, f.now_us));
+    }
+  expect (send_packet (&f, data (2, t->ticket, 1001, 100, 1)),
+          AM_VERDICT_FORWARD, AM_REASON_TICKET);
+}
+END_TEST
+
 /* Guards against a reset of a flow of a slow target: it acknowledges data, so
    that callers do not retransmit, and answers later than usual.  */
 START_TEST (test_flows_of_a_slow_target_are_kept)
@@ -354,7 +387,7 @@
   for (unsigned i = 0; i < 5; i++)
     {
       f.now_us += 200 * MS;
-      am_liveness_unanswered (t, f.now_us);
+      am_liveness_data_unanswered (t, f.now_us);
     }
   ck_assert (am_liveness_failed (t, 0, f.now_us));
   f.now_us += 5000 * MS;
@@ -610,6 +643,7 @@
   tcase_add_test (tc, test_retransmission_is_not_sent_to_a_draining_target);
   tcase_add_test (tc, test_early_retransmission_goes_to_the_same_target);
   tcase_add_test (tc, test_flows_of_a_failed_target_are_reset);
+  tcase_add_test (tc, test_flows_of_a_full_target_are_kept);
   tcase_add_test (tc, test_flows_of_a_slow_target_are_kept);
   tcase_add_test (tc, test_orphaned_flows_are_reset);
   tcase_add_test (tc, test_liveness_changes_are_counted);
