Let a reader's claim confirm a replica as of when it was heard

Cause: am_fleet_confirms_revision took any live reader with a revision no newer as a confirmation of now. A reader that does not know a seed of another data centre introduces itself with an interval of up to 10 s, which made it live for 30 s: what it claimed before a change, or before it died, confirmed the old replica on. All items are requested only without a confirmation, and after a lost history or a start peers can send nothing else.

New line replica-lags.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -54,17 +54,40 @@
     am_readiness_record_lag (&e->readiness, lag_us, now_us);
 }
 
+static void
+update_lag (struct am_entry *e, uint64_t now_us)
+{
+  uint64_t claimed = am_fleet_claimed_revision (&e->fleet, now_us);
+  bool before = e->lagging;
+
+  am_replica_lag_update (&e->lag, e->replica.revision, claimed, now_us);
+  e->lagging = am_replica_lags (&e->lag, now_us);
+  if (e->lagging && !before)
+    am_line_log_add (&e->log, AM_LINE_STATE, now_us,
+                     "replica-lags revision=%" PRIu64 " claimed=%" PRIu64,
+                     e->replica.revision, claimed);
+}
+
+/* A reader's claim confirms the replica as of the time when it was heard.  */
+static void
+confirm_by_peers (struct am_entry *e, uint64_t now_us)
+{
+  uint64_t confirmed_us
+      = am_fleet_confirmed_us (&e->fleet, e->replica.revision, now_us);
+
+  if (confirmed_us > e->sync.last_confirmed_us && !e->lagging)
+    am_store_sync_confirmed (&e->sync, confirmed_us);
+}
+
 static void
 update_sync (struct am_entry *e, uint64_t now_us)
 {
   bool before = e->sync.in_sync;
-  bool confirmed
-      = am_fleet_confirms_revision (&e->fleet, e->replica.revision, now_us);
 
-  if (e->replica.revision && confirmed)
-    am_store_sync_confirmed (&e->sync, now_us);
-  else if (!e->reader.active && e->reader.failures
-           && now_us - e->sync.last_confirmed_us > UNCONFIRMED_US)
+  update_lag (e, now_us);
+  confirm_by_peers (e, now_us);
+  if (!e->reader.active && e->reader.failures
+      && now_us - e->sync.last_confirmed_us > UNCONFIRMED_US)
     am_store_sync_lost (&e->sync);
   am_store_sync_check (&e->sync, now_us);
   e->path.peers = am_fleet_count_local (&e->fleet, now_us);
@@ -218,6 +241,7 @@
   am_route_table_init (&e->routes);
   am_path_init (&e->path, &e->targets, &e->routes, data_centre, seed);
   am_store_sync_init (&e->sync, e->started_us);
+  am_replica_lag_init (&e->lag);
   am_readiness_init (&e->readiness);
   e->shutdown.limit_us = e->settings.stop_ms * UINT64_C (1000);
   am_fleet_init (&e->fleet, e->settings.name, data_centre,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -26,6 +26,7 @@
 #include "flow/packet_path.h"
 #include "flow/readiness.h"
 #include "flow/replica.h"
+#include "flow/replica_lag.h"
 #include "flow/shutdown.h"
 #include "flow/startup.h"
 #include "flow/suppliers.h"
@@ -106,6 +107,8 @@
                                      was activated; 0: none yet */
   struct am_path path;            /* packets.c and entry.c */
   struct am_store_sync sync;      /* entry.c and reader.c */
+  struct am_replica_lag lag;      /* entry.c */
+  bool lagging;                   /* entry.c: it lags, as of the last tick */
   struct am_readiness readiness;  /* entry.c */
   struct am_fleet fleet;          /* peers.c, members.c, digest_receive.c */
   struct am_entry_reader reader;  /* reader.c */
--- a/src/entry/pull.c
+++ b/src/entry/pull.c
@@ -170,18 +170,24 @@
   return e->pull_delay_us;
 }
 
-/* A peer that can supply only all of its items is used only if nothing has
-   confirmed this VM's replica for FULL_PULL_DELAY_US.  */
+/* Returns true if all items may be requested, not only changes: nothing has
+   confirmed this VM's replica for FULL_PULL_DELAY_US, or readers are ahead of
+   it.  */
+static bool
+may_pull_all (const struct am_entry *e, uint64_t now_us)
+{
+  return now_us - e->sync.last_confirmed_us > FULL_PULL_DELAY_US || e->lagging;
+}
+
 void
 am_entry_pull (struct am_entry *e, uint64_t now_us)
 {
-  bool allow_full = now_us - e->sync.last_confirmed_us > FULL_PULL_DELAY_US;
   struct am_peer *p;
 
   if (am_http_client_busy (&e->pull_client) || !e->replica.revision)
     return;
-  p = am_fleet_pull_source (&e->fleet, e->replica.revision, allow_full,
-                            now_us);
+  p = am_fleet_pull_source (&e->fleet, e->replica.revision,
+                            may_pull_all (e, now_us), now_us);
   if (!p)
     {
       e->behind_us = 0;
--- a/src/flow/fleet.c
+++ b/src/flow/fleet.c
@@ -83,6 +83,14 @@
                 < AM_FLEET_MISSED_DIGESTS_MAX * p->interval_us;
 }
 
+/* Returns true if P claims to read the store, and its claim counts.  */
+static bool
+is_reader (const struct am_peer *p, uint64_t now_us)
+{
+  return p->reads && am_fleet_peer_alive (p, now_us)
+         && now_us - p->heard_us < AM_FLEET_CLAIM_US;
+}
+
 void
 am_peer_set_link_mbps (struct am_peer *p, uint32_t link_mbps)
 {
@@ -165,7 +173,7 @@
         || !am_fleet_peer_alive (p, now_us))
       continue;
     better++;
-    better_readers += p->reads;
+    better_readers += is_reader (p, now_us);
   }
   if (better_readers >= AM_FLEET_READERS)
     {
@@ -227,16 +235,32 @@
   }
 }
 
-bool
-am_fleet_confirms_revision (const struct am_fleet *f, uint64_t revision,
-                            uint64_t now_us)
-{
-  if (!revision)
-    return false;
-  am_list_each (p, &f->peers, struct am_peer,
-                node) if (p->reads && p->revision <= revision && p->revision
-                          && am_fleet_peer_alive (p, now_us)) return true;
-  return false;
+uint64_t
+am_fleet_confirmed_us (const struct am_fleet *f, uint64_t revision,
+                       uint64_t now_us)
+{
+  uint64_t latest_us = 0;
+
+  am_list_each (p, &f->peers, struct am_peer, node)
+  {
+    if (p->revision && p->revision <= revision && p->heard_us > latest_us
+        && is_reader (p, now_us))
+      latest_us = p->heard_us;
+  }
+  return latest_us;
+}
+
+uint64_t
+am_fleet_claimed_revision (const struct am_fleet *f, uint64_t now_us)
+{
+  uint64_t highest = 0;
+
+  am_list_each (p, &f->peers, struct am_peer, node)
+  {
+    if (p->revision > highest && is_reader (p, now_us))
+      highest = p->revision;
+  }
+  return highest;
 }
 
 void
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -34,6 +34,13 @@
 #define AM_FLEET_READER_INTERVAL_US 250000u
 #define AM_FLEET_MISSED_DIGESTS_MAX 3
 
+/* What a peer claims as a reader of the store counts for this time, however
+   long the interval that it reports: a reader tells the seeds of other data
+   centres only seldom which revision it has.  It is the time in which a peer
+   that gets a reader's regular digests misses AM_FLEET_MISSED_DIGESTS_MAX of
+   them.  */
+#define AM_FLEET_CLAIM_US 1500000u
+
 /* A VM that has just started is not elected before this time: the seeds may
    start after it, and it knows its peers only through them.  */
 #define AM_FLEET_ELECTION_DELAY_US 1000000u
@@ -144,10 +151,15 @@
 void am_fleet_pull_failed (struct am_fleet *f, struct am_address address,
                            uint64_t now_us);
 
-/* Returns true if a live peer that reads the store has a replica no newer than
-   REVISION: a replica complete up to REVISION is then up to date.  */
-bool am_fleet_confirms_revision (const struct am_fleet *f, uint64_t revision,
-                                 uint64_t now_us);
+/* Returns when a reader of the store last claimed a replica no newer than
+   REVISION: a replica complete up to REVISION was up to date at that time.
+   Returns 0 if there is no such claim that counts, or REVISION is 0.  */
+uint64_t am_fleet_confirmed_us (const struct am_fleet *f, uint64_t revision,
+                                uint64_t now_us);
+
+/* Returns the highest revision that a reader of the store claims, 0 if no
+   claim counts.  */
+uint64_t am_fleet_claimed_revision (const struct am_fleet *f, uint64_t now_us);
 
 /* Subtracts the load reported by peers that are not alive from the targets in
    T and removes the peers that have expired (AM_FLEET_PEER_EXPIRY_US).  Call
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -40,6 +40,7 @@
   am_route_table_init (&e->routes);
   am_path_init (&e->path, &e->targets, &e->routes, am_hash_name ("here"), 1);
   am_store_sync_init (&e->sync, ENTRY_START_US);
+  am_replica_lag_init (&e->lag);
   am_fleet_init (&e->fleet, name, am_hash_name ("here"), 20, ENTRY_START_US);
   /* A request in progress: no other one is begun.  */
   e->pull_client.done = entry_ignore_answer;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -253,11 +253,42 @@
 {
   struct am_peer *p = add_peer ("p", HERE, 10, false, 5);
 
-  ck_assert (!am_fleet_confirms_revision (&f, 5, NOW));
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 5, NOW), 0);
+  ck_assert_uint_eq (am_fleet_claimed_revision (&f, NOW), 0);
   p->reads = true;
-  ck_assert (am_fleet_confirms_revision (&f, 5, NOW));
-  ck_assert (!am_fleet_confirms_revision (&f, 4, NOW));
-  ck_assert (!am_fleet_confirms_revision (&f, 5, NOW + PEER_TIMEOUT_US));
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 5, NOW), NOW);
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 4, NOW), 0);
+  ck_assert_uint_eq (am_fleet_claimed_revision (&f, NOW), 5);
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 5, NOW + PEER_TIMEOUT_US), 0);
+}
+END_TEST
+
+/* Guards against a replica that counts as up to date because of what a reader
+   claimed seconds ago, and may have died since: it told a seed that its next
+   digest comes in ten seconds.  */
+START_TEST (test_old_claim_confirms_nothing)
+{
+  struct am_peer *p = add_peer ("p", THERE, 10, true, 5);
+
+  p->interval_us = 10000000;
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 5, NOW + 1000000), NOW);
+  ck_assert_uint_eq (am_fleet_confirmed_us (&f, 5, NOW + AM_FLEET_CLAIM_US),
+                     0);
+  ck_assert_uint_eq (am_fleet_claimed_revision (&f, NOW + AM_FLEET_CLAIM_US),
+                     0);
+}
+END_TEST
+
+/* Guards against a data centre without a reader: the one that it had told a
+   seed that its next digest comes in ten seconds, and died.  */
+START_TEST (test_old_claim_prevents_no_election)
+{
+  struct am_peer *p = add_peer ("wide", HERE, 200, true, 5);
+
+  p->interval_us = 10000000;
+  ck_assert (!am_fleet_should_read (&f, false, NOW));
+  ck_assert (am_fleet_should_read (
+      &f, false, NOW + AM_FLEET_CLAIM_US + AM_FLEET_SUCCESSION_US));
 }
 END_TEST
 
@@ -434,6 +465,8 @@
   tcase_add_test (tc, test_pull_source);
   tcase_add_test (tc, test_pull_source_avoids_failed_peer);
   tcase_add_test (tc, test_confirmed_revision);
+  tcase_add_test (tc, test_old_claim_confirms_nothing);
+  tcase_add_test (tc, test_old_claim_prevents_no_election);
   tcase_add_test (tc, test_absent_peer_is_removed);
   tcase_add_test (tc, test_longer_digest_interval);
   tcase_add_test (tc, test_report_replaces_previous_one);
