Keep the flows of a target whose registration cannot be used

PROTOCOL.md calls an entry that is missing gone; this one is there, and "names no target to use; the others hold".

Change: am_target_table_mark_unusable. The target keeps its flows, gets no new ones, and is removed after 4 s without a usable registration, a little more than three heartbeats.

Why it works: a running target writes its entry again within a heartbeat, which makes it ready; nothing of its flows changed meanwhile.

--- a/src/entry/items.c
+++ b/src/entry/items.c
@@ -1,17 +1,36 @@
 #include <inttypes.h>
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "entry/peers.h"
 #include "io/clock.h"
 
 /* Updates the target and route tables from items of the replica.  */
 
+#define REGISTRATION_SEED 0x72656769u
+
 static const char *const state_names[] = {
   [AM_TARGET_READY] = "ready",
   [AM_TARGET_DRAINING] = "draining",
   [AM_TARGET_REMOVED] = "gone",
 };
 
+static uint64_t
+registration (const struct am_replica_item *item)
+{
+  return am_hash_bytes (item->key, item->key_len, REGISTRATION_SEED);
+}
+
+static void
+target_unusable (struct am_entry *e, const struct am_replica_item *item,
+                 int err, uint64_t now_us)
+{
+  e->counters.items_unusable++;
+  am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
+                   "target-unusable key=%s revision=%" PRIu64 " error=%s",
+                   item->key, item->revision, am_error_name (err));
+}
+
 static void
 target_changed (struct am_entry *e, const struct am_replica_item *item,
                 uint64_t now_us)
@@ -26,17 +45,21 @@
 
   if (err)
     {
-      e->counters.items_unusable++;
-      am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
-                       "target-unusable key=%s revision=%" PRIu64 " error=%s",
-                       item->key, item->revision, am_error_name (err));
-      am_target_table_mark_absent (&e->targets,
-                                   e->adapter->target_id (item->key), now_us);
+      target_unusable (e, item, err, now_us);
+      am_target_table_mark_unusable (&e->targets,
+                                     e->adapter->target_id (item->key),
+                                     registration (item), now_us);
       return;
     }
+  spec.registration = registration (item);
   before = am_target_by_id (&e->targets, spec.id);
   state = before ? before->state : AM_TARGET_REMOVED;
   err = am_target_table_put (&e->targets, &spec, now_us, &target);
+  if (err == AM_E_EXISTS)
+    {
+      target_unusable (e, item, err, now_us);
+      return;
+    }
   if (err)
     {
       am_line_log_add (&e->log, AM_LINE_STATE, now_us, "target-lost error=%s",
@@ -107,8 +130,9 @@
     {
     case AM_ITEM_TARGET:
       if (item->removed)
-        am_target_table_mark_absent (
-            &e->targets, e->adapter->target_id (item->key), now_us);
+        am_target_table_mark_absent (&e->targets,
+                                     e->adapter->target_id (item->key),
+                                     registration (item), now_us);
       else
         target_changed (e, item, now_us);
       break;
--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -148,12 +148,20 @@
   g->data_unanswered_count = 0;
 }
 
+static bool
+is_present (const struct am_target *g)
+{
+  return g->state != AM_TARGET_REMOVED && !g->absent_since_us;
+}
+
 int
 am_target_table_put (struct am_target_table *t, const struct am_target_spec *s,
                      uint64_t now_us, struct am_target **target)
 {
   struct am_target *g = am_target_by_id (t, s->id);
 
+  if (g && is_present (g) && g->spec.registration != s->registration)
+    return AM_E_EXISTS;
   if (!g)
     g = add (t, s->id);
   if (!g)
@@ -164,6 +172,7 @@
     g->retry_us = 0;
   g->spec = *s;
   g->absent_since_us = 0;
+  g->unusable_since_us = 0;
   g->warm_up_end_us = now_us + (uint64_t)s->warm_up_ms * 1000u;
   set_state (t, g, s->draining ? AM_TARGET_DRAINING : AM_TARGET_READY);
   if (target)
@@ -171,16 +180,40 @@
   return AM_OK;
 }
 
+/* Returns the target ID if it is present under REGISTRATION, otherwise
+   NULL.  */
+static struct am_target *
+find_present (struct am_target_table *t, uint64_t id, uint64_t registration)
+{
+  struct am_target *g = am_target_by_id (t, id);
+
+  if (!g || !is_present (g) || g->spec.registration != registration)
+    return NULL;
+  return g;
+}
+
 void
 am_target_table_mark_absent (struct am_target_table *t, uint64_t id,
-                             uint64_t now_us)
+                             uint64_t registration, uint64_t now_us)
 {
-  struct am_target *g = am_target_by_id (t, id);
+  struct am_target *g = find_present (t, id, registration);
 
-  if (g && g->state != AM_TARGET_REMOVED && !g->absent_since_us)
+  if (g)
     g->absent_since_us = now_us;
 }
 
+void
+am_target_table_mark_unusable (struct am_target_table *t, uint64_t id,
+                               uint64_t registration, uint64_t now_us)
+{
+  struct am_target *g = find_present (t, id, registration);
+
+  if (!g || g->unusable_since_us)
+    return;
+  g->unusable_since_us = now_us;
+  set_state (t, g, AM_TARGET_DRAINING);
+}
+
 static bool
 is_expired (const struct am_target *g, uint64_t now_us)
 {
@@ -188,6 +221,15 @@
          && now_us - g->removed_us > AM_TARGET_RETENTION_US;
 }
 
+/* Returns true if the registration of G is gone, or will not come back.  */
+static bool
+is_unregistered (const struct am_target *g, uint64_t now_us)
+{
+  return g->absent_since_us
+         || (g->unusable_since_us
+             && now_us - g->unusable_since_us >= AM_TARGET_UNUSABLE_US);
+}
+
 static void
 destroy_expired (struct am_target_table *t, struct am_target *g,
                  const struct am_target_events *events)
@@ -209,8 +251,8 @@
   {
     if (is_expired (g, now_us))
       destroy_expired (t, g, events);
-    else if (g->absent_since_us && now_us >= grace_end_us
-             && g->state != AM_TARGET_REMOVED)
+    else if (g->state != AM_TARGET_REMOVED && now_us >= grace_end_us
+             && is_unregistered (g, now_us))
       {
         set_state (t, g, AM_TARGET_REMOVED);
         g->removed_us = now_us;
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -24,6 +24,11 @@
    of a flow up to this age still find its target.  */
 #define AM_TARGET_RETENTION_US 60000000u
 
+/* A target whose registration cannot be used is removed after this time: a
+   running one has written it again by then.  Three of its heartbeats, which
+   the platform waits for, and a little more.  */
+#define AM_TARGET_UNUSABLE_US 4000000u
+
 #define AM_TARGET_BUCKETS 1024
 
 enum am_target_state
@@ -36,10 +41,11 @@
 /* A target as described by service discovery.  */
 struct am_target_spec
 {
-  uint64_t id;          /* incarnation; prefixed to each forwarded packet */
-  uint64_t started_ms;  /* wall clock, process start; 0: not reported */
-  uint32_t service;     /* hash of its name by am_hash_name */
-  uint32_t data_centre; /* hash of its name by am_hash_name */
+  uint64_t id;           /* incarnation; prefixed to each forwarded packet */
+  uint64_t registration; /* hash of the key of its registration */
+  uint64_t started_ms;   /* wall clock, process start; 0: not reported */
+  uint32_t service;      /* hash of its name by am_hash_name */
+  uint32_t data_centre;  /* hash of its name by am_hash_name */
   struct am_address address;
   uint32_t slots;      /* requests that it serves at the same time */
   uint32_t warm_up_ms; /* remaining warm-up time */
@@ -65,6 +71,7 @@
   bool ambiguous;             /* shares its ticket with a target of lower id */
   uint64_t warm_up_end_us;    /* end of warm-up: it is slower until then */
   uint64_t absent_since_us;   /* registration missing since; 0: present */
+  uint64_t unusable_since_us; /* registration not usable since; 0: it is */
   uint64_t removed_us;        /* when its state became AM_TARGET_REMOVED */
   struct am_target_load load; /* from flows through this entry VM */
   struct am_target_load peers_load; /* from flows through its peers */
@@ -109,16 +116,24 @@
 /* Adds the target S->id or updates it to S, and marks it as present.  A
    changed started_ms resets its load and its liveness observations.  On
    success *TARGET is set to the target, which the table owns; TARGET may be
-   NULL.  Returns AM_OK or AM_E_MEMORY.  */
+   NULL.  Returns AM_OK, AM_E_MEMORY, or AM_E_EXISTS if another registration
+   has this id and has not been removed.  */
 int am_target_table_put (struct am_target_table *t,
                          const struct am_target_spec *s, uint64_t now_us,
                          struct am_target **target);
 
-/* Records that the registration of ID is missing since NOW_US.  The target
-   stays in use until am_target_table_sweep removes it.  No effect if ID is
-   unknown, removed or already absent.  */
+/* Records that REGISTRATION of ID is missing since NOW_US.  The target stays
+   in use until am_target_table_sweep removes it.  No effect if ID is unknown,
+   removed, already absent or has another registration.  */
 void am_target_table_mark_absent (struct am_target_table *t, uint64_t id,
-                                  uint64_t now_us);
+                                  uint64_t registration, uint64_t now_us);
+
+/* Records that REGISTRATION of ID cannot be used: another writer has replaced
+   it.  The target keeps its flows and receives no new ones; if it runs, it
+   registers again, otherwise am_target_table_sweep removes it after
+   AM_TARGET_UNUSABLE_US.  No effect as above.  */
+void am_target_table_mark_unusable (struct am_target_table *t, uint64_t id,
+                                    uint64_t registration, uint64_t now_us);
 
 /* Callbacks of am_target_table_sweep; each may be NULL.  REMOVED is called
    when a target has become AM_TARGET_REMOVED, EXPIRED before it is freed.  */
@@ -129,9 +144,10 @@
   void *userdata;
 };
 
-/* Sets absent targets to AM_TARGET_REMOVED once NOW_US has reached
-   GRACE_END_US; before that time absence is not conclusive.  Frees targets
-   that were removed more than AM_TARGET_RETENTION_US ago.  */
+/* Sets absent targets, and those unusable for AM_TARGET_UNUSABLE_US, to
+   AM_TARGET_REMOVED once NOW_US has reached GRACE_END_US; before that time
+   absence is not conclusive.  Frees targets that were removed more than
+   AM_TARGET_RETENTION_US ago.  */
 void am_target_table_sweep (struct am_target_table *t, uint64_t now_us,
                             uint64_t grace_end_us,
                             const struct am_target_events *events);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -387,7 +387,7 @@
   am_target_table_put (&targets, &s, now_us, &t);
   report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true, true };
   am_peer_load_set (&p->load, &targets, &report, 1, now_us);
-  am_target_table_mark_absent (&targets, 1, now_us);
+  am_target_table_mark_absent (&targets, 1, 0, now_us);
   for (int i = 0; i < 3; i++)
     {
       now_us += 120000000;
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -108,7 +108,7 @@
   struct am_target_events none = { 0 };
 
   open_flow_at (&f, 1);
-  am_target_table_mark_absent (&f.targets, 1, f.now_us);
+  am_target_table_mark_absent (&f.targets, 1, 0, f.now_us);
   f.now_us += 1000 * MS;
   am_target_table_sweep (&f.targets, f.now_us, 0, &none);
   f.path.targets_complete = false;
@@ -128,7 +128,7 @@
   struct am_target_events none = { 0 };
 
   open_flow_at (&f, 1);
-  am_target_table_mark_absent (&f.targets, 1, f.now_us);
+  am_target_table_mark_absent (&f.targets, 1, 0, f.now_us);
   am_target_table_sweep (&f.targets, f.now_us, 0, &none);
   f.now_us += 100 * MS;
   send_packet (&f, data (1, t->ticket, 1001, 0, 500));
@@ -335,7 +335,7 @@
   send_packet (&f, data (1, t->ticket, 1001, 100, 1));
   send_packet (&f, data (1, t->ticket, 1101, 0, 5001));
   add_target (&f, 2, NEAR);
-  am_target_table_mark_absent (&f.targets, 1, f.now_us);
+  am_target_table_mark_absent (&f.targets, 1, 0, f.now_us);
   am_target_table_sweep (&f.targets, f.now_us, UINT64_MAX, &none);
   ck_assert (!am_path_next_orphan (&f.path, &reset, f.now_us));
   open_flow_at (&f, 2);
--- a/test/test_target_table.c
+++ b/test/test_target_table.c
@@ -62,7 +62,7 @@
 {
   struct am_target *t = add_target (&f, 7, NEAR);
 
-  am_target_table_mark_absent (&f.targets, 7, f.now_us);
+  am_target_table_mark_absent (&f.targets, 7, 0, f.now_us);
   sweep (f.now_us + 1);
   ck_assert_int_eq (t->state, AM_TARGET_READY);
   add_target (&f, 7, NEAR);
@@ -79,7 +79,7 @@
 {
   struct am_target *t = add_target (&f, 7, NEAR);
 
-  am_target_table_mark_absent (&f.targets, 7, f.now_us);
+  am_target_table_mark_absent (&f.targets, 7, 0, f.now_us);
   sweep (f.now_us);
   ck_assert_int_eq (t->state, AM_TARGET_REMOVED);
   ck_assert_uint_eq (f.targets.ready_count, 0);
@@ -87,13 +87,70 @@
 }
 END_TEST
 
+/* Another writer's unreadable entry stands at the key of a running target
+   until its next heartbeat.  Guards against a target that is removed at once,
+   with all of its flows, and against new flows there.  */
+START_TEST (test_unusable_registration_is_no_removal)
+{
+  struct am_target *t = add_target (&f, 7, NEAR);
+
+  am_target_table_mark_unusable (&f.targets, 7, 0, f.now_us);
+  ck_assert_int_eq (t->state, AM_TARGET_DRAINING);
+  f.now_us += AM_TARGET_UNUSABLE_US - 1;
+  sweep (0);
+  ck_assert_uint_eq (removed_count, 0);
+  add_target (&f, 7, NEAR);
+  ck_assert_int_eq (t->state, AM_TARGET_READY);
+  f.now_us += AM_TARGET_UNUSABLE_US;
+  sweep (0);
+  ck_assert_uint_eq (removed_count, 0);
+}
+END_TEST
+
+/* Guards against flows that wait for ever for a target that has ended, since
+   another writer's entry stands at its key.  */
+START_TEST (test_unusable_registration_is_removed_later)
+{
+  struct am_target *t = add_target (&f, 7, NEAR);
+
+  am_target_table_mark_unusable (&f.targets, 7, 0, f.now_us);
+  f.now_us += AM_TARGET_UNUSABLE_US;
+  sweep (f.now_us + 1);
+  ck_assert_uint_eq (removed_count, 0);
+  sweep (f.now_us);
+  ck_assert_int_eq (t->state, AM_TARGET_REMOVED);
+}
+END_TEST
+
+/* Guards against a target that is removed, or moved, by an entry at another
+   key whose id is the same number.  */
+START_TEST (test_other_registration_changes_nothing)
+{
+  struct am_target *t = add_target (&f, 7, NEAR);
+  struct am_target_spec other = t->spec;
+
+  other.registration = 1;
+  other.address.port++;
+  ck_assert_int_eq (am_target_table_put (&f.targets, &other, f.now_us, NULL),
+                    AM_E_EXISTS);
+  am_target_table_mark_unusable (&f.targets, 7, 1, f.now_us);
+  am_target_table_mark_absent (&f.targets, 7, 1, f.now_us);
+  sweep (0);
+  ck_assert_int_eq (t->state, AM_TARGET_READY);
+  ck_assert_uint_ne (t->spec.address.port, other.address.port);
+  am_target_table_mark_absent (&f.targets, 7, 0, f.now_us);
+  ck_assert_int_eq (am_target_table_put (&f.targets, &other, f.now_us, NULL),
+                    AM_OK);
+}
+END_TEST
+
 /* Guards against packets of old flows whose target is not found, and against a
    table that grows with each release of the upstreams.  */
 START_TEST (test_removed_target_is_retained)
 {
   uint32_t ticket = add_target (&f, 7, NEAR)->ticket;
 
-  am_target_table_mark_absent (&f.targets, 7, f.now_us);
+  am_target_table_mark_absent (&f.targets, 7, 0, f.now_us);
   sweep (0);
   f.now_us += AM_TARGET_RETENTION_US;
   sweep (0);
@@ -182,7 +239,7 @@
   ck_assert_uint_eq (lower->ticket, higher->ticket);
   ck_assert (!lower->ambiguous);
   ck_assert (higher->ambiguous);
-  am_target_table_mark_absent (&f.targets, lower->spec.id, f.now_us);
+  am_target_table_mark_absent (&f.targets, lower->spec.id, 0, f.now_us);
   sweep (0);
   f.now_us += AM_TARGET_RETENTION_US + 1;
   sweep (0);
@@ -222,6 +279,9 @@
   tcase_add_test (tc, test_ticket_is_a_function_of_the_id);
   tcase_add_test (tc, test_absence_within_grace_is_no_removal);
   tcase_add_test (tc, test_absence_after_grace_is_removal);
+  tcase_add_test (tc, test_unusable_registration_is_no_removal);
+  tcase_add_test (tc, test_unusable_registration_is_removed_later);
+  tcase_add_test (tc, test_other_registration_changes_nothing);
   tcase_add_test (tc, test_removed_target_is_retained);
   tcase_add_test (tc, test_restart_resets_observations);
   tcase_add_loop_test (tc, test_shared_ticket, 0, 2);
