Replace control characters in log lines

Operators would see: lines of another writer's choice in the log, as the key of an entry is logged and may hold a line break (PROTOCOL.md bounds its length alone).

Cause: am_line_log_add wrote its text as it was.

Evidence: "target-unusable key=servers/" with the rest on a line of its own in a run of integration_entry_odd_entries. test_line_break_starts_no_line reads two lines without this change.

--- a/src/entry/line_log.c
+++ b/src/entry/line_log.c
@@ -1,5 +1,6 @@
 #include "entry/line_log.h"
 
+#include <ctype.h>
 #include <fcntl.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -41,6 +42,18 @@
     fcntl (fd, F_SETFL, flags | O_NONBLOCK);
 }
 
+/* Replaces the control characters in TEXT, as a key of another writer may hold
+   a line break.  */
+static void
+replace_controls (char *text)
+{
+  for (; *text; text++)
+    {
+      if (iscntrl ((unsigned char)*text))
+        *text = '?';
+    }
+}
+
 /* Appends "TIME TEXT\n" to the buffer, or counts the line as lost.  */
 static void
 append (struct am_line_log *l, const char *text)
@@ -80,6 +93,7 @@
   va_start (ap, format);
   vsnprintf (text, sizeof text, format, ap);
   va_end (ap);
+  replace_controls (text);
   append (l, text);
 }
 
--- a/src/entry/line_log.h
+++ b/src/entry/line_log.h
@@ -47,7 +47,7 @@
 
 /* Adds one line to the buffer, unless CLASS is over its rate limit or the
    buffer is full.  FORMAT gives the line without time and newline; it is
-   truncated to 319 bytes.  */
+   truncated to 319 bytes, and control characters in it become '?'.  */
 void am_line_log_add (struct am_line_log *l, enum am_line_class class,
                       uint64_t now_us, const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
--- a/test/test_line_log.c
+++ b/test/test_line_log.c
@@ -86,6 +86,16 @@
 }
 END_TEST
 
+/* Guards against a key of another writer that looks like a line of this
+   program.  */
+START_TEST (test_line_break_starts_no_line)
+{
+  am_line_log_add (&l, AM_LINE_STATE, 0, "target-unusable key=%s",
+                   "a\n1.0 stopped\r");
+  ck_assert_uint_eq (read_lines (), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -96,6 +106,7 @@
   tcase_add_test (tc, test_rate_is_limited);
   tcase_add_test (tc, test_full_pipe_drops_lines);
   tcase_add_test (tc, test_classes_are_independent);
+  tcase_add_test (tc, test_line_break_starts_no_line);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
