List the store when a watch brings more than fits into a response

Callers would see: the routes and targets of some time ago, on all VMs, after another writer left large entries: the VMs followed no change until the store discarded its history.

Cause: a response over AM_HTTP_BODY_MAX (16 MB) failed with AM_E_TOO_LARGE, and the next watch began at the same revision. The values were also kept and sent on to all peers.

Before: "store-lost error=too_large revision=34" again and again on each reader, and the next configuration not in force after 3 s.

Change: on AM_E_TOO_LARGE the store is listed, in pages of about 1 MB. A value longer than AM_ENTRY_VALUE_MAX is kept as an empty one, but for the configuration. A key of a peer's item that is longer than a key of the store is refused.

Why it works: a listing does not depend on what was written between two watches.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -61,6 +61,11 @@
   uint64_t reasons[AM_REASON_COUNT]; /* packets by reason of the decision */
 };
 
+/* Longest value that is kept of an item other than the configuration, bytes.
+   A longer one describes no target; it is kept as an empty value, as what
+   another writer leaves must not fill the responses to peers.  */
+#define AM_ENTRY_VALUE_MAX 16384u
+
 /* State of the calls to the store.  */
 struct am_entry_reader
 {
@@ -172,6 +177,10 @@
    has failed, and the caller still waits for an answer.  */
 void am_entry_packets_reset_orphaned (struct am_entry *e, uint64_t now_us);
 
+/* items.c: writes ITEM, which was not removed, to the replica; a value longer
+   than AM_ENTRY_VALUE_MAX becomes empty.  Returns AM_OK or AM_E_MEMORY.  */
+int am_entry_write_item (struct am_entry *e, const struct am_store_item *item);
+
 /* items.c: updates the target and route tables from ITEM of the replica, which
    has changed.  USERDATA is the struct am_entry.  */
 void am_entry_item_changed (void *userdata,
--- a/src/entry/items.c
+++ b/src/entry/items.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/error.h"
 #include "base/hash.h"
@@ -9,6 +10,9 @@
 
 #define REGISTRATION_SEED 0x72656769u
 
+/* Room for a key of the store and a NUL.  */
+#define KEY_SIZE 201
+
 static const char *const state_names[] = {
   [AM_TARGET_READY] = "ready",
   [AM_TARGET_DRAINING] = "draining",
@@ -179,6 +183,18 @@
                          am_store_sync_grace_end (&e->sync), &events);
 }
 
+int
+am_entry_write_item (struct am_entry *e, const struct am_store_item *item)
+{
+  size_t len = item->value_len;
+
+  if (len > AM_ENTRY_VALUE_MAX
+      && e->adapter->item_kind (item->key) != AM_ITEM_CONFIGURATION)
+    len = 0;
+  return am_replica_write (&e->replica, item->key, item->key_len, item->value,
+                           len, item->revision);
+}
+
 void
 am_entry_fill_item (Fleet__Item *m, const struct am_replica_item *item)
 {
@@ -194,12 +210,18 @@
 int
 am_entry_apply_item (struct am_entry *e, const Fleet__Item *m)
 {
-  const char *key = (const char *)m->key.data;
-
-  if (!m->key.len)
+  char key[KEY_SIZE];
+  struct am_store_item item = { .key = key,
+                                .key_len = m->key.len,
+                                .value = m->value.data,
+                                .value_len = m->value.len,
+                                .revision = m->revision };
+
+  if (!m->key.len || m->key.len >= sizeof key)
     return AM_E_FORMAT;
+  memcpy (key, m->key.data, m->key.len);
+  key[m->key.len] = '\0';
   if (m->removed)
     return am_replica_remove (&e->replica, key, m->key.len, m->revision);
-  return am_replica_write (&e->replica, key, m->key.len, m->value.data,
-                           m->value.len, m->revision);
+  return am_entry_write_item (e, &item);
 }
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -85,8 +85,7 @@
 
   if (!i->value)
     return am_replica_remove (&e->replica, i->key, i->key_len, i->revision);
-  return am_replica_write (&e->replica, i->key, i->key_len, i->value,
-                           i->value_len, i->revision);
+  return am_entry_write_item (e, i);
 }
 
 /* ---- listing ------------------------------------------------------ */
@@ -262,6 +261,9 @@
   return apply_item (e, i);
 }
 
+/* The changes that a watch cannot deliver, as the store has discarded them or
+   another writer has left more than fits into a response, are listed, which
+   takes several responses.  */
 static void
 on_watch (void *userdata, const struct am_http_answer *a)
 {
@@ -276,10 +278,12 @@
                                       a->body_len, apply_event, e);
   am_store_calls_add (&e->reader.calls, e->reader.call,
                       am_store_outcome_of (err));
-  if (err == AM_E_EXPIRED)
+  if (err == AM_E_EXPIRED || err == AM_E_TOO_LARGE)
     {
-      am_line_log_add (&e->log, AM_LINE_STATE, now_us,
-                       "history-expired revision=%" PRIu64, before);
+      am_line_log_add (&e->log, AM_LINE_STATE, now_us, "%s revision=%" PRIu64,
+                       err == AM_E_EXPIRED ? "history-expired"
+                                           : "changes-too-large",
+                       before);
       list (e);
       return;
     }
