Count data as unanswered only once it is retransmitted again

Cause: targets acknowledge every second packet, so the one packet of an order is retransmitted after 200 ms although the target works on it. That first copy counted for am_liveness_failed.

Change: a flow counts the retransmissions of its last data. The first one only keeps new flows away, as a SYN does; later ones are evidence of a failure, which counts from the first.

Why it works: the first copy is the second packet, and a live target acknowledges it; then the caller does not send it again.

--- a/src/flow/flow_table.h
+++ b/src/flow/flow_table.h
@@ -39,6 +39,8 @@
   struct am_target *target; /* its load includes this flow; may be NULL */
   enum am_flow_state state;
   bool busy;             /* a request is unanswered */
+  uint8_t repeats;       /* times that its last data was retransmitted */
+  uint64_t repeated_us;  /* first of these; 0: none */
   uint32_t syn_seq;      /* sequence number of its SYN */
   uint32_t next_seq;     /* after the last byte of the caller's data */
   uint32_t ack;          /* highest acknowledgement sent by the caller */
--- a/src/flow/liveness.c
+++ b/src/flow/liveness.c
@@ -32,8 +32,8 @@
   t->data_unanswered_count = 0;
 }
 
-static void
-unanswered (struct am_target *t, uint64_t now_us)
+void
+am_liveness_unanswered (struct am_target *t, uint64_t now_us)
 {
   t->unanswered_count++;
   t->last_unanswered_us = now_us;
@@ -44,17 +44,12 @@
 }
 
 void
-am_liveness_syn_unanswered (struct am_target *t, uint64_t now_us)
-{
-  unanswered (t, now_us);
-}
-
-void
-am_liveness_data_unanswered (struct am_target *t, uint64_t now_us)
+am_liveness_data_unanswered (struct am_target *t, uint64_t since_us,
+                             uint64_t now_us)
 {
-  unanswered (t, now_us);
+  am_liveness_unanswered (t, now_us);
   if (!t->data_unanswered_count)
-    t->first_data_unanswered_us = now_us;
+    t->first_data_unanswered_us = since_us;
   t->data_unanswered_count++;
   t->last_data_unanswered_us = now_us;
 }
--- a/src/flow/liveness.h
+++ b/src/flow/liveness.h
@@ -6,10 +6,13 @@
    this is progress.  A SYN that is followed by no further packet, or that is
    retransmitted, was not answered; so was data that is retransmitted.
 
-   A target that holds all the flows it can answers no SYN, but serves the
-   flows that it has.  So a SYN without an answer only keeps new flows away;
-   that a target has failed, and its flows with it, is concluded from data
-   alone.
+   Two of these signs are those of targets that work, too.  One that holds all
+   the flows it can answers no SYN, but serves the flows that it has.  One that
+   takes long over a request acknowledges its data only once it is
+   retransmitted, as it acknowledges every second packet.  So a SYN, and data
+   that is retransmitted once, only keep new flows away; that a target has
+   failed, and its flows with it, is concluded from data that is retransmitted
+   again.  "Unanswered data" below is such data.
 
    All times are microseconds of the monotonic clock.  */
 
@@ -33,12 +36,12 @@
 
 /* A target counts as failed only once the number of its unanswered data
    packets plus the number of peers that report such packets is at least
-   AM_LIVENESS_UNANSWERED_MIN, and the first of these packets is at least
-   AM_LIVENESS_UNANSWERED_SPAN_MIN_US ago.  A link that is briefly congested
-   delays responses by less than that.  In a large data centre each VM has few
-   flows at a target, and each caller would wait for its second retransmission;
-   so the first report of a peer counts as the first packet if at least
-   AM_LIVENESS_REPORTING_PEERS_MIN peers report such packets.  */
+   AM_LIVENESS_UNANSWERED_MIN, and the first retransmission of the first one is
+   at least AM_LIVENESS_UNANSWERED_SPAN_MIN_US ago.  A link that is briefly
+   congested delays responses by less than that.  In a large data centre each
+   VM has few flows at a target, and each caller would wait for its second
+   retransmission; so the first report of a peer counts as the first packet if
+   at least AM_LIVENESS_REPORTING_PEERS_MIN peers report such packets.  */
 #define AM_LIVENESS_UNANSWERED_MIN 3
 #define AM_LIVENESS_UNANSWERED_SPAN_MIN_US 350000u
 
@@ -69,10 +72,14 @@
    again.  */
 void am_liveness_progress (struct am_target *t, uint64_t now_us);
 
-/* Record that a caller has retransmitted a SYN, or data, that T did not
-   answer.  */
-void am_liveness_syn_unanswered (struct am_target *t, uint64_t now_us);
-void am_liveness_data_unanswered (struct am_target *t, uint64_t now_us);
+/* Records that a caller has retransmitted a SYN, or data for the first time,
+   that T did not answer.  */
+void am_liveness_unanswered (struct am_target *t, uint64_t now_us);
+
+/* Records that a caller has retransmitted data again that T did not answer,
+   for the first time at SINCE_US.  */
+void am_liveness_data_unanswered (struct am_target *t, uint64_t since_us,
+                                  uint64_t now_us);
 
 /* Returns true if T has not answered a SYN or a retransmitted packet and none
    of its flows has made progress since.  */
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -92,24 +92,25 @@
          > AM_PATH_LOAD_PER_SLOT_MAX;
 }
 
-/* A caller has retransmitted a SYN that TARGET did not answer.  */
+/* A caller has retransmitted a SYN, or data for the first time, that TARGET
+   did not answer.  */
 static void
-note_syn_unanswered (struct am_path *p, struct am_target *target,
-                     uint64_t now_us)
+note_unanswered (struct am_path *p, struct am_target *target, uint64_t now_us)
 {
   if (!target->unanswered_count)
     p->liveness_changes++;
-  am_liveness_syn_unanswered (target, now_us);
+  am_liveness_unanswered (target, now_us);
 }
 
-/* A caller has retransmitted data that TARGET did not answer.  */
+/* The caller of F has retransmitted data again that its target did not
+   answer.  */
 static void
-note_data_unanswered (struct am_path *p, struct am_target *target,
+note_data_unanswered (struct am_path *p, const struct am_flow *f,
                       uint64_t now_us)
 {
-  if (!target->data_unanswered_count)
+  if (!f->target->data_unanswered_count)
     p->liveness_changes++;
-  am_liveness_data_unanswered (target, now_us);
+  am_liveness_data_unanswered (f->target, f->repeated_us, now_us);
 }
 
 /* A caller of TARGET has received packets from it.  */
@@ -160,7 +161,7 @@
     return make_decision (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, target);
   if (!has_accepted_since (f))
     {
-      note_syn_unanswered (p, target, now_us);
+      note_unanswered (p, target, now_us);
       if (prefers_another (p, target, service, now_us))
         {
           am_flow_set_target (f, NULL);
@@ -283,6 +284,23 @@
   return (int32_t)(a - b) > 0;
 }
 
+/* The caller of F has retransmitted its data.  A target acknowledges every
+   second packet only, so a request that takes long is retransmitted once
+   although it is at work.  */
+static void
+note_retransmission (struct am_path *p, struct am_flow *f, uint64_t now_us)
+{
+  if (f->repeats < UINT8_MAX)
+    f->repeats++;
+  if (f->repeats > 1)
+    {
+      note_data_unanswered (p, f, now_us);
+      return;
+    }
+  f->repeated_us = now_us;
+  note_unanswered (p, f->target, now_us);
+}
+
 /* Updates F, and the load and the liveness of its target, from PACKET.  */
 static void
 update_flow (struct am_path *p, struct am_flow *f,
@@ -309,11 +327,12 @@
     {
       f->next_seq = end;
       f->forwarded_us = now_us;
+      f->repeats = 0;
       am_flow_set_busy (f, true);
     }
   else if (packet->data_len
            && now_us - f->forwarded_us >= AM_LIVENESS_RETRANSMIT_MIN_US)
-    note_data_unanswered (p, target, now_us);
+    note_retransmission (p, f, now_us);
   if (packet->finishes)
     {
       am_flow_set_busy (f, false);
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -83,9 +83,10 @@
   uint64_t retry_us; /* while it is unresponsive: no new flow before this */
   uint64_t last_unanswered_us;       /* last unanswered packet, SYN or data */
   uint32_t unanswered_count;         /* such packets since last progress */
-  uint64_t first_data_unanswered_us; /* first unanswered data since the last
-                                        progress */
-  uint64_t last_data_unanswered_us;  /* last unanswered data */
+  uint64_t first_data_unanswered_us; /* first retransmission of the first data
+                                        that was retransmitted again since the
+                                        last progress */
+  uint64_t last_data_unanswered_us;  /* last such data */
   uint32_t data_unanswered_count;    /* such packets since last progress */
   uint32_t reporting_peers;          /* peers that report it as unresponsive */
   uint32_t data_reporting_peers;     /* those that report unanswered data */
