Read the settings file again when it changes without a signal

Cause: the file was read at the start and at SIGHUP.

Evidence: integration_entry_settings_file on the code before: "not in 3 s: the file is read again".

Change: src/entry/reload, taken out of entry.c, checks inode, size and time of the file once a second; inotify is not available there. A file with a fault is refused once a version.

Why it works: the address of the store is applied as at SIGHUP, within a second, and the reader calls it at its next call.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -122,6 +122,7 @@
   if (e->replica.revision)
     uv_timer_set_repeat (timer, TICK_MS);
   check_suspension (e, now_us);
+  am_entry_reload_tick (e, now_us);
   am_entry_suppliers_look_up (e);
   am_entry_reader_tick (e, now_us);
   am_entry_peers_tick (e, now_us);
@@ -150,40 +151,11 @@
                    e->path.queue.count);
 }
 
-/* Reloads the settings that can change while the program runs: seeds, stop
-   time and store.  */
 static void
 on_sighup (uv_signal_t *signal, int number)
 {
-  struct am_entry *e = signal->data;
-  struct am_entry_settings s;
-  struct am_fault f = { 0 };
-  uint64_t now_us = am_clock_us ();
-  int err = am_entry_settings_load (&s, e->settings_file, &f);
-
   (void)number;
-  if (err)
-    {
-      am_line_log_add (&e->log, AM_LINE_STATE, now_us,
-                       "reload-refused error=%s field=%s", am_error_name (err),
-                       f.field);
-      return;
-    }
-  memcpy (e->settings.seeds, s.seeds, sizeof s.seeds);
-  e->settings.seed_count = s.seed_count;
-  e->settings.stop_ms = s.stop_ms;
-  e->shutdown.limit_us = s.stop_ms * UINT64_C (1000);
-  if (!am_address_equal (e->settings.store, s.store))
-    {
-      e->settings.store = s.store;
-      am_http_client_reset (&e->reader.client);
-      e->reader.client.server = s.store;
-      am_http_client_reset (&e->suppliers_client);
-      e->suppliers_client.server = s.store;
-    }
-  am_line_log_add (&e->log, AM_LINE_STATE, now_us, "reloaded seeds=%zu",
-                   s.seed_count);
-  am_entry_settings_finish (&s);
+  am_entry_reload (signal->data, am_clock_us ());
 }
 
 static int
@@ -231,6 +203,7 @@
   e->loop = loop;
   e->adapter = adapter;
   e->settings_file = settings_file;
+  am_entry_reload_init (e);
   e->started_us = am_clock_us ();
   e->tick_us = e->started_us;
   e->boot_us = am_clock_boot_us ();
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -95,12 +95,23 @@
   size_t len;
 };
 
+/* Tells versions of the settings file apart.  */
+struct am_settings_stamp
+{
+  uint64_t inode;
+  uint64_t size;       /* bytes */
+  int64_t modified_s;  /* wall clock */
+  int64_t modified_ns; /* the rest of a second */
+};
+
 struct am_entry
 {
   uv_loop_t *loop;
   const struct am_adapter *adapter;
   const char *settings_file;
-  struct am_entry_settings settings; /* program.c; entry.c on a reload */
+  struct am_settings_stamp settings_stamp; /* reload.c: of the version read */
+  uint64_t settings_checked_us;            /* reload.c */
+  struct am_entry_settings settings;       /* program.c and reload.c */
   struct am_line_log log;
   struct am_entry_counters counters;
 
@@ -165,6 +176,16 @@
                    const struct am_adapter *adapter,
                    const char *settings_file);
 
+/* reload.c: remembers the version of the settings file that was read.  */
+void am_entry_reload_init (struct am_entry *e);
+
+/* reload.c: reads the settings file again and applies what can change while
+   the program runs: seeds, store and stop time.  A file with a fault changes
+   nothing.  am_entry_reload_tick, to be called periodically, does so if the
+   file has changed.  */
+void am_entry_reload (struct am_entry *e, uint64_t now_us);
+void am_entry_reload_tick (struct am_entry *e, uint64_t now_us);
+
 /* packets.c: opens the port for packets of callers; reading starts later, by
    am_entry_packets_poll.  Returns AM_OK, AM_E_IO or AM_E_EXISTS.  */
 int am_entry_packets_open (struct am_entry *e);
