Leave a shared ticket with the target that started first

Cause: the lowest id received new flows, and am_target_by_ticket returned the target added last, so packets of open flows went to a target that did not hold them.

Evidence: test_shared_ticket_stays_with_the_older_target fails on the code before.

Change: the oldest by time of start, then by id, has the ticket, and look-ups return it.

Why it works: the older one may have flows, the newer one never gets any while both are known, and each VM orders them alike.

--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -79,27 +79,38 @@
       continue;
     if (g->spec.service == service)
       return g;
-    any = g;
+    if (!any || any->ambiguous)
+      any = g;
   }
   return any;
 }
 
-/* Of the targets that share TICKET only the one with the lowest id receives
-   new flows.  Every entry VM comes to the same result independently.  */
+/* Orders by time of start, then by id.  */
+static bool
+is_older (const struct am_target *a, const struct am_target *b)
+{
+  if (a->spec.started_ms != b->spec.started_ms)
+    return a->spec.started_ms < b->spec.started_ms;
+  return a->spec.id < b->spec.id;
+}
+
+/* Of the targets that share TICKET only the oldest one receives flows: it may
+   have some already.  Every entry VM comes to the same result
+   independently.  */
 static void
 mark_ambiguous (struct am_target_table *t, uint32_t ticket)
 {
-  struct am_target *lowest = NULL;
+  struct am_target *oldest = NULL;
 
   am_list_each (g, ticket_bucket (t, ticket), struct am_target, by_ticket)
   {
-    if (g->ticket == ticket && (!lowest || g->spec.id < lowest->spec.id))
-      lowest = g;
+    if (g->ticket == ticket && (!oldest || is_older (g, oldest)))
+      oldest = g;
   }
   am_list_each (g, ticket_bucket (t, ticket), struct am_target, by_ticket)
   {
     if (g->ticket == ticket)
-      g->ambiguous = g != lowest;
+      g->ambiguous = g != oldest;
   }
 }
 
@@ -117,7 +128,6 @@
   am_list_push_back (id_bucket (t, id), &g->by_id);
   am_list_push_back (&t->targets, &g->node);
   t->count++;
-  mark_ambiguous (t, g->ticket);
   return g;
 }
 
@@ -171,6 +181,7 @@
   if (g->state == AM_TARGET_REMOVED)
     g->retry_us = 0;
   g->spec = *s;
+  mark_ambiguous (t, g->ticket);
   g->absent_since_us = 0;
   g->unusable_since_us = 0;
   g->warm_up_end_us = now_us + (uint64_t)s->warm_up_ms * 1000u;
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -68,7 +68,7 @@
   struct am_target_spec spec;
   uint32_t ticket;
   enum am_target_state state;
-  bool ambiguous;             /* shares its ticket with a target of lower id */
+  bool ambiguous;             /* shares its ticket with an older target */
   uint64_t warm_up_end_us;    /* end of warm-up: it is slower until then */
   uint64_t absent_since_us;   /* registration missing since; 0: present */
   uint64_t unusable_since_us; /* registration not usable since; 0: it is */
@@ -154,7 +154,8 @@
                             const struct am_target_events *events);
 
 /* Return the target, owned by the table, or NULL.  If several targets share
-   TICKET, am_target_by_ticket prefers one of SERVICE (0: any).  */
+   TICKET, am_target_by_ticket prefers one of SERVICE (0: any), then the oldest
+   one.  */
 struct am_target *am_target_by_id (struct am_target_table *t, uint64_t id);
 struct am_target *am_target_by_ticket (struct am_target_table *t,
                                        uint32_t ticket, uint32_t service);
--- a/test/test_target_table.c
+++ b/test/test_target_table.c
@@ -247,6 +247,26 @@
 }
 END_TEST
 
+/* Guards against flows of a target whose packets go to a newer one, which
+   resets them, since that has the same ticket.  */
+START_TEST (test_shared_ticket_stays_with_the_older_target)
+{
+  uint64_t a;
+  uint64_t b;
+  struct am_target_spec s;
+  struct am_target *older;
+
+  find_collision (&a, &b);
+  older = add_target (&f, a > b ? a : b, NEAR);
+  s = target_spec (a > b ? b : a, NEAR);
+  s.started_ms = older->spec.started_ms + 1;
+  s.service = ARCHIVE;
+  am_target_table_put (&f.targets, &s, f.now_us, NULL);
+  ck_assert (!older->ambiguous);
+  ck_assert_ptr_eq (am_target_by_ticket (&f.targets, older->ticket, 0), older);
+}
+END_TEST
+
 /* Guards against a packet of one service that is forwarded to a target of
    another because their tickets are equal.  */
 START_TEST (test_shared_ticket_of_two_services)
@@ -285,6 +305,7 @@
   tcase_add_test (tc, test_removed_target_is_retained);
   tcase_add_test (tc, test_restart_resets_observations);
   tcase_add_loop_test (tc, test_shared_ticket, 0, 2);
+  tcase_add_test (tc, test_shared_ticket_stays_with_the_older_target);
   tcase_add_test (tc, test_shared_ticket_of_two_services);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
