Keep the load of known flows when a target restarts under its id

Callers would see: a target that gets no new flows for good.

Cause: reset_observations set the load to 0 while the flow table still held flows of the earlier process. As these expired, the unsigned counters went below 0, and the target looked full.

Evidence: test_restart_keeps_the_load_of_known_flows fails on the code before.

Why it works: the counters are changed with the flow table alone.

--- a/src/flow/target_table.c
+++ b/src/flow/target_table.c
@@ -142,11 +142,11 @@
   g->state = state;
 }
 
-/* Resets what was observed of an earlier process with the same id.  */
+/* Resets what was observed of an earlier process with the same id, but for the
+   load: the flow table has its flows until they expire.  */
 static void
 reset_observations (struct am_target *g)
 {
-  g->load = (struct am_target_load){ 0 };
   g->last_progress_us = 0;
   g->last_accepted_us = 0;
   g->unanswered_since_us = 0;
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -115,7 +115,7 @@
 uint32_t am_target_ticket (uint64_t id);
 
 /* Adds the target S->id or updates it to S, and marks it as present.  A
-   changed started_ms resets its load and its liveness observations.  On
+   changed started_ms resets its liveness observations.  On
    success *TARGET is set to the target, which the table owns; TARGET may be
    NULL.  Returns AM_OK, AM_E_MEMORY, or AM_E_EXISTS if another registration
    has this id and has not been removed.  */
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -382,6 +382,26 @@
 }
 END_TEST
 
+/* Guards against a target that looks full for good after a restart under the
+   same id: its load was set to 0, and then the flows of the earlier process
+   were taken off.  */
+START_TEST (test_restart_keeps_the_load_of_known_flows)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_target_spec s = t->spec;
+
+  open_flow_at (&f, 1);
+  send_packet (&f, data (1, t->ticket, 1001, 100, 1));
+  s.started_ms++;
+  am_target_table_put (&f.targets, &s, f.now_us, NULL);
+  ck_assert_uint_eq (t->load.open_flows, 1);
+  f.now_us += AM_PATH_FLOW_IDLE_US;
+  am_path_expire (&f.path, f.now_us);
+  ck_assert_uint_eq (t->load.open_flows, 0);
+  ck_assert_uint_eq (t->load.busy, 0);
+}
+END_TEST
+
 /* Guards against peers that learn only with the next regular digest that a
    target is unresponsive, has unanswered data, or is responsive again.  Of the
    unanswered packets of each kind only the first one counts.  */
@@ -679,6 +699,7 @@
   tcase_add_test (tc, test_flows_with_long_requests_are_kept);
   tcase_add_test (tc, test_flows_of_a_slow_target_are_kept);
   tcase_add_test (tc, test_orphaned_flows_are_reset);
+  tcase_add_test (tc, test_restart_keeps_the_load_of_known_flows);
   tcase_add_test (tc, test_liveness_changes_are_counted);
   tcase_add_test (tc, test_old_failures_are_not_conclusive);
   tcase_add_test (tc, test_syn_waits_for_the_first_configuration);
