Let a route divide its flows among any number of services

Cause: a route held eight shares; the ninth was AM_E_TOO_LARGE for the configuration.

Change: the shares of a route are allocated; am_route_add_share appends one.

Why it works: no number of services is refused any more.

--- a/src/flow/route_table.c
+++ b/src/flow/route_table.c
@@ -8,10 +8,28 @@
 void
 am_configuration_finish (struct am_configuration *c)
 {
+  for (size_t i = 0; i < c->route_count; i++)
+    free (c->routes[i].shares);
   free (c->routes);
   memset (c, 0, sizeof *c);
 }
 
+int
+am_route_add_share (struct am_route *r, uint32_t service, uint32_t weight)
+{
+  struct am_route_share *grown
+      = realloc (r->shares, (r->share_count + 1) * sizeof *grown);
+
+  if (!grown)
+    return AM_E_MEMORY;
+  grown[r->share_count].service = service;
+  grown[r->share_count].weight = weight;
+  r->shares = grown;
+  r->share_count++;
+  r->total_weight += weight;
+  return AM_OK;
+}
+
 void
 am_route_table_init (struct am_route_table *t)
 {
@@ -63,12 +81,12 @@
 uint32_t
 am_route_service (const struct am_route *r, uint64_t flow)
 {
-  uint32_t at;
+  uint64_t at;
 
   if (r->share_count == 1 || !r->total_weight)
     return r->shares[0].service;
-  at = (uint32_t)(flow % r->total_weight);
-  for (uint32_t i = 0; i < r->share_count; i++)
+  at = flow % r->total_weight;
+  for (size_t i = 0; i < r->share_count; i++)
     {
       if (at < r->shares[i].weight)
         return r->shares[i].service;
--- a/src/flow/route_table.h
+++ b/src/flow/route_table.h
@@ -11,9 +11,6 @@
 
 #include "base/address.h"
 
-/* Maximum number of services that a route divides its flows among.  */
-#define AM_ROUTE_SHARES_MAX 8
-
 struct am_route_share
 {
   uint32_t service; /* hash of its name by am_hash_name */
@@ -22,13 +19,13 @@
 
 struct am_route
 {
-  struct am_address address; /* destination address of the flows */
-  struct am_route_share shares[AM_ROUTE_SHARES_MAX];
-  uint32_t share_count;  /* at least 1 */
-  uint32_t total_weight; /* sum of the weights */
+  struct am_address address;     /* destination address of the flows */
+  struct am_route_share *shares; /* owned by the configuration */
+  size_t share_count;            /* at least 1 */
+  uint64_t total_weight;         /* sum of the weights */
 };
 
-/* One version of the configuration; ROUTES is owned.  */
+/* One version of the configuration; ROUTES and their shares are owned.  */
 struct am_configuration
 {
   uint64_t version;
@@ -39,6 +36,10 @@
 /* Frees the routes and zeroes C.  */
 void am_configuration_finish (struct am_configuration *c);
 
+/* Appends a share of WEIGHT for SERVICE, hash of its name, to R.  Returns
+   AM_OK or AM_E_MEMORY.  */
+int am_route_add_share (struct am_route *r, uint32_t service, uint32_t weight);
+
 struct am_route_table
 {
   struct am_configuration active; /* version 0: none yet */
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -68,10 +68,8 @@
 
   c.routes = calloc (1, sizeof *c.routes);
   c.routes[0].address = orders_address ();
-  c.routes[0].shares[0].service = ORDERS;
-  c.routes[0].shares[0].weight = 1;
-  c.routes[0].share_count = 1;
-  c.routes[0].total_weight = 1;
+  if (count)
+    ck_assert_int_eq (am_route_add_share (&c.routes[0], ORDERS, 1), AM_OK);
   err = am_route_table_accept (&f->routes, &c);
   am_configuration_finish (&c);
   return err;
--- a/test/test_route_table.c
+++ b/test/test_route_table.c
@@ -44,8 +44,7 @@
     {
       c.routes[i].address.ip = 1 + i * 7919 % ROUTES;
       c.routes[i].address.port = (uint16_t)(1 + i % 3);
-      c.routes[i].shares[0].service = i;
-      c.routes[i].share_count = 1;
+      ck_assert_int_eq (am_route_add_share (&c.routes[i], i, 1), AM_OK);
     }
   ck_assert_int_eq (am_route_table_accept (&f.routes, &c), AM_OK);
   for (uint32_t i = 0; i < ROUTES; i++)
@@ -63,9 +62,9 @@
    against a division of flows that does not follow the weights.  */
 START_TEST (test_flows_follow_the_weights)
 {
-  struct am_route r = { .shares = { { 1, 90 }, { 2, 10 }, { 3, 0 } },
-                        .share_count = 3,
-                        .total_weight = 100 };
+  struct am_route_share shares[] = { { 1, 90 }, { 2, 10 }, { 3, 0 } };
+  struct am_route r
+      = { .shares = shares, .share_count = 3, .total_weight = 100 };
   unsigned second = 0;
 
   for (uint16_t port = 1; port <= 10000; port++)
