--- a/src/entry/items.c
+++ b/src/entry/items.c
@@ -35,15 +35,29 @@
                    item->key, item->revision, am_error_name (err));
 }
 
+/* BEFORE is NULL if TARGET was unknown.  */
+static void
+log_target_state (struct am_entry *e, const struct am_target *target,
+                  const char *before, uint64_t revision, uint64_t now_us)
+{
+  char address[AM_ADDRESS_TEXT_SIZE];
+
+  am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
+                   "target id=%" PRIx64 " ticket=%08" PRIx32
+                   " address=%s state=%s before=%s revision=%" PRIu64,
+                   target->spec.id, target->ticket,
+                   am_address_format (target->spec.address, address),
+                   state_names[target->state], before ? before : "unknown",
+                   revision);
+}
+
 static void
 target_changed (struct am_entry *e, const struct am_replica_item *item,
                 uint64_t now_us)
 {
   struct am_target_spec spec;
-  struct am_target *before;
   struct am_target *target;
-  char address[AM_ADDRESS_TEXT_SIZE];
-  enum am_target_state state;
+  const char *before = NULL;
   int err = e->adapter->target_parse (&spec, item->key, item->value,
                                       item->value_len);
 
@@ -56,8 +70,9 @@
       return;
     }
   spec.registration = registration (item);
-  before = am_target_by_id (&e->targets, spec.id);
-  state = before ? before->state : AM_TARGET_REMOVED;
+  target = am_target_by_id (&e->targets, spec.id);
+  if (target)
+    before = state_names[target->state];
   err = am_target_table_put (&e->targets, &spec, now_us, &target);
   if (err == AM_E_EXISTS)
     {
@@ -70,14 +85,8 @@
                        am_error_name (err));
       return;
     }
-  if (state != target->state)
-    am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
-                     "target id=%" PRIx64 " ticket=%08" PRIx32
-                     " address=%s state=%s before=%s revision=%" PRIu64,
-                     spec.id, target->ticket,
-                     am_address_format (spec.address, address),
-                     state_names[target->state],
-                     before ? state_names[state] : "unknown", item->revision);
+  if (before != state_names[target->state])
+    log_target_state (e, target, before, item->revision, now_us);
 }
 
 static void
