--- a/test/integration/entry_damaged_digests.py
+++ b/test/integration/entry_damaged_digests.py
@@ -9,7 +9,7 @@
 import sys
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from entry_fleet import lines, run, wait_for  # noqa: E402
+from entry_fleet import lines, run, wait_until_in_force  # noqa: E402
 from fleet import CONFIG_S, PEERS_PORT  # noqa: E402
 from packets import number  # noqa: E402
 
@@ -58,10 +58,7 @@
     harm(fleet)
     await asyncio.sleep(1)
     fleet.configure(3)
-    version = f" configuration version={fleet.version} "
-    await wait_for(lambda: len({line.split()[0]
-                                for line in lines(fleet, version)})
-                   == len(fleet.vms), CONFIG_S, "the new version on every VM")
+    await wait_until_in_force(fleet, CONFIG_S)
     assert not lines(fleet, f"revision={FAR_REVISION}")
 
 
--- a/test/integration/entry_links.py
+++ b/test/integration/entry_links.py
@@ -8,17 +8,12 @@
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 from entry_fleet import lines, run, wait_for  # noqa: E402
+from entry_fleet import wait_until_in_force  # noqa: E402
 from fleet import CONFIG_S  # noqa: E402
 
 CUT_S = 4
 
 
-def in_force(fleet, version):
-    """VMs that have the configuration of this version in force."""
-    return {line.split()[0]
-            for line in lines(fleet, f" configuration version={version} ")}
-
-
 def regained(fleet):
     return len(lines(fleet, " peer-regained "))
 
@@ -29,9 +24,7 @@
     await asyncio.sleep(CUT_S)
     before = regained(fleet)
     fleet.configure(3)
-    version = fleet.version
-    await wait_for(lambda: len(in_force(fleet, version)) == len(fleet.vms),
-                   CONFIG_S, f"version {version} in force on every VM")
+    await wait_until_in_force(fleet, CONFIG_S)
     assert regained(fleet) == before, "a link that is cut carries digests"
     fleet.set_cuts([])
     count = len(fleet.vms) * (len(fleet.vms) - 1)
--- a/test/integration/entry_odd_entries.py
+++ b/test/integration/entry_odd_entries.py
@@ -9,7 +9,7 @@
 import sys
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from entry_fleet import lines, run, wait_for  # noqa: E402
+from entry_fleet import lines, run, wait_until_in_force  # noqa: E402
 from fleet import CONFIG_S  # noqa: E402
 
 DEEP = 200_000
@@ -68,13 +68,10 @@
         fleet.store.put(f"servers/i-{0xf1000 + n:x}", rng.randbytes(VALUE_BYTES))
     await asyncio.sleep(CATCH_UP_S)
     fleet.configure(3)
-    version = f" configuration version={fleet.version} "
-    names = {vm.name for vm in fleet.vms}
-    await wait_for(lambda: {line.split()[0] for line in lines(fleet, version)}
-                   == names, CONFIG_S, "the new version on every VM")
+    await wait_until_in_force(fleet, CONFIG_S)
     begin = fleet.now()
     await asyncio.sleep(2)
-    assert len(lines(fleet, " started ")) == len(names), "a VM ended"
+    assert len(lines(fleet, " started ")) == len(fleet.vms), "a VM ended"
     assert not lines(fleet, "target id=f0"), "an odd entry names a target"
     assert fleet.share_served(begin) > 0.9, fleet.share_served(begin)
 
--- a/test/integration/entry_settings_file.py
+++ b/test/integration/entry_settings_file.py
@@ -8,6 +8,7 @@
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 from entry_fleet import lines, run, wait_for  # noqa: E402
+from entry_fleet import wait_until_in_force  # noqa: E402
 from fleet import CONFIG_S, STORE_PORT  # noqa: E402
 
 NEW_PORT = STORE_PORT + 100
@@ -28,10 +29,7 @@
     await wait_for(lambda: len(lines(fleet, " reloaded ")) == len(fleet.vms),
                    READ_S, "the file is read again")
     fleet.configure(3)
-    version = f" configuration version={fleet.version} "
-    await wait_for(lambda: {line.split()[0] for line in lines(fleet, version)}
-                   == {vm.name for vm in fleet.vms}, CONFIG_S,
-                   "the new version on every VM")
+    await wait_until_in_force(fleet, CONFIG_S)
     (fleet.folder / f"{fleet.vms[0].name}.yaml").write_text("store: [")
     await wait_for(lambda: lines(fleet, " reload-refused "), READ_S,
                    "a file with a fault is refused")
--- a/test/lib/entry_fleet.py
+++ b/test/lib/entry_fleet.py
@@ -27,6 +27,19 @@
     return sorted(found, key=lambda line: line.split()[1])
 
 
+def in_force(fleet, version):
+    """Names of the VMs that have activated this version."""
+    return {line.split()[0]
+            for line in lines(fleet, f" configuration version={version} ")}
+
+
+async def wait_until_in_force(fleet, seconds):
+    """Fails unless each VM activates the newest version in seconds."""
+    names = {vm.name for vm in fleet.vms}
+    await wait_for(lambda: in_force(fleet, fleet.version) == names, seconds,
+                   f"version {fleet.version} in force on every VM")
+
+
 async def wait_for(condition, seconds, what):
     """Fails with what unless condition becomes true in seconds."""
     for _ in range(int(seconds / 0.05)):
