--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -64,7 +64,7 @@
    */
   protobuf_c_boolean silent;
   /*
-   * nor do callers that have sent it data
+   * callers have retransmitted data to it twice
    */
   protobuf_c_boolean data_unanswered;
 };
