Give a target with an unusable registration 30 s to register again

Found in reading: 4 s were three heartbeats of 1.2 s and a little more. The interval is a setting of the platform, and with one of 2 s or more a live target could have been removed, and its flows reset, before it wrote its entry again.

Why it works: callers that wait for a target that has failed are reset by its unanswered data within a second, so the removal only cleans up and may come late.

Tests: test_unusable_registration_is_no_removal and ..._is_removed_later hold with the name of the constant and pass; the cases of the review were not run again on this commit.

--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -25,9 +25,10 @@
 #define AM_TARGET_RETENTION_US 60000000u
 
 /* A target whose registration cannot be used is removed after this time: a
-   running one has written it again by then.  Three of its heartbeats, which
-   the platform waits for, and a little more.  */
-#define AM_TARGET_UNUSABLE_US 4000000u
+   running one has written it again by then, also with heartbeats some seconds
+   apart.  Callers that wait for one that has failed do not wait for this, see
+   flow/liveness.h.  */
+#define AM_TARGET_UNUSABLE_US 30000000u
 
 #define AM_TARGET_BUCKETS 1024
 
