Serve the operator's orders to evacuate a data centre

Cause: nothing read the keys of evacuations. They came with the watch and were kept in the replica as items of no use; a listing left them out.

Change: the adapter tells orders apart by their key, and the listing of the configuration covers the whole prefix of the operator, one call as before. flow/evacuation holds the orders. Target selection leaves the targets out, a SYN that is retransmitted after the order is reset instead of forwarded, and if every data centre is evacuated new flows are reset at once. Open flows go on. Log lines evacuation-begun and evacuation-ended, the reasons evacuated and placed_elsewhere, a gauge of orders in force.

--- a/src/entry/adapter.h
+++ b/src/entry/adapter.h
@@ -23,7 +23,9 @@
   AM_ITEM_OTHER, /* not used by this program */
   AM_ITEM_TARGET,
   AM_ITEM_CONFIGURATION,
-  AM_ITEM_SUPPLIERS, /* see flow/suppliers.h; written by this program */
+  AM_ITEM_EVACUATION, /* order to evacuate a data centre, while it exists; its
+                         value says nothing */
+  AM_ITEM_SUPPLIERS,  /* see flow/suppliers.h; written by this program */
 };
 
 /* One item of the store's response.  */
@@ -67,12 +69,15 @@
 
   /* Items.  item_kind classifies an item by its key.  target_id returns the
      id of the target that KEY names, or 0 if it names none.
+     evacuated_data_centre returns the name of the data centre that KEY, of an
+     AM_ITEM_EVACUATION, names: part of KEY, not empty.
 
      target_parse and configuration_parse return AM_OK, AM_E_MEMORY, or
      AM_E_FIELD_* or AM_E_FORMAT for an invalid value.  On success the
      program owns *C and frees it with am_configuration_finish.  */
   enum am_item_kind (*item_kind) (const char *key);
   uint64_t (*target_id) (const char *key);
+  const char *(*evacuated_data_centre) (const char *key);
   int (*target_parse) (struct am_target_spec *s, const char *key,
                        const uint8_t *value, size_t len);
   int (*configuration_parse) (struct am_configuration *c, const uint8_t *value,
@@ -80,8 +85,10 @@
 
   /* Calls to the store.  list_path and watch_path write the path of an HTTP
      GET to PATH, at most SIZE bytes with its NUL; a longer one is truncated.
-     A list call returns one page of the items of KIND, any but AM_ITEM_OTHER,
-     that follow the key AFTER (NULL: the first page).
+     A list call returns one page of the items of KIND that follow the key
+     AFTER (NULL: the first page).  KIND is AM_ITEM_TARGET,
+     AM_ITEM_CONFIGURATION, which lists evacuations as well, or
+     AM_ITEM_SUPPLIERS.
      If ALLOW_STALE, the page may be some seconds old and costs the store
      less.
      A watch call returns items of any kind that changed after REVISION; the
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -212,7 +212,9 @@
   am_replica_init (&e->replica, am_entry_item_changed, e);
   am_target_table_init (&e->targets);
   am_route_table_init (&e->routes);
+  am_evacuations_init (&e->evacuations);
   am_path_init (&e->path, &e->targets, &e->routes, data_centre, seed);
+  e->path.evacuations = &e->evacuations;
   am_store_sync_init (&e->sync, e->started_us);
   am_replica_lag_init (&e->lag);
   am_readiness_init (&e->readiness);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -22,6 +22,7 @@
 #include "entry/store_calls.h"
 #include "flow/store_sync.h"
 #include "flow/digest_schedule.h"
+#include "flow/evacuation.h"
 #include "flow/fleet.h"
 #include "flow/packet_path.h"
 #include "flow/readiness.h"
@@ -119,15 +120,16 @@
   struct am_target_table targets; /* items.c; loads: digest_receive.c, peers.c
                                      and packets.c */
   struct am_route_table routes;   /* items.c */
-  uint64_t configuration_us;      /* items.c: when the active configuration
-                                     was activated; 0: none yet */
-  struct am_path path;            /* packets.c and entry.c */
-  struct am_store_sync sync;      /* entry.c and reader.c */
-  struct am_replica_lag lag;      /* entry.c */
-  bool lagging;                   /* entry.c: it lags, as of the last tick */
-  struct am_readiness readiness;  /* entry.c */
-  struct am_fleet fleet;          /* peers.c, members.c, digest_receive.c */
-  struct am_entry_reader reader;  /* reader.c */
+  struct am_evacuations evacuations; /* items.c */
+  uint64_t configuration_us;         /* items.c: when the active configuration
+                                        was activated; 0: none yet */
+  struct am_path path;               /* packets.c and entry.c */
+  struct am_store_sync sync;         /* entry.c and reader.c */
+  struct am_replica_lag lag;         /* entry.c */
+  bool lagging;                  /* entry.c: it lags, as of the last tick */
+  struct am_readiness readiness; /* entry.c */
+  struct am_fleet fleet;         /* peers.c, members.c, digest_receive.c */
+  struct am_entry_reader reader; /* reader.c */
 
   struct am_udp_port packets_port;
   struct am_udp_batch packet_batch;     /* packets to be sent */
--- a/src/entry/items.c
+++ b/src/entry/items.c
@@ -133,6 +133,51 @@
                    item->key, item->revision, am_error_name (err));
 }
 
+static size_t
+count_targets (const struct am_target_table *t, uint32_t data_centre)
+{
+  size_t n = 0;
+
+  am_list_each (g, &t->targets, struct am_target, node) n
+      += g->state == AM_TARGET_READY && g->spec.data_centre == data_centre;
+  return n;
+}
+
+/* An order for a data centre without targets is logged like any other: its
+   name may be wrong.  */
+static void
+evacuation_begun (struct am_entry *e, const struct am_replica_item *item,
+                  uint64_t now_us)
+{
+  const char *name = e->adapter->evacuated_data_centre (item->key);
+  uint32_t data_centre = am_hash_name (name);
+  int err;
+
+  if (am_evacuations_apply (&e->evacuations, data_centre))
+    return;
+  err = am_evacuations_begin (&e->evacuations, data_centre, now_us);
+  am_line_log_add (
+      &e->log, AM_LINE_DISCOVERY, now_us,
+      "evacuation-begun data_centre=%s revision=%" PRIu64
+      " targets=%zu store_age_ms=%" PRIu64 " error=%s",
+      name, item->revision, count_targets (&e->targets, data_centre),
+      am_store_sync_age (&e->sync, now_us) / 1000, am_error_name (err));
+}
+
+static void
+evacuation_ended (struct am_entry *e, const struct am_replica_item *item,
+                  uint64_t now_us)
+{
+  const char *name = e->adapter->evacuated_data_centre (item->key);
+  uint64_t lasted_us
+      = am_evacuations_end (&e->evacuations, am_hash_name (name), now_us);
+
+  am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
+                   "evacuation-ended data_centre=%s revision=%" PRIu64
+                   " after_ms=%" PRIu64,
+                   name, item->revision, lasted_us / 1000);
+}
+
 void
 am_entry_item_changed (void *userdata, const struct am_replica_item *item)
 {
@@ -153,6 +198,12 @@
       if (!item->removed)
         configuration_changed (e, item, now_us);
       break;
+    case AM_ITEM_EVACUATION:
+      if (item->removed)
+        evacuation_ended (e, item, now_us);
+      else
+        evacuation_begun (e, item, now_us);
+      break;
     case AM_ITEM_SUPPLIERS:
       if (!item->removed)
         suppliers_changed (e, item, now_us);
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -92,7 +92,7 @@
 
 /* Kinds in the order in which they are listed.  Targets come first: packets of
    open flows need only the targets, and on a slow link the configuration takes
-   longer than all targets.  */
+   longer than all targets.  Evacuations come with the configuration.  */
 static const enum am_item_kind kinds[]
     = { AM_ITEM_TARGET, AM_ITEM_CONFIGURATION, AM_ITEM_SUPPLIERS };
 
@@ -118,6 +118,8 @@
   const struct am_entry_reader *r = &e->reader;
   enum am_item_kind kind = e->adapter->item_kind (i->key);
 
+  if (kind == AM_ITEM_EVACUATION)
+    kind = AM_ITEM_CONFIGURATION;
   return (kind == kinds[r->list_step] || kind == AM_ITEM_OTHER)
          && (!r->list_after || strcmp (i->key, r->list_after) > 0);
 }
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -97,6 +97,8 @@
                (double)(now_us - e->configuration_us) / 1e3);
   add_value (t, "targets_ready", AM_METRIC_GAUGE,
              "Targets that take new flows.", (double)e->targets.ready_count);
+  add_value (t, "evacuations", AM_METRIC_GAUGE,
+             "Data centres that are evacuated.", (double)e->evacuations.count);
   add_value (t, "flows", AM_METRIC_GAUGE, "Flows seen lately.",
              (double)e->path.flows.count);
   add_value (t, "peers", AM_METRIC_GAUGE, "Other VMs known.",
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -28,6 +28,7 @@
   p->routes = routes;
   p->data_centre = data_centre;
   targets->data_centre = data_centre;
+  p->evacuations = NULL;
   p->liveness_changes = 0;
   am_flow_rate_init (&p->placements);
   p->peers = 0;
@@ -68,6 +69,7 @@
   return (struct am_placement){ .rng = &p->rng,
                                 .service = service,
                                 .data_centre = p->data_centre,
+                                .evacuations = p->evacuations,
                                 .unreported_flows
                                 = unreported_flows (p, now_us),
                                 .now_us = now_us };
@@ -142,6 +144,16 @@
   return am_placement_choose (p->targets, &m) != target;
 }
 
+/* Resets the attempt of F, whose SYN is not forwarded to its target again.  */
+static struct am_decision
+abandon_attempt (struct am_flow *f, enum am_reason reason)
+{
+  struct am_target *target = f->target;
+
+  am_flow_set_target (f, NULL);
+  return make_decision (AM_VERDICT_RESET, reason, target);
+}
+
 /* The SYN of F was retransmitted.  It never goes to a second target: the first
    one may have accepted the flow, and a caller that hears from both sends the
    packets of one with the ticket of the other.  If the first one may have
@@ -157,22 +169,42 @@
   am_flow_touch (&p->flows, f, now_us);
   if (!target)
     return make_decision (AM_VERDICT_RESET, AM_REASON_SYN_UNANSWERED, NULL);
+  if (am_placement_evacuated (target, p->evacuations))
+    return abandon_attempt (f, AM_REASON_EVACUATED);
   if (now_us - f->forwarded_us < AM_PATH_RETRANSMIT_MIN_US)
     return make_decision (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, target);
   if (!has_accepted_since (f))
     {
       note_unanswered (p, target, now_us);
       if (prefers_another (p, target, service, now_us))
-        {
-          am_flow_set_target (f, NULL);
-          return make_decision (AM_VERDICT_RESET, AM_REASON_SYN_UNANSWERED,
-                                target);
-        }
+        return abandon_attempt (f, AM_REASON_SYN_UNANSWERED);
     }
   f->forwarded_us = now_us;
   return make_decision (AM_VERDICT_FORWARD, AM_REASON_SAME_TARGET, target);
 }
 
+static enum am_reason
+placed_reason (const struct am_path *p, const struct am_packet *packet,
+               const struct am_target *target)
+{
+  if (packet->ack)
+    return AM_REASON_PLACED_AGAIN;
+  return target->spec.data_centre == p->data_centre
+             ? AM_REASON_PLACED
+             : AM_REASON_PLACED_ELSEWHERE;
+}
+
+/* Returns the reason for which no target accepts a flow of SERVICE.  */
+static enum am_reason
+unplaced_reason (struct am_path *p, uint32_t service, uint64_t now_us)
+{
+  struct am_placement m = placement (p, service, now_us);
+
+  m.evacuations = NULL;
+  return am_placement_choose (p->targets, &m) ? AM_REASON_EVACUATED
+                                              : AM_REASON_NO_TARGET;
+}
+
 static struct am_decision
 place (struct am_path *p, const struct am_packet *packet, uint32_t service,
        uint64_t now_us)
@@ -180,12 +212,12 @@
   struct am_target *target = choose (p, service, now_us);
 
   if (!target)
-    return make_decision (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
+    return make_decision (AM_VERDICT_RESET,
+                          unplaced_reason (p, service, now_us), NULL);
   am_flow_add (&p->flows, packet, target, AM_FLOW_OPENING, now_us);
   am_liveness_syn_sent (target, now_us);
-  return make_decision (
-      AM_VERDICT_FORWARD,
-      packet->ack ? AM_REASON_PLACED_AGAIN : AM_REASON_PLACED, target);
+  return make_decision (AM_VERDICT_FORWARD, placed_reason (p, packet, target),
+                        target);
 }
 
 static struct am_decision
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -15,6 +15,7 @@
 
 #include "base/metrics.h"
 #include "base/rng.h"
+#include "flow/evacuation.h"
 #include "flow/flow_rate.h"
 #include "flow/flow_table.h"
 #include "flow/syn_queue.h"
@@ -62,6 +63,7 @@
 /* Reasons for a decision, X (symbol, name), with their stable short names:
 
    PLACED            a target was selected for a new flow
+   PLACED_ELSEWHERE  the same, a target in another data centre
    PLACED_AGAIN      a target was selected for a retransmitted SYN that this
                      VM has not forwarded before
    SAME_TARGET       retransmitted SYN, forwarded to the same target
@@ -70,6 +72,8 @@
    TICKET            packet of a flow whose ticket identifies the target; also
                      any RST, which is dropped if its target is unknown
    NO_CONFIGURATION  no configuration is known yet
+   EVACUATED         the data centre of the target of a retransmitted SYN, or
+                     of each target that could accept a new flow, is evacuated
    BUSY              all slots of the service are in use
    NO_ROUTE          the destination address is not configured
    NO_TARGET         no target of the service accepts new flows
@@ -80,11 +84,13 @@
    TARGET_FAILED     the target has failed: it does not answer  */
 #define AM_REASON_LIST(X)                            \
   X (AM_REASON_PLACED, "placed")                     \
+  X (AM_REASON_PLACED_ELSEWHERE, "placed_elsewhere") \
   X (AM_REASON_PLACED_AGAIN, "placed_again")         \
   X (AM_REASON_SAME_TARGET, "same_target")           \
   X (AM_REASON_SYN_UNANSWERED, "syn_unanswered")     \
   X (AM_REASON_TICKET, "ticket")                     \
   X (AM_REASON_NO_CONFIGURATION, "no_configuration") \
+  X (AM_REASON_EVACUATED, "evacuated")               \
   X (AM_REASON_BUSY, "busy")                         \
   X (AM_REASON_NO_ROUTE, "no_route")                 \
   X (AM_REASON_NO_TARGET, "no_target")               \
@@ -116,8 +122,10 @@
 
 struct am_path
 {
-  struct am_target_table *targets; /* not owned */
-  struct am_route_table *routes;   /* not owned */
+  struct am_target_table *targets;          /* not owned */
+  struct am_route_table *routes;            /* not owned */
+  const struct am_evacuations *evacuations; /* not owned; set by the embedding
+                                               program, NULL: none */
   struct am_flow_table flows;
   struct am_syn_queue queue;
   struct am_histogram open_times; /* ns, from SYN forwarded to the
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -21,6 +21,13 @@
   return own->opening + own->busy + peers->opening + peers->busy;
 }
 
+bool
+am_placement_evacuated (const struct am_target *t,
+                        const struct am_evacuations *e)
+{
+  return e && am_evacuations_apply (e, t->spec.data_centre);
+}
+
 static uint32_t
 slots (const struct am_target *t)
 {
@@ -57,10 +64,10 @@
 }
 
 static bool
-accepts_flows (const struct am_target *t, uint32_t service)
+accepts_flows (const struct am_target *t, const struct am_placement *p)
 {
-  return t->state == AM_TARGET_READY && t->spec.service == service
-         && !t->ambiguous;
+  return t->state == AM_TARGET_READY && t->spec.service == p->service
+         && !t->ambiguous && !am_placement_evacuated (t, p->evacuations);
 }
 
 /* Targets among which one is selected, linked by next_candidate.  */
@@ -106,7 +113,7 @@
   *s = (struct local_load){ .lowest_remote = HUGE_VAL };
   am_list_each (g, &t->targets, struct am_target, node)
   {
-    if (!accepts_flows (g, p->service))
+    if (!accepts_flows (g, p))
       continue;
     g->cost = cost (g, p);
     if (is_local (g, p))
@@ -130,7 +137,7 @@
   c->lowest = HUGE_VAL;
   am_list_each (g, &t->targets, struct am_target, node)
   {
-    if (!accepts_flows (g, p->service) || (local && !is_local (g, p)))
+    if (!accepts_flows (g, p) || (local && !is_local (g, p)))
       continue;
     if (g->cost < c->lowest)
       c->lowest = g->cost;
@@ -251,7 +258,7 @@
 
   am_list_each (g, &t->targets, struct am_target, node)
   {
-    if (!accepts_flows (g, p->service) || !am_liveness_usable (g, p->now_us))
+    if (!accepts_flows (g, p) || !am_liveness_usable (g, p->now_us))
       continue;
     all[0] += requests_in_progress (g);
     all[1] += slots (g);
--- a/src/flow/placement.h
+++ b/src/flow/placement.h
@@ -29,9 +29,11 @@
 #ifndef AM_FLOW_PLACEMENT_H
 #define AM_FLOW_PLACEMENT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/rng.h"
+#include "flow/evacuation.h"
 #include "flow/target_table.h"
 
 /* Load of an open flow, requests in progress: the fraction of its time in
@@ -47,20 +49,27 @@
 
 struct am_placement
 {
-  struct am_rng *rng;      /* breaks ties; not owned */
-  uint32_t service;        /* hash by am_hash_name */
-  uint32_t data_centre;    /* of this VM; hash by am_hash_name */
+  struct am_rng *rng;   /* breaks ties; not owned */
+  uint32_t service;     /* hash by am_hash_name */
+  uint32_t data_centre; /* of this VM; hash by am_hash_name */
+  const struct am_evacuations *evacuations; /* NULL: none */
   double unreported_flows; /* opened by peers since their reports, all
                               together; an estimate */
   uint64_t now_us;         /* monotonic clock */
 };
 
 /* Returns a lightly loaded target for a new flow, or NULL if no target of the
-   service is AM_TARGET_READY and not ambiguous.  Returns a target that is
+   service is AM_TARGET_READY, not ambiguous and in a data centre that is not
+   evacuated.  Returns a target that is
    unresponsive and not due for a retry only if there is no other.  */
 struct am_target *am_placement_choose (struct am_target_table *t,
                                        const struct am_placement *p);
 
+/* Returns true if the data centre of T is evacuated by the orders in E; false
+   if E is NULL.  */
+bool am_placement_evacuated (const struct am_target *t,
+                             const struct am_evacuations *e);
+
 /* Returns the number of requests in progress per slot, over the usable targets
    (am_liveness_usable) of the service in the VM's own data centre; over those
    of all data centres if it has none; 0 if there is none at all.  */
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -38,7 +38,9 @@
   am_replica_init (&e->replica, am_entry_item_changed, e);
   am_target_table_init (&e->targets);
   am_route_table_init (&e->routes);
+  am_evacuations_init (&e->evacuations);
   am_path_init (&e->path, &e->targets, &e->routes, am_hash_name ("here"), 1);
+  e->path.evacuations = &e->evacuations;
   am_store_sync_init (&e->sync, ENTRY_START_US);
   am_replica_lag_init (&e->lag);
   am_fleet_init (&e->fleet, name, am_hash_name ("here"), 20, ENTRY_START_US);
@@ -52,6 +54,7 @@
 {
   am_fleet_finish (&e->fleet);
   am_path_finish (&e->path);
+  am_evacuations_finish (&e->evacuations);
   am_route_table_finish (&e->routes);
   am_target_table_finish (&e->targets);
   am_replica_finish (&e->replica);
