Name the target's data centre in the reason of a placement in the tests

The second attempt of the late drawing goes to another data centre, whose placements have a reason of their own since evacuations are served; the test asks for it, which is stricter than before.

--- a/test/integration/entry_operations.py
+++ b/test/integration/entry_operations.py
@@ -89,9 +89,10 @@
     again, caller = open_flow(fleet, "archive")
     while not await again.connect():
         again, caller = open_flow(fleet, "archive")
-    await wait_for(lambda: lines(fleet, caller, "reason=placed "), 1,
+    # Its data centre has no other target of this service.
+    await wait_for(lambda: lines(fleet, caller, "reason=placed_elsewhere "), 1,
                    "the second target")
-    second = lines(fleet, caller, "reason=placed ")[0]
+    second = lines(fleet, caller, "reason=placed_elsewhere ")[0]
     assert field(first, "target") != field(second, "target")
     fleet.lost.clear()
     again.close()
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -71,8 +71,8 @@
       ck_assert_uint_eq (d.target->spec.data_centre, FAR);
     }
   am_evacuations_end (&orders, NEAR, f.now_us);
-  ck_assert_uint_eq (
-      send_packet (&f, syn (300, 0)).target->spec.data_centre, NEAR);
+  ck_assert_uint_eq (send_packet (&f, syn (300, 0)).target->spec.data_centre,
+                     NEAR);
 }
 END_TEST
 
@@ -96,8 +96,7 @@
   send_packet (&f, syn (1, 0));
   evacuate (NEAR);
   f.now_us += 10 * MS;
-  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_RESET,
-          AM_REASON_EVACUATED);
+  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_RESET, AM_REASON_EVACUATED);
   f.now_us += 200 * MS;
   expect (send_packet (&f, syn (1, 1)), AM_VERDICT_RESET,
           AM_REASON_SYN_UNANSWERED);
@@ -129,8 +128,7 @@
   add_target (&f, 2, FAR);
   evacuate (NEAR);
   evacuate (FAR);
-  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_RESET,
-          AM_REASON_EVACUATED);
+  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_RESET, AM_REASON_EVACUATED);
 }
 END_TEST
 
