Limit new flows at cold targets where a rate is stated; read routes' terms

Callers of a release or a take-back could not be kept from targets that have just started: nothing read the rate that a service states for them. All VMs together are bound by it, in any second, and none knows what the others send.

flow/warm_up: a few VMs of a target's data centre, those with the highest rendezvous scores, open flows there at even intervals, planned for half of the limit, so that it holds while VMs disagree. SYNs that find no room wait and are reset in time. Without a rate (0 on all deployments so far) or bounds in the settings nothing changes.

The adapter decodes priority, kind, time limit and objective of routes, and connections and warm-up rate of services, once, into typed fields; odd values count as not stated and are told in the configuration's log line.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -221,6 +221,10 @@
   e->shutdown.limit_us = e->settings.stop_ms * UINT64_C (1000);
   am_fleet_init (&e->fleet, e->settings.name, data_centre,
                  e->settings.link_mbps, e->started_us);
+  e->warm_up = (struct am_warm_up){ .bounds = e->settings.warm_up,
+                                    .fleet = &e->fleet,
+                                    .routes = &e->routes };
+  e->path.warm_up = &e->warm_up;
   e->next_source = am_rng_below (&e->path.rng, AM_ENTRY_SEEDS_MAX);
   am_digest_schedule_init (&e->digest_schedule, e->started_us);
   am_startup_init (&e->startup, e->settings.seed_count, e->settings.link_mbps,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -129,6 +129,7 @@
   bool lagging;                  /* entry.c: it lags, as of the last tick */
   struct am_readiness readiness; /* entry.c */
   struct am_fleet fleet;         /* peers.c, members.c, digest_receive.c */
+  struct am_warm_up warm_up;     /* entry.c; bounds: reload.c */
   struct am_entry_reader reader; /* reader.c */
 
   struct am_udp_port packets_port;
--- a/src/entry/items.c
+++ b/src/entry/items.c
@@ -95,20 +95,26 @@
 {
   struct am_configuration c;
   uint64_t version;
+  size_t odd_values;
+  const char *odd_field;
   int err = e->adapter->configuration_parse (&c, item->value, item->value_len);
 
   if (!err)
     {
       version = c.version;
+      odd_values = c.odd_values;
+      odd_field = c.odd_field ? c.odd_field : "none";
       err = am_route_table_accept (&e->routes, &c);
       am_configuration_finish (&c);
       if (!err)
         {
           e->configuration_us = now_us;
-          am_line_log_add (
-              &e->log, AM_LINE_DISCOVERY, now_us,
-              "configuration version=%" PRIu64 " routes=%zu revision=%" PRIu64,
-              version, e->routes.active.route_count, item->revision);
+          am_line_log_add (&e->log, AM_LINE_DISCOVERY, now_us,
+                           "configuration version=%" PRIu64
+                           " routes=%zu revision=%" PRIu64
+                           " odd_values=%zu odd_field=%s",
+                           version, e->routes.active.route_count,
+                           item->revision, odd_values, odd_field);
           return;
         }
     }
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -39,6 +39,8 @@
   unsigned seeds_count;
   uint32_t stop_s;
   double link_mbps;
+  double *warm_up_overage;
+  double warm_up_slack;
 };
 
 #define TEXT(flags, type, member)                                      \
@@ -68,6 +70,11 @@
                         AM_ENTRY_SEEDS_MAX),
   CYAML_FIELD_FLOAT ("link_mbps", CYAML_FLAG_OPTIONAL, struct file, link_mbps),
   CYAML_FIELD_UINT ("stop_s", CYAML_FLAG_OPTIONAL, struct file, stop_s),
+  CYAML_FIELD_FLOAT_PTR ("warm_up_overage",
+                         CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct file,
+                         warm_up_overage),
+  CYAML_FIELD_FLOAT ("warm_up_slack", CYAML_FLAG_OPTIONAL, struct file,
+                     warm_up_slack),
   CYAML_FIELD_END
 };
 
@@ -109,6 +116,24 @@
   return err;
 }
 
+static int
+read_warm_up (struct am_warm_up_bounds *b, const struct file *file,
+              struct am_fault *f)
+{
+  if (file->warm_up_slack < 0)
+    return am_fault_set (f, AM_E_FIELD_RANGE, "warm_up_slack",
+                         "requests, 0 or more");
+  if (!file->warm_up_overage)
+    return AM_OK;
+  if (*file->warm_up_overage <= 0)
+    return am_fault_set (f, AM_E_FIELD_RANGE, "warm_up_overage",
+                         "factor, more than 0");
+  b->stated = true;
+  b->overage = *file->warm_up_overage;
+  b->slack = file->warm_up_slack;
+  return AM_OK;
+}
+
 static int
 apply_file (struct am_entry_settings *s, const struct file *file,
             struct am_fault *f)
@@ -125,6 +150,8 @@
                          "megabits per second");
   s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
+  if (read_warm_up (&s->warm_up, file, f))
+    return f->error;
   return read_addresses (s, file, f);
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/address.h"
+#include "flow/warm_up.h"
 #include "record/record.h"
 
 #define AM_ENTRY_SEEDS_MAX 64
@@ -26,8 +27,9 @@
   size_t seed_count;
   uint32_t link_mbps; /* bandwidth of this VM's link, megabits per second; 0:
                          not given */
-  uint32_t stop_ms;   /* longest time from SIGTERM to the end of the process,
-                         milliseconds */
+  struct am_warm_up_bounds warm_up;
+  uint32_t stop_ms; /* longest time from SIGTERM to the end of the process,
+                       milliseconds */
 };
 
 /* Reads FILE into *S.  On failure *F describes the fault and nothing has to be
--- a/src/flow/fleet.c
+++ b/src/flow/fleet.c
@@ -29,7 +29,8 @@
   am_list_init (&f->peers);
   snprintf (f->name, sizeof f->name, "%s", name);
   f->link_mbps = link_mbps;
-  f->rank = rank (hash_name (f->name), link_mbps);
+  f->name_hash = hash_name (f->name);
+  f->rank = rank (f->name_hash, link_mbps);
   f->data_centre = data_centre;
   f->started_us = now_us;
 }
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -85,6 +85,7 @@
   struct am_list peers;
   size_t count;
   char name[AM_FLEET_NAME_SIZE]; /* of this VM */
+  uint64_t name_hash;            /* of this VM */
   uint32_t link_mbps;            /* of this VM */
   uint64_t rank;                 /* of this VM */
   uint32_t data_centre;          /* of this VM; hash by am_hash_name */
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -29,6 +29,7 @@
   p->data_centre = data_centre;
   targets->data_centre = data_centre;
   p->evacuations = NULL;
+  p->warm_up = NULL;
   p->liveness_changes = 0;
   am_flow_rate_init (&p->placements);
   p->peers = 0;
@@ -70,6 +71,7 @@
                                 .service = service,
                                 .data_centre = p->data_centre,
                                 .evacuations = p->evacuations,
+                                .warm_up = p->warm_up,
                                 .unreported_flows
                                 = unreported_flows (p, now_us),
                                 .now_us = now_us };
@@ -194,15 +196,33 @@
              : AM_REASON_PLACED_ELSEWHERE;
 }
 
-/* Returns the reason for which no target accepts a flow of SERVICE.  */
-static enum am_reason
-unplaced_reason (struct am_path *p, uint32_t service, uint64_t now_us)
+/* Returns true if only the limits of targets that warm up keep a flow of
+   SERVICE from being placed.  */
+static bool
+waits_for_warm_up (struct am_path *p, uint32_t service, uint64_t now_us)
+{
+  struct am_placement m = placement (p, service, now_us);
+
+  if (!p->warm_up || !p->warm_up->bounds.stated
+      || am_placement_choose (p->targets, &m))
+    return false;
+  m.warm_up = NULL;
+  return am_placement_choose (p->targets, &m);
+}
+
+/* Decides on a flow of SERVICE that no target accepts now.  It waits for the
+   limit of a target that warms up; anything else does not pass by itself.  */
+static struct am_decision
+refuse (struct am_path *p, uint32_t service, uint64_t now_us)
 {
   struct am_placement m = placement (p, service, now_us);
 
+  if (waits_for_warm_up (p, service, now_us))
+    return make_decision (AM_VERDICT_WAIT, AM_REASON_WARMING_UP, NULL);
   m.evacuations = NULL;
-  return am_placement_choose (p->targets, &m) ? AM_REASON_EVACUATED
-                                              : AM_REASON_NO_TARGET;
+  if (am_placement_choose (p->targets, &m))
+    return make_decision (AM_VERDICT_RESET, AM_REASON_EVACUATED, NULL);
+  return make_decision (AM_VERDICT_RESET, AM_REASON_NO_TARGET, NULL);
 }
 
 static struct am_decision
@@ -212,8 +232,8 @@
   struct am_target *target = choose (p, service, now_us);
 
   if (!target)
-    return make_decision (AM_VERDICT_RESET,
-                          unplaced_reason (p, service, now_us), NULL);
+    return refuse (p, service, now_us);
+  am_warm_up_admitted (p->warm_up, target, now_us);
   am_flow_add (&p->flows, packet, target, AM_FLOW_OPENING, now_us);
   am_liveness_syn_sent (target, now_us);
   return make_decision (AM_VERDICT_FORWARD, placed_reason (p, packet, target),
@@ -287,7 +307,9 @@
 
   if (!q->path->routes->active.version)
     return false;
-  return !service || !is_busy (q->path, service, q->now_us);
+  return !service
+         || (!is_busy (q->path, service, q->now_us)
+             && !waits_for_warm_up (q->path, service, q->now_us));
 }
 
 bool
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -22,6 +22,7 @@
 #include "flow/packet.h"
 #include "flow/route_table.h"
 #include "flow/target_table.h"
+#include "flow/warm_up.h"
 
 /* A retransmitted SYN that is read earlier than this after the first one was
    forwarded was delayed in this VM's own receive queue: the target has had no
@@ -74,6 +75,8 @@
    NO_CONFIGURATION  no configuration is known yet
    EVACUATED         the data centre of the target of a retransmitted SYN, or
                      of each target that could accept a new flow, is evacuated
+   WARMING_UP        each target that could accept a new flow warms up and has
+                     reached its limit
    BUSY              all slots of the service are in use
    NO_ROUTE          the destination address is not configured
    NO_TARGET         no target of the service accepts new flows
@@ -91,6 +94,7 @@
   X (AM_REASON_TICKET, "ticket")                     \
   X (AM_REASON_NO_CONFIGURATION, "no_configuration") \
   X (AM_REASON_EVACUATED, "evacuated")               \
+  X (AM_REASON_WARMING_UP, "warming_up")             \
   X (AM_REASON_BUSY, "busy")                         \
   X (AM_REASON_NO_ROUTE, "no_route")                 \
   X (AM_REASON_NO_TARGET, "no_target")               \
@@ -126,6 +130,7 @@
   struct am_route_table *routes;            /* not owned */
   const struct am_evacuations *evacuations; /* not owned; set by the embedding
                                                program, NULL: none */
+  const struct am_warm_up *warm_up;         /* likewise; NULL: no limits */
   struct am_flow_table flows;
   struct am_syn_queue queue;
   struct am_histogram open_times; /* ns, from SYN forwarded to the
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -67,7 +67,8 @@
 accepts_flows (const struct am_target *t, const struct am_placement *p)
 {
   return t->state == AM_TARGET_READY && t->spec.service == p->service
-         && !t->ambiguous && !am_placement_evacuated (t, p->evacuations);
+         && !t->ambiguous && !am_placement_evacuated (t, p->evacuations)
+         && am_warm_up_admits (p->warm_up, t, p->now_us);
 }
 
 /* Targets among which one is selected, linked by next_candidate.  */
--- a/src/flow/placement.h
+++ b/src/flow/placement.h
@@ -35,6 +35,7 @@
 #include "base/rng.h"
 #include "flow/evacuation.h"
 #include "flow/target_table.h"
+#include "flow/warm_up.h"
 
 /* Load of an open flow, requests in progress: the fraction of its time in
    which it has one.  */
@@ -53,14 +54,15 @@
   uint32_t service;     /* hash by am_hash_name */
   uint32_t data_centre; /* of this VM; hash by am_hash_name */
   const struct am_evacuations *evacuations; /* NULL: none */
+  const struct am_warm_up *warm_up;         /* NULL: no limits */
   double unreported_flows; /* opened by peers since their reports, all
                               together; an estimate */
   uint64_t now_us;         /* monotonic clock */
 };
 
 /* Returns a lightly loaded target for a new flow, or NULL if no target of the
-   service is AM_TARGET_READY, not ambiguous and in a data centre that is not
-   evacuated.  Returns a target that is
+   service is AM_TARGET_READY, not ambiguous, in a data centre that is not
+   evacuated and within its warm-up limit.  Returns a target that is
    unresponsive and not due for a retry only if there is no other.  */
 struct am_target *am_placement_choose (struct am_target_table *t,
                                        const struct am_placement *p);
--- a/src/flow/route_table.c
+++ b/src/flow/route_table.c
@@ -11,6 +11,7 @@
   for (size_t i = 0; i < c->route_count; i++)
     free (c->routes[i].shares);
   free (c->routes);
+  free (c->services);
   memset (c, 0, sizeof *c);
 }
 
@@ -30,6 +31,20 @@
   return AM_OK;
 }
 
+int
+am_configuration_add_service (struct am_configuration *c,
+                              const struct am_service *s)
+{
+  struct am_service *grown
+      = realloc (c->services, (c->service_count + 1) * sizeof *grown);
+
+  if (!grown)
+    return AM_E_MEMORY;
+  c->services = grown;
+  c->services[c->service_count++] = *s;
+  return AM_OK;
+}
+
 void
 am_route_table_init (struct am_route_table *t)
 {
@@ -53,6 +68,15 @@
   return (i > j) - (i < j);
 }
 
+static int
+compare_services (const void *a, const void *b)
+{
+  const struct am_service *x = a;
+  const struct am_service *y = b;
+
+  return (x->name > y->name) - (x->name < y->name);
+}
+
 int
 am_route_table_accept (struct am_route_table *t, struct am_configuration *c)
 {
@@ -64,9 +88,23 @@
   if (t->active.route_count)
     qsort (t->active.routes, t->active.route_count, sizeof t->active.routes[0],
            compare);
+  if (t->active.service_count)
+    qsort (t->active.services, t->active.service_count,
+           sizeof t->active.services[0], compare_services);
   return AM_OK;
 }
 
+const struct am_service *
+am_route_table_service (const struct am_route_table *t, uint32_t service)
+{
+  struct am_service key = { .name = service };
+
+  if (!t->active.service_count)
+    return NULL;
+  return bsearch (&key, t->active.services, t->active.service_count,
+                  sizeof key, compare_services);
+}
+
 const struct am_route *
 am_route_find (const struct am_route_table *t, struct am_address address)
 {
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -71,6 +71,8 @@
   enum am_target_state state;
   bool ambiguous;             /* shares its ticket with an older target */
   uint64_t warm_up_end_us;    /* end of warm-up: it is slower until then */
+  uint64_t warm_up_next_us;   /* while it warms up and its service has a limit:
+                                 no new flow from this VM before this */
   uint64_t absent_since_us;   /* registration missing since; 0: present */
   uint64_t unusable_since_us; /* registration not usable since; 0: it is */
   uint64_t removed_us;        /* when its state became AM_TARGET_REMOVED */
