--- a/src/entry/digest_receive.c
+++ b/src/entry/digest_receive.c
@@ -19,6 +19,7 @@
       reports[i].load.opening = d->loads[i]->opening;
       reports[i].load.open_flows = d->loads[i]->open_flows;
       reports[i].load.busy = d->loads[i]->busy;
+      reports[i].load.recent = d->loads[i]->recent;
       reports[i].unresponsive = d->loads[i]->silent;
       reports[i].data_unanswered = d->loads[i]->data_unanswered;
     }
@@ -26,6 +27,20 @@
   p->loads_us = now_us;
 }
 
+static void
+apply_services (struct am_entry *e, const Fleet__Digest *d, uint64_t now_us)
+{
+  for (size_t i = 0; i < d->n_services; i++)
+    {
+      struct am_service_load l = { .service = d->services[i]->service,
+                                   .slots = d->services[i]->slots,
+                                   .requests = d->services[i]->requests };
+
+      am_remote_loads_set (&e->remote_loads, d->sender->data_centre, &l,
+                           now_us);
+    }
+}
+
 /* Returns the interval that D reports, clamped to the valid range.  */
 static uint64_t
 reported_interval_us (const Fleet__Digest *d)
@@ -57,6 +72,8 @@
   p->reads = d->reads;
   if (!d->loads_omitted)
     apply_loads (e, p, d, now_us);
+  if (p->data_centre != e->fleet.data_centre)
+    apply_services (e, d, now_us);
 }
 
 /* Applies the changes in D if they are all that this VM's replica lacks.  The
--- a/src/entry/digest_send.c
+++ b/src/entry/digest_send.c
@@ -14,6 +14,8 @@
   Fleet__Member sender;
   Fleet__Load loads[AM_PEER_LOAD_MAX];
   Fleet__Load *load_list[AM_PEER_LOAD_MAX];
+  Fleet__ServiceLoad services[AM_SERVICE_LOADS_MAX];
+  Fleet__ServiceLoad *service_list[AM_SERVICE_LOADS_MAX];
   Fleet__Item changes[CHANGES_MAX];
   Fleet__Item *change_list[CHANGES_MAX];
 };
@@ -31,6 +33,7 @@
       d->loads[i].opening = reports[i].load.opening;
       d->loads[i].open_flows = reports[i].load.open_flows;
       d->loads[i].busy = reports[i].load.busy;
+      d->loads[i].recent = reports[i].load.recent;
       d->loads[i].silent = reports[i].unresponsive;
       d->loads[i].data_unanswered = reports[i].data_unanswered;
       d->load_list[i] = &d->loads[i];
@@ -39,6 +42,26 @@
   d->message.n_loads = n;
 }
 
+/* VMs of other data centres decide by these loads how many flows they send to
+   this one.  */
+static void
+fill_services (struct am_entry *e, struct digest *d, uint64_t now_us)
+{
+  struct am_service_load loads[AM_SERVICE_LOADS_MAX];
+  size_t n = am_service_loads_collect (&e->targets, loads, now_us);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      fleet__service_load__init (&d->services[i]);
+      d->services[i].service = loads[i].service;
+      d->services[i].slots = loads[i].slots;
+      d->services[i].requests = loads[i].requests;
+      d->service_list[i] = &d->services[i];
+    }
+  d->message.services = d->service_list;
+  d->message.n_services = n;
+}
+
 /* A reader sends small changes with its digests, once: a pull by every peer
    after each change would exceed the connections that it accepts.  A peer that
    misses the digest pulls.  */
@@ -135,13 +158,14 @@
 }
 
 static void
-send_remote (struct am_entry *e)
+send_remote (struct am_entry *e, uint64_t now_us)
 {
   struct digest d;
   uint8_t data[DATAGRAM_MAX];
   size_t len;
 
   fill_digest (e, &d);
+  fill_services (e, &d, now_us);
   len = pack (&d, AM_DIGEST_REMOTE_US, data);
   am_list_each (p, &e->fleet.peers, struct am_peer, node)
   {
@@ -202,7 +226,7 @@
   if (plan.local)
     send_local (e, plan.loads, now_us);
   if (plan.remote)
-    send_remote (e);
+    send_remote (e, now_us);
   if (plan.seeds)
     send_to_seeds (e, now_us);
   am_digest_schedule_sent (&e->digest_schedule, &plan, &in, now_us);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -225,6 +225,9 @@
                                     .fleet = &e->fleet,
                                     .routes = &e->routes };
   e->path.warm_up = &e->warm_up;
+  am_remote_loads_init (&e->remote_loads);
+  e->path.remote = &e->remote_loads;
+  e->path.crossing_cost_us = e->settings.crossing_cost_ms * UINT64_C (1000);
   e->next_source = am_rng_below (&e->path.rng, AM_ENTRY_SEEDS_MAX);
   am_digest_schedule_init (&e->digest_schedule, e->started_us);
   am_startup_init (&e->startup, e->settings.seed_count, e->settings.link_mbps,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -26,6 +26,7 @@
 #include "flow/fleet.h"
 #include "flow/packet_path.h"
 #include "flow/readiness.h"
+#include "flow/remote_load.h"
 #include "flow/replica.h"
 #include "flow/replica_lag.h"
 #include "flow/shutdown.h"
@@ -130,7 +131,8 @@
   struct am_readiness readiness; /* entry.c */
   struct am_fleet fleet;         /* peers.c, members.c, digest_receive.c */
   struct am_warm_up warm_up;     /* entry.c; bounds: reload.c */
-  struct am_entry_reader reader; /* reader.c */
+  struct am_remote_loads remote_loads; /* digest_receive.c and peers.c */
+  struct am_entry_reader reader;       /* reader.c */
 
   struct am_udp_port packets_port;
   struct am_udp_batch packet_batch;     /* packets to be sent */
--- a/src/entry/packets.c
+++ b/src/entry/packets.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
@@ -19,24 +20,31 @@
   char caller[AM_ADDRESS_TEXT_SIZE];
   char route[AM_ADDRESS_TEXT_SIZE];
   const struct am_target *t = d->target;
+  bool room
+      = d->reason == AM_REASON_NO_ROOM || d->reason == AM_REASON_OVERLOADED;
+  char detail[64] = "";
   enum am_line_class class = d->verdict == AM_VERDICT_FORWARD
                                  ? AM_LINE_FLOW
                                  : AM_LINE_NOT_FORWARDED;
 
   if (d->reason == AM_REASON_TICKET)
     return;
-  am_line_log_add (
-      &e->log, class, now_us,
-      "flow caller=%s route=%s seq=%" PRIu32 " ticket=%08" PRIx32
-      " reason=%s target=%" PRIx64 " busy=%" PRIu32 " open=%" PRIu32
-      " version=%" PRIu64 " config_age_ms=%" PRIu64 " store_age_ms=%" PRIu64,
-      am_address_format (p->caller, caller),
-      am_address_format (p->destination, route), p->seq, p->ticket,
-      am_reason_name (d->reason), t ? t->spec.id : 0,
-      t ? t->load.busy + t->peers_load.busy : 0,
-      t ? t->load.open_flows + t->peers_load.open_flows : 0,
-      e->routes.active.version, (now_us - e->configuration_us) / 1000,
-      am_store_sync_age (&e->sync, now_us) / 1000);
+  if (room)
+    snprintf (detail, sizeof detail, " priority=%" PRIu32 " room=%.1f/%.1f",
+              d->priority, d->requests, d->limit);
+  am_line_log_add (&e->log, class, now_us,
+                   "flow caller=%s route=%s seq=%" PRIu32 " ticket=%08" PRIx32
+                   " reason=%s target=%" PRIx64 " busy=%" PRIu32
+                   " open=%" PRIu32 " version=%" PRIu64
+                   " config_age_ms=%" PRIu64 " store_age_ms=%" PRIu64 "%s",
+                   am_address_format (p->caller, caller),
+                   am_address_format (p->destination, route), p->seq,
+                   p->ticket, am_reason_name (d->reason), t ? t->spec.id : 0,
+                   t ? t->load.busy + t->peers_load.busy : 0,
+                   t ? t->load.open_flows + t->peers_load.open_flows : 0,
+                   e->routes.active.version,
+                   (now_us - e->configuration_us) / 1000,
+                   am_store_sync_age (&e->sync, now_us) / 1000, detail);
 }
 
 static void
@@ -108,7 +116,9 @@
   while (am_path_next_orphan (&e->path, &p, now_us))
     {
       struct am_target *t = am_target_by_ticket (&e->targets, p.ticket, 0);
-      struct am_decision d = { AM_VERDICT_RESET, AM_REASON_ORPHANED, t };
+      struct am_decision d = { .verdict = AM_VERDICT_RESET,
+                               .reason = AM_REASON_ORPHANED,
+                               .target = t };
 
       execute_decision (e, &p, &d, NULL, 0, now_us);
     }
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -19,6 +19,7 @@
 am_entry_peers_tick (struct am_entry *e, uint64_t now_us)
 {
   am_fleet_expire (&e->fleet, &e->targets, now_us);
+  am_remote_loads_expire (&e->remote_loads, now_us);
   am_entry_digests_tick (e, now_us);
   am_entry_pull_from_source (e, now_us);
   am_entry_pull_members (e, now_us);
--- a/src/entry/reload.c
+++ b/src/entry/reload.c
@@ -72,6 +72,7 @@
   e->settings.seed_count = s.seed_count;
   e->settings.stop_ms = s.stop_ms;
   e->warm_up.bounds = s.warm_up;
+  e->path.crossing_cost_us = s.crossing_cost_ms * UINT64_C (1000);
   e->shutdown.limit_us = s.stop_ms * UINT64_C (1000);
   set_store (e, s.store);
   am_line_log_add (&e->log, AM_LINE_STATE, now_us, "reloaded seeds=%zu",
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -12,6 +12,8 @@
 #include "record/fields.h"
 
 #define STOP_DEFAULT_S 6
+#define CROSSING_COST_DEFAULT_MS 50
+#define CROSSING_COST_MAX_MS 60000
 /* The process ends this much before stop_s, at which the platform kills it. */
 #define STOP_MARGIN_MS 500
 
@@ -41,6 +43,7 @@
   double link_mbps;
   double *warm_up_overage;
   double warm_up_slack;
+  uint32_t *crossing_cost_ms;
 };
 
 #define TEXT(flags, type, member)                                      \
@@ -73,6 +76,9 @@
   CYAML_FIELD_FLOAT_PTR ("warm_up_overage",
                          CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct file,
                          warm_up_overage),
+  CYAML_FIELD_UINT_PTR ("crossing_cost_ms",
+                        CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct file,
+                        crossing_cost_ms),
   CYAML_FIELD_FLOAT ("warm_up_slack", CYAML_FLAG_OPTIONAL, struct file,
                      warm_up_slack),
   CYAML_FIELD_END
@@ -150,6 +156,11 @@
                          "megabits per second");
   s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
+  s->crossing_cost_ms = file->crossing_cost_ms ? *file->crossing_cost_ms
+                                               : CROSSING_COST_DEFAULT_MS;
+  if (!s->crossing_cost_ms || s->crossing_cost_ms > CROSSING_COST_MAX_MS)
+    return am_fault_set (f, AM_E_FIELD_RANGE, "crossing_cost_ms",
+                         "milliseconds, 1 to 60000");
   if (read_warm_up (&s->warm_up, file, f))
     return f->error;
   return read_addresses (s, file, f);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -28,6 +28,8 @@
   uint32_t link_mbps; /* bandwidth of this VM's link, megabits per second; 0:
                          not given */
   struct am_warm_up_bounds warm_up;
+  uint32_t crossing_cost_ms; /* what a flow to another data centre costs, as
+                                time that a caller would rather wait */
   uint32_t stop_ms; /* longest time from SIGTERM to the end of the process,
                        milliseconds */
 };
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -46,6 +46,40 @@
     }
 }
 
+static void
+add_by_priority (struct am_metrics_text *t, const char *name, const char *help,
+                 enum am_metric_type type,
+                 const uint64_t values[AM_ROUTE_PRIORITY_COUNT])
+{
+  struct am_metric_info m
+      = { .name = name, .type = type, .unit = "", .help = help };
+  char label[32];
+
+  am_metrics_head (t, &m);
+  for (unsigned i = 0; i < AM_ROUTE_PRIORITY_COUNT; i++)
+    {
+      snprintf (label, sizeof label, "priority=\"%u\"", i);
+      am_metrics_value (t, &m, label, (double)values[i]);
+    }
+}
+
+/* What waits for room, by the priority of its route.  */
+static void
+add_admission (const struct am_entry *e, struct am_metrics_text *t)
+{
+  uint64_t waiting[AM_ROUTE_PRIORITY_COUNT] = { 0 };
+  const struct am_syn_queue *q = &e->path.queue;
+
+  for (size_t i = 0; i < q->count; i++)
+    waiting[q->entries[i].priority]++;
+  add_by_priority (t, "waiting", "SYNs in the queue.", AM_METRIC_GAUGE,
+                   waiting);
+  add_by_priority (t, "waited", "SYNs that had to wait for room.",
+                   AM_METRIC_COUNTER, e->path.waited);
+  add_by_priority (t, "turned_away", "SYNs reset for lack of room.",
+                   AM_METRIC_COUNTER, e->path.turned_away);
+}
+
 static void
 add_histogram (struct am_metrics_text *t, const char *name, const char *help,
                const struct am_histogram *times)
@@ -68,6 +102,7 @@
   AM_ENTRY_COUNTERS (ADD_COUNTER)
 #undef ADD_COUNTER
   add_decisions (e, t);
+  add_admission (e, t);
   add_histogram (t, "open",
                  "From a SYN handed on to the caller's next packet.",
                  &e->path.open_times);
--- a/src/flow/flow_table.c
+++ b/src/flow/flow_table.c
@@ -12,6 +12,7 @@
   for (size_t i = 0; i < AM_FLOW_BUCKETS; i++)
     am_list_init (&t->buckets[i]);
   am_list_init (&t->by_age);
+  am_list_init (&t->recent);
   t->count = 0;
 }
 
@@ -62,6 +63,18 @@
     l->open_flows += (uint32_t)step;
   if (f->busy)
     l->busy += (uint32_t)step;
+  if (f->recent_end_us)
+    l->recent += (uint32_t)step;
+  if (f->recent_end_us && f->requests > 1)
+    l->later += (uint32_t)step;
+}
+
+/* The caller updates the load.  */
+static void
+clear_recent (struct am_flow *f)
+{
+  f->recent_end_us = 0;
+  am_list_remove (&f->recent);
 }
 
 struct am_flow *
@@ -85,6 +98,7 @@
   f->ack = p->ack;
   f->forwarded_us = now_us;
   f->seen_us = now_us;
+  am_list_init (&f->recent);
   am_list_push_back (bucket (t, p), &f->bucket);
   am_list_push_back (&t->by_age, &f->node);
   t->count++;
@@ -105,6 +119,7 @@
 {
   update_load (f, -1);
   f->state = state;
+  clear_recent (f);
   update_load (f, 1);
 }
 
@@ -113,9 +128,44 @@
 {
   update_load (f, -1);
   f->busy = busy;
+  clear_recent (f);
   update_load (f, 1);
 }
 
+void
+am_flow_begin_request (struct am_flow_table *t, struct am_flow *f,
+                       uint64_t recent_end_us)
+{
+  am_flow_set_busy (f, true);
+  if (f->requests < UINT8_MAX)
+    f->requests++;
+  am_flow_set_recent (t, f, recent_end_us);
+}
+
+void
+am_flow_set_recent (struct am_flow_table *t, struct am_flow *f,
+                    uint64_t end_us)
+{
+  update_load (f, -1);
+  clear_recent (f);
+  f->recent_end_us = end_us;
+  am_list_push_back (&t->recent, &f->recent);
+  update_load (f, 1);
+}
+
+void
+am_flow_table_expire_recent (struct am_flow_table *t, uint64_t now_us)
+{
+  am_list_each_safe (f, next, &t->recent, struct am_flow, recent)
+  {
+    if (now_us < f->recent_end_us)
+      return;
+    update_load (f, -1);
+    clear_recent (f);
+    update_load (f, 1);
+  }
+}
+
 void
 am_flow_touch (struct am_flow_table *t, struct am_flow *f, uint64_t now_us)
 {
@@ -130,6 +180,7 @@
   update_load (f, -1);
   am_list_remove (&f->bucket);
   am_list_remove (&f->node);
+  am_list_remove (&f->recent);
   t->count--;
   free (f);
 }
--- a/src/flow/flow_table.h
+++ b/src/flow/flow_table.h
@@ -34,24 +34,30 @@
 {
   struct am_list bucket; /* in am_flow_table.buckets */
   struct am_list node;   /* in am_flow_table.by_age */
+  struct am_list recent; /* in am_flow_table.recent, if it is */
   struct am_address caller;
   struct am_address destination;
   struct am_target *target; /* its load includes this flow; may be NULL */
   enum am_flow_state state;
-  bool busy;             /* a request is unanswered */
-  uint8_t repeats;       /* times that its last data was retransmitted */
-  uint64_t repeated_us;  /* first of these; 0: none */
-  uint32_t syn_seq;      /* sequence number of its SYN */
-  uint32_t next_seq;     /* after the last byte of the caller's data */
-  uint32_t ack;          /* highest acknowledgement sent by the caller */
-  uint64_t forwarded_us; /* last new SYN or request forwarded */
-  uint64_t seen_us;      /* last packet of the caller */
+  bool busy;              /* a request is unanswered */
+  uint8_t repeats;        /* times that its last data was retransmitted */
+  uint8_t requests;       /* packets with new data, up to 255 */
+  uint64_t repeated_us;   /* first of these; 0: none */
+  uint32_t syn_seq;       /* sequence number of its SYN */
+  uint32_t next_seq;      /* after the last byte of the caller's data */
+  uint32_t ack;           /* highest acknowledgement sent by the caller */
+  uint64_t forwarded_us;  /* last new SYN or request forwarded */
+  uint64_t seen_us;       /* last packet of the caller */
+  uint64_t recent_end_us; /* until then its SYN or request is recent; 0: it is
+                             not */
 };
 
 struct am_flow_table
 {
   struct am_list buckets[AM_FLOW_BUCKETS];
   struct am_list by_age; /* least recently seen first */
+  struct am_list recent; /* flows whose SYN or request is recent, oldest
+                            first */
   size_t count;
 };
 
@@ -77,11 +83,25 @@
                              enum am_flow_state state, uint64_t now_us);
 
 /* Change a field of F and the load counters of its target with it.  TARGET may
-   be NULL.  */
+   be NULL.  A flow that is open, or no longer busy, is not recent.  */
 void am_flow_set_target (struct am_flow *f, struct am_target *target);
 void am_flow_set_state (struct am_flow *f, enum am_flow_state state);
 void am_flow_set_busy (struct am_flow *f, bool busy);
 
+/* The caller of F has sent a request, or a part of one, which counts as recent
+   until RECENT_END_US unless it is answered before.  */
+void am_flow_begin_request (struct am_flow_table *t, struct am_flow *f,
+                            uint64_t recent_end_us);
+
+/* The SYN or the request of F counts as recent until END_US, unless it is
+   answered before.  */
+void am_flow_set_recent (struct am_flow_table *t, struct am_flow *f,
+                         uint64_t end_us);
+
+/* Ends it for the flows whose time is over at NOW_US, oldest first, up to the
+   first one whose time is not.  */
+void am_flow_table_expire_recent (struct am_flow_table *t, uint64_t now_us);
+
 /* Makes F the most recently seen flow, as of NOW_US.  */
 void am_flow_touch (struct am_flow_table *t, struct am_flow *f,
                     uint64_t now_us);
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -15,11 +15,14 @@
 
 #include "base/metrics.h"
 #include "base/rng.h"
+#include "flow/demand.h"
 #include "flow/evacuation.h"
 #include "flow/flow_rate.h"
 #include "flow/flow_table.h"
 #include "flow/syn_queue.h"
 #include "flow/packet.h"
+#include "flow/remote_load.h"
+#include "flow/response_times.h"
 #include "flow/route_table.h"
 #include "flow/target_table.h"
 #include "flow/warm_up.h"
@@ -44,6 +47,14 @@
    the round trip to the target.  */
 #define AM_PATH_OPEN_MARGIN_US 150000u
 
+/* Part of its latency objective that a first SYN may wait for room: what is
+   turned away after it can still be tried again in time.  */
+#define AM_PATH_WAIT_SHARE 0.2
+
+/* The queue is not searched again before this time unless a request of this VM
+   has ended.  */
+#define AM_PATH_DEQUEUE_US 1000u
+
 /* Retransmitted SYNs wait while am_placement_load_per_slot of their service is
    above this: one more request would have to queue at its target.  */
 #define AM_PATH_LOAD_PER_SLOT_MAX 1.0
@@ -75,9 +86,15 @@
    NO_CONFIGURATION  no configuration is known yet
    EVACUATED         the data centre of the target of a retransmitted SYN, or
                      of each target that could accept a new flow, is evacuated
+   FULL              each target that could accept a new flow holds all the
+                     flows that it can
    WARMING_UP        each target that could accept a new flow warms up and has
                      reached its limit
-   BUSY              all slots of the service are in use
+   BUSY              all slots of the service are in use, and this is a
+                     retransmitted SYN
+   NO_ROOM           this VM has its share of requests in progress, or other
+                     SYNs wait for room
+   OVERLOADED        there is no room for the SYN in the time that it may wait
    NO_ROUTE          the destination address is not configured
    NO_TARGET         no target of the service accepts new flows
    NO_TICKET         the packet has no ticket: its flow was never open
@@ -94,8 +111,11 @@
   X (AM_REASON_TICKET, "ticket")                     \
   X (AM_REASON_NO_CONFIGURATION, "no_configuration") \
   X (AM_REASON_EVACUATED, "evacuated")               \
+  X (AM_REASON_FULL, "full")                         \
   X (AM_REASON_WARMING_UP, "warming_up")             \
   X (AM_REASON_BUSY, "busy")                         \
+  X (AM_REASON_NO_ROOM, "no_room")                   \
+  X (AM_REASON_OVERLOADED, "overloaded")             \
   X (AM_REASON_NO_ROUTE, "no_route")                 \
   X (AM_REASON_NO_TARGET, "no_target")               \
   X (AM_REASON_NO_TICKET, "no_ticket")               \
@@ -122,6 +142,10 @@
   enum am_reason reason;
   const struct am_target *target; /* to forward to; otherwise the target of the
                                      packet, if known, or NULL */
+  /* Of AM_REASON_NO_ROOM and AM_REASON_OVERLOADED: */
+  uint32_t priority; /* of the route */
+  double requests;   /* that this VM has in progress for the service */
+  double limit;      /* that it may have */
 };
 
 struct am_path
@@ -131,6 +155,7 @@
   const struct am_evacuations *evacuations; /* not owned; set by the embedding
                                                program, NULL: none */
   const struct am_warm_up *warm_up;         /* likewise; NULL: no limits */
+  const struct am_remote_loads *remote;     /* likewise; NULL: no reports */
   struct am_flow_table flows;
   struct am_syn_queue queue;
   struct am_histogram open_times; /* ns, from SYN forwarded to the
@@ -141,13 +166,26 @@
   uint64_t liveness_changes;      /* times that a target was detected as
                                    unresponsive, or responsive again */
   struct am_flow_rate placements; /* flows that this VM opens */
+  struct am_response_times response_times;
+  struct am_demand demand;
+  /* SYNs that had to wait for room, and that were turned away without, by
+     priority of their routes.  */
+  uint64_t waited[AM_ROUTE_PRIORITY_COUNT];
+  uint64_t turned_away[AM_ROUTE_PRIORITY_COUNT];
+  bool released;        /* a request of this VM ended since the last search of
+                           the queue */
+  uint64_t searched_us; /* last search of the queue that found nothing */
+  uint64_t searched_version; /* of the configuration then */
   /* Set by the embedding program: live peers in the data centre, and the time
      since the load report of each, added up.  */
   size_t peers;
   uint64_t report_age_us;
-  bool targets_complete; /* set by the embedding program: the replica
-                            is authoritative, so a target that is missing
-                            from the target table has been removed */
+  uint64_t crossing_cost_us; /* set by the embedding program: what a flow to
+                                another data centre costs, as time that a
+                                caller would rather wait; 0: not stated */
+  bool targets_complete;     /* set by the embedding program: the replica
+                                is authoritative, so a target that is missing
+                                from the target table has been removed */
 };
 
 /* Initializes P without flows.  TARGETS and ROUTES must outlive P.
--- a/src/flow/peer_load.c
+++ b/src/flow/peer_load.c
@@ -8,6 +8,7 @@
   g->peers_load.opening += r->load.opening;
   g->peers_load.open_flows += r->load.open_flows;
   g->peers_load.busy += r->load.busy;
+  g->peers_load.recent += r->load.recent;
   g->reporting_peers += r->unresponsive;
   g->data_reporting_peers += r->data_unanswered;
 }
@@ -30,6 +31,7 @@
   take_off (&g->peers_load.opening, r->load.opening);
   take_off (&g->peers_load.open_flows, r->load.open_flows);
   take_off (&g->peers_load.busy, r->load.busy);
+  take_off (&g->peers_load.recent, r->load.recent);
   take_off (&g->reporting_peers, r->unresponsive);
   take_off (&g->data_reporting_peers, r->data_unanswered);
 }
@@ -75,25 +77,40 @@
          && now_us - t->last_data_unanswered_us < AM_LIVENESS_RETRY_US;
 }
 
-static bool
-has_load (const struct am_target_load *l)
+/* Targets by the weight of what there is to report: the first reports go to
+   those of which a peer has to know first, as the rest may not fit.  */
+enum weight
+{
+  NOTHING,
+  OPEN_FLOWS,   /* without a recent request */
+  RECENT,       /* requests in progress */
+  UNRESPONSIVE, /* to this VM */
+};
+
+static enum weight
+weigh (const struct am_target *t, uint64_t now_us)
 {
-  return l->opening || l->open_flows || l->busy;
+  if (is_unresponsive (t, now_us))
+    return UNRESPONSIVE;
+  if (t->load.recent)
+    return RECENT;
+  return t->load.opening || t->load.open_flows || t->load.busy ? OPEN_FLOWS
+                                                               : NOTHING;
 }
 
-/* Appends to the N reports the targets that are unresponsive or, if
-   UNRESPONSIVE is false, the other ones that have load.  Returns the number of
+/* Appends to the N reports the targets of WEIGHT.  Returns the number of
    reports.  */
 static size_t
-collect (const struct am_target_table *t, bool unresponsive,
+collect (const struct am_target_table *t, enum weight weight,
          struct am_load_report *reports, size_t n, uint64_t now_us)
 {
+  bool unresponsive = weight == UNRESPONSIVE;
+
   am_list_each (g, &t->targets, struct am_target, node)
   {
     if (n == AM_PEER_LOAD_MAX)
       break;
-    if (is_unresponsive (g, now_us) == unresponsive
-        && (unresponsive || has_load (&g->load)))
+    if (weigh (g, now_us) == weight)
       reports[n++] = (struct am_load_report){
         .ticket = g->ticket,
         .load = g->load,
@@ -108,7 +125,8 @@
 am_peer_load_collect (const struct am_target_table *t,
                       struct am_load_report *reports, uint64_t now_us)
 {
-  size_t n = collect (t, true, reports, 0, now_us);
+  size_t n = collect (t, UNRESPONSIVE, reports, 0, now_us);
 
-  return collect (t, false, reports, n, now_us);
+  n = collect (t, RECENT, reports, n, now_us);
+  return collect (t, OPEN_FLOWS, reports, n, now_us);
 }
--- a/src/flow/peer_load.h
+++ b/src/flow/peer_load.h
@@ -38,8 +38,9 @@
 
 /* Writes the load that this VM's own flows put on the targets in T, and which
    of them are unresponsive, to REPORTS, which has room for AM_PEER_LOAD_MAX
-   of them.  Unresponsive targets come first, as the rest may not fit.  Returns
-   the number of reports written.  */
+   of them.  Unresponsive targets come first, then those with requests in
+   progress, as the rest may not fit.  Returns the number of reports
+   written.  */
 size_t am_peer_load_collect (const struct am_target_table *t,
                              struct am_load_report *reports, uint64_t now_us);
 
--- a/src/flow/placement.h
+++ b/src/flow/placement.h
@@ -21,7 +21,8 @@
    That level decides among the targets of one data centre, not whether a flow
    leaves it: most of the unreported flows have ended meanwhile.  For this the
    VM counts no more of them than twice the requests that were in service at
-   the reports.
+   the reports.  The load of a target in another data centre is that which its
+   own VMs report, flows of this VM there, and what leaving costs.
 
    Load is measured in requests in progress per slot.  A flow has a request in
    progress while its SYN or a request is unanswered.  */
@@ -29,49 +30,32 @@
 #ifndef AM_FLOW_PLACEMENT_H
 #define AM_FLOW_PLACEMENT_H
 
-#include <stdbool.h>
-#include <stdint.h>
-
-#include "base/rng.h"
-#include "flow/evacuation.h"
-#include "flow/target_table.h"
-#include "flow/warm_up.h"
+#include "flow/candidate.h"
 
 /* Load of an open flow, requests in progress: the fraction of its time in
    which it has one.  */
 #define AM_PLACEMENT_OPEN_FLOW_LOAD 0.04
 
-/* Added to the load of a target in another data centre, requests per slot.  */
+/* Added to the load of a target in another data centre, requests per slot, if
+   am_placement.crossing is not known.  */
 #define AM_PLACEMENT_REMOTE_PENALTY 2.5
 
+/* Smallest value of am_placement.crossing: however long requests take, a flow
+   does not leave for less than half a request per slot.  Reports on other data
+   centres are older than those on the own one.  */
+#define AM_PLACEMENT_REMOTE_PENALTY_MIN 0.5
+
 /* Factor on the load of a target that is warming up: it takes this much longer
    per request.  */
 #define AM_PLACEMENT_WARM_UP_FACTOR 1.6
 
-struct am_placement
-{
-  struct am_rng *rng;   /* breaks ties; not owned */
-  uint32_t service;     /* hash by am_hash_name */
-  uint32_t data_centre; /* of this VM; hash by am_hash_name */
-  const struct am_evacuations *evacuations; /* NULL: none */
-  const struct am_warm_up *warm_up;         /* NULL: no limits */
-  double unreported_flows; /* opened by peers since their reports, all
-                              together; an estimate */
-  uint64_t now_us;         /* monotonic clock */
-};
-
-/* Returns a lightly loaded target for a new flow, or NULL if no target of the
-   service is AM_TARGET_READY, not ambiguous, in a data centre that is not
-   evacuated and within its warm-up limit.  Returns a target that is
-   unresponsive and not due for a retry only if there is no other.  */
+/* Returns a lightly loaded target for a new flow, or NULL if none accepts it
+   (am_candidate_accepts).  Returns a target that is unresponsive and not due
+   for a retry only if there is no other, and one in a data centre that is not
+   open to the flow (flow/admission.h) only if none is open.  */
 struct am_target *am_placement_choose (struct am_target_table *t,
                                        const struct am_placement *p);
 
-/* Returns true if the data centre of T is evacuated by the orders in E; false
-   if E is NULL.  */
-bool am_placement_evacuated (const struct am_target *t,
-                             const struct am_evacuations *e);
-
 /* Returns the number of requests in progress per slot, over the usable targets
    (am_liveness_usable) of the service in the VM's own data centre; over those
    of all data centres if it has none; 0 if there is none at all.  */
--- a/src/flow/route_table.c
+++ b/src/flow/route_table.c
@@ -77,34 +77,40 @@
   return (x->name > y->name) - (x->name < y->name);
 }
 
+static struct am_service *
+find_service (const struct am_configuration *c, uint32_t name)
+{
+  struct am_service key = { .name = name };
+
+  if (!c->service_count)
+    return NULL;
+  return bsearch (&key, c->services, c->service_count, sizeof key,
+                  compare_services);
+}
+
+static void
+sort_services (struct am_configuration *c)
+{
+  if (c->service_count)
+    qsort (c->services, c->service_count, sizeof c->services[0],
+           compare_services);
+}
+
 int
 am_route_table_accept (struct am_route_table *t, struct am_configuration *c)
 {
   if (c->version <= t->active.version)
     return AM_E_REVISION;
+  sort_services (c);
   am_configuration_finish (&t->active);
   t->active = *c;
   memset (c, 0, sizeof *c);
   if (t->active.route_count)
     qsort (t->active.routes, t->active.route_count, sizeof t->active.routes[0],
            compare);
-  if (t->active.service_count)
-    qsort (t->active.services, t->active.service_count,
-           sizeof t->active.services[0], compare_services);
   return AM_OK;
 }
 
-const struct am_service *
-am_route_table_service (const struct am_route_table *t, uint32_t service)
-{
-  struct am_service key = { .name = service };
-
-  if (!t->active.service_count)
-    return NULL;
-  return bsearch (&key, t->active.services, t->active.service_count,
-                  sizeof key, compare_services);
-}
-
 const struct am_route *
 am_route_find (const struct am_route_table *t, struct am_address address)
 {
@@ -116,6 +122,12 @@
                   compare);
 }
 
+const struct am_service *
+am_route_table_service (const struct am_route_table *t, uint32_t service)
+{
+  return find_service (&t->active, service);
+}
+
 uint32_t
 am_route_service (const struct am_route *r, uint64_t flow)
 {
--- a/src/flow/syn_queue.h
+++ b/src/flow/syn_queue.h
@@ -1,10 +1,14 @@
-/* Queue of SYNs that this VM holds back.
+/* Queue of SYNs that this VM holds back, and their order.
 
-   After an outage callers retransmit what they sent during it, which makes
-   three to four times the usual load at once.  A first SYN can still be
-   answered in time, a retransmission of an older SYN cannot.  Retransmissions
-   therefore wait until targets have free slots, earliest deadline first, and
-   at most until shortly before their attempt times out.  */
+   SYNs wait for two reasons.  After an outage callers retransmit what they
+   sent during it, which makes three to four times the usual load at once: a
+   first SYN can still be answered in time, a retransmission of an older SYN
+   cannot, so retransmissions wait until targets have free slots.  And while
+   callers want more than the targets can serve, first SYNs wait as well (see
+   flow/admission.h).  A SYN waits at most until its deadline, after which it
+   could not be served in time.
+
+   In which order SYNs leave is the choice of a policy.  */
 
 #ifndef AM_FLOW_SYN_QUEUE_H
 #define AM_FLOW_SYN_QUEUE_H
@@ -20,44 +24,107 @@
 /* Largest SYN datagram that can be queued, bytes.  */
 #define AM_SYN_QUEUE_DATA_MAX 64
 
+/* Callers are counted in this number of classes, by a hash of their address;
+   those of one class share what one caller gets.  */
+#define AM_SYN_QUEUE_CALLER_CLASSES 4096
+
+/* Time in which what a caller has been served counts half.  */
+#define AM_SYN_QUEUE_CALLER_HALF_US 1000000u
+
 struct am_queued_syn
 {
   struct am_packet packet;
   uint32_t service;     /* hash by am_hash_name; 0: not known yet */
+  uint32_t priority;    /* of its route; 0 is the highest */
+  uint32_t caller;      /* class of its caller */
   uint64_t enqueued_us; /* of the first transmission queued */
   uint64_t deadline_us; /* leaves the queue at the latest */
   size_t len;
   uint8_t data[AM_SYN_QUEUE_DATA_MAX]; /* datagram as received */
 };
 
+struct am_syn_queue;
+
+/* Order in which SYNs leave the queue.  */
+struct am_syn_queue_policy
+{
+  const char *name;
+
+  /* Returns true if A leaves Q before B.  */
+  bool (*before) (const struct am_syn_queue *q, const struct am_queued_syn *a,
+                  const struct am_queued_syn *b, uint64_t now_us);
+};
+
+/* First come, first served.  */
+extern const struct am_syn_queue_policy am_syn_queue_first_come;
+
+/* By priority, but a SYN gains a priority with each AM_SYN_QUEUE_AGEING_US
+   that it waits.  */
+#define AM_SYN_QUEUE_AGEING_US 100000u
+extern const struct am_syn_queue_policy am_syn_queue_ageing;
+
+/* By priority, then by deadline; a priority of which one in
+   AM_SYN_QUEUE_FLOOR of the last SYNs was, or fewer, goes first.  */
+#define AM_SYN_QUEUE_FLOOR 20
+extern const struct am_syn_queue_policy am_syn_queue_floor;
+
+/* By priority, then callers that were served less, then by deadline.  A caller
+   that opens many flows at once so does not take the room of others.  */
+extern const struct am_syn_queue_policy am_syn_queue_fair;
+
+/* Priorities that are told apart; any lower one counts as the lowest.  */
+#define AM_SYN_QUEUE_PRIORITIES 8
+
 struct am_syn_queue
 {
+  const struct am_syn_queue_policy *policy;
   size_t count;
   struct am_queued_syn entries[AM_SYN_QUEUE_MAX]; /* unordered */
+  bool has_displaced;
+  struct am_queued_syn displaced; /* by a SYN that goes before it; leaves with
+                                     the next am_syn_queue_take */
+  double taken[AM_SYN_QUEUE_PRIORITIES]; /* SYNs that left, by priority; each
+                                            worth less the more followed */
+  uint16_t served[AM_SYN_QUEUE_CALLER_CLASSES]; /* SYNs that left, by class of
+                                                   callers */
+  uint64_t halved_us; /* when SERVED was last halved */
 };
 
-void am_syn_queue_init (struct am_syn_queue *q);
+/* POLICY must outlive Q.  */
+void am_syn_queue_init (struct am_syn_queue *q,
+                        const struct am_syn_queue_policy *policy);
 
-/* Queues the SYN P for SERVICE until DEADLINE_US at the latest.  DATA is the
-   datagram of P, LEN bytes, and is copied.  If a SYN of the same attempt is
-   queued (same caller, destination and sequence number), P replaces it, and
-   the earlier of the two deadlines applies.  Times are microseconds of the
-   monotonic clock.  Returns AM_OK, or AM_E_QUEUE_FULL or AM_E_TOO_LARGE with
-   the queue unchanged.  */
+/* Queues the SYN P for SERVICE, of PRIORITY, until DEADLINE_US at the latest.
+   DATA is the datagram of P, LEN bytes, and is copied.  If a SYN of the same
+   attempt is queued (same caller, destination and sequence number), P replaces
+   it, and the earlier of the two deadlines applies.  If the queue is full, the
+   SYN that would leave it last, if that is not P, is displaced: it is returned
+   by the next am_syn_queue_take with its deadline set to now.  Times are
+   microseconds of the monotonic clock.  Returns AM_OK, or AM_E_QUEUE_FULL or
+   AM_E_TOO_LARGE with the queue unchanged.  */
 int am_syn_queue_add (struct am_syn_queue *q, const struct am_packet *p,
-                      uint32_t service, const uint8_t *data, size_t len,
-                      uint64_t now_us, uint64_t deadline_us);
+                      uint32_t service, uint32_t priority, const uint8_t *data,
+                      size_t len, uint64_t now_us, uint64_t deadline_us);
+
+/* Returns the number of SYNs of SERVICE that leave before one of PRIORITY of
+   the caller of P with this deadline would.  */
+size_t am_syn_queue_ahead (const struct am_syn_queue *q,
+                           const struct am_packet *p, uint32_t service,
+                           uint32_t priority, uint64_t now_us,
+                           uint64_t deadline_us);
 
-/* Returns true if SERVICE has free slots.  */
-typedef bool (*am_syn_queue_has_slots) (void *userdata, uint32_t service);
+/* Returns true if W need not wait any longer.  */
+typedef bool (*am_syn_queue_may_leave) (void *userdata,
+                                        const struct am_queued_syn *w);
 
-/* Moves one SYN from the queue to *W: the one with the earliest deadline among
-   those whose deadline has passed at NOW_US or whose service has free slots
-   according to QUERY.  Calls QUERY with USERDATA at most once per service, and
-   for at most eight services; any others count as busy.  Returns
-   false, with *W unchanged, if no SYN qualifies.  */
+/* Moves one SYN from the queue to *W: one whose deadline has passed at NOW_US,
+   otherwise the first one by the policy among those that may leave according
+   to QUERY.  Calls QUERY with USERDATA at most once for each combination of
+   service, priority and whether it is a first transmission, and for at most
+   sixteen of these; any others wait.  Returns false, with *W unchanged, if no
+   SYN qualifies.  */
 bool am_syn_queue_take (struct am_syn_queue *q, uint64_t now_us,
-                        am_syn_queue_has_slots query, void *userdata,
+                        am_syn_queue_may_leave query, void *userdata,
                         struct am_queued_syn *w);
 
 #endif
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -59,6 +59,12 @@
   uint32_t opening;    /* SYN forwarded, no further packet from the caller */
   uint32_t open_flows; /* established and not finished */
   uint32_t busy;       /* flows with an unanswered request */
+  uint32_t recent;     /* of the opening and busy ones, those whose SYN or
+                          request is recent: a caller does not acknowledge the
+                          last packet of a response, so a flow may seem busy
+                          until its next request */
+  uint32_t later;      /* of the recent ones, those whose request is not the
+                          first one on its flow; not reported */
 };
 
 struct am_target
--- a/src/flow/warm_up.c
+++ b/src/flow/warm_up.c
@@ -60,8 +60,8 @@
   {
     if (p->data_centre != f->data_centre)
       continue;
-    better += am_hash_bytes (&t->spec.id, sizeof t->spec.id, p->name_hash)
-              > own;
+    better
+        += am_hash_bytes (&t->spec.id, sizeof t->spec.id, p->name_hash) > own;
     if (better >= admitters)
       return false;
   }
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &fleet__load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   fleet__service_load__init
+                     (Fleet__ServiceLoad         *message)
+{
+  static const Fleet__ServiceLoad init_value = FLEET__SERVICE_LOAD__INIT;
+  *message = init_value;
+}
+size_t fleet__service_load__get_packed_size
+                     (const Fleet__ServiceLoad *message)
+{
+  assert(message->base.descriptor == &fleet__service_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__service_load__pack
+                     (const Fleet__ServiceLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__service_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__service_load__pack_to_buffer
+                     (const Fleet__ServiceLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__service_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__ServiceLoad *
+       fleet__service_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__ServiceLoad *)
+     protobuf_c_message_unpack (&fleet__service_load__descriptor,
+                                allocator, len, data);
+}
+void   fleet__service_load__free_unpacked
+                     (Fleet__ServiceLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__service_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   fleet__digest__init
                      (Fleet__Digest         *message)
 {
@@ -309,7 +354,7 @@
   (ProtobufCMessageInit) fleet__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor fleet__load__field_descriptors[7] =
 {
   {
     "ticket",
@@ -383,19 +428,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Load, recent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = busy */
   5,   /* field[5] = data_unanswered */
   2,   /* field[2] = open_flows */
   1,   /* field[1] = opening */
+  6,   /* field[6] = recent */
   4,   /* field[4] = silent */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor fleet__load__descriptor =
 {
@@ -405,14 +463,78 @@
   "Fleet__Load",
   "fleet",
   sizeof(Fleet__Load),
-  6,
+  7,
   fleet__load__field_descriptors,
   fleet__load__field_indices_by_name,
   1,  fleet__load__number_ranges,
   (ProtobufCMessageInit) fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[10] =
+static const ProtobufCFieldDescriptor fleet__service_load__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__ServiceLoad, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__ServiceLoad, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__ServiceLoad, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__service_load__field_indices_by_name[] = {
+  2,   /* field[2] = requests */
+  0,   /* field[0] = service */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange fleet__service_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor fleet__service_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.ServiceLoad",
+  "ServiceLoad",
+  "Fleet__ServiceLoad",
+  "fleet",
+  sizeof(Fleet__ServiceLoad),
+  3,
+  fleet__service_load__field_descriptors,
+  fleet__service_load__field_indices_by_name,
+  1,  fleet__service_load__number_ranges,
+  (ProtobufCMessageInit) fleet__service_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[11] =
 {
   {
     "sender",
@@ -534,6 +656,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "services",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__Digest, n_services),
+    offsetof(Fleet__Digest, services),
+    &fleet__service_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__digest__field_indices_by_name[] = {
   7,   /* field[7] = changes */
@@ -546,11 +680,12 @@
   2,   /* field[2] = reads */
   1,   /* field[1] = revision */
   0,   /* field[0] = sender */
+  10,   /* field[10] = services */
 };
 static const ProtobufCIntRange fleet__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor fleet__digest__descriptor =
 {
@@ -560,7 +695,7 @@
   "Fleet__Digest",
   "fleet",
   sizeof(Fleet__Digest),
-  10,
+  11,
   fleet__digest__field_descriptors,
   fleet__digest__field_indices_by_name,
   1,  fleet__digest__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Fleet__Member Fleet__Member;
 typedef struct Fleet__Load Fleet__Load;
+typedef struct Fleet__ServiceLoad Fleet__ServiceLoad;
 typedef struct Fleet__Digest Fleet__Digest;
 typedef struct Fleet__Item Fleet__Item;
 typedef struct Fleet__Changes Fleet__Changes;
@@ -67,10 +68,38 @@
    * callers have retransmitted data to it twice
    */
   protobuf_c_boolean data_unanswered;
+  /*
+   * of opening and busy, those that are recent
+   */
+  uint32_t recent;
 };
 #define FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Load of a service by the callers of one data centre.
+ */
+struct  Fleet__ServiceLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t service;
+  /*
+   * of its usable targets there
+   */
+  uint32_t slots;
+  /*
+   * in progress, by flows through the VMs there
+   */
+  uint32_t requests;
+};
+#define FLEET__SERVICE_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__service_load__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -112,10 +141,15 @@
    * the loads of the last digest that had them hold
    */
   protobuf_c_boolean loads_omitted;
+  /*
+   * of the sender's data centre, to others
+   */
+  size_t n_services;
+  Fleet__ServiceLoad **services;
 };
 #define FLEET__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__digest__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
+    , NULL, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Fleet__Item
@@ -193,6 +227,25 @@
 void   fleet__load__free_unpacked
                      (Fleet__Load *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__ServiceLoad methods */
+void   fleet__service_load__init
+                     (Fleet__ServiceLoad         *message);
+size_t fleet__service_load__get_packed_size
+                     (const Fleet__ServiceLoad   *message);
+size_t fleet__service_load__pack
+                     (const Fleet__ServiceLoad   *message,
+                      uint8_t             *out);
+size_t fleet__service_load__pack_to_buffer
+                     (const Fleet__ServiceLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__ServiceLoad *
+       fleet__service_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__service_load__free_unpacked
+                     (Fleet__ServiceLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Digest methods */
 void   fleet__digest__init
                      (Fleet__Digest         *message);
@@ -258,6 +311,9 @@
 typedef void (*Fleet__Load_Closure)
                  (const Fleet__Load *message,
                   void *closure_data);
+typedef void (*Fleet__ServiceLoad_Closure)
+                 (const Fleet__ServiceLoad *message,
+                  void *closure_data);
 typedef void (*Fleet__Digest_Closure)
                  (const Fleet__Digest *message,
                   void *closure_data);
@@ -275,6 +331,7 @@
 
 extern const ProtobufCMessageDescriptor fleet__member__descriptor;
 extern const ProtobufCMessageDescriptor fleet__load__descriptor;
+extern const ProtobufCMessageDescriptor fleet__service_load__descriptor;
 extern const ProtobufCMessageDescriptor fleet__digest__descriptor;
 extern const ProtobufCMessageDescriptor fleet__item__descriptor;
 extern const ProtobufCMessageDescriptor fleet__changes__descriptor;
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -39,6 +39,7 @@
   am_target_table_init (&e->targets);
   am_route_table_init (&e->routes);
   am_evacuations_init (&e->evacuations);
+  am_remote_loads_init (&e->remote_loads);
   am_path_init (&e->path, &e->targets, &e->routes, am_hash_name ("here"), 1);
   e->path.evacuations = &e->evacuations;
   am_store_sync_init (&e->sync, ENTRY_START_US);
@@ -55,6 +56,7 @@
   am_fleet_finish (&e->fleet);
   am_path_finish (&e->path);
   am_evacuations_finish (&e->evacuations);
+  am_remote_loads_finish (&e->remote_loads);
   am_route_table_finish (&e->routes);
   am_target_table_finish (&e->targets);
   am_replica_finish (&e->replica);
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -58,6 +58,33 @@
   return t;
 }
 
+/* Returns the address of a route whose requests give way to the others.  */
+static inline struct am_address
+lesser_address (void)
+{
+  return (struct am_address){ 0xc6120001, 444 };
+}
+
+/* Activates a configuration with a route of the best priority and one of the
+   lowest to ORDERS, both with this latency objective.  */
+static inline void
+set_priorities (struct flow_fixture *f, uint32_t objective_ms)
+{
+  struct am_configuration c = { .version = 1, .route_count = 2 };
+
+  c.routes = calloc (2, sizeof *c.routes);
+  ck_assert_ptr_nonnull (c.routes);
+  c.routes[0].address = orders_address ();
+  c.routes[1].address = lesser_address ();
+  c.routes[1].terms.priority = AM_ROUTE_PRIORITY_LOWEST;
+  for (int i = 0; i < 2; i++)
+    {
+      c.routes[i].terms.objective_ms = objective_ms;
+      ck_assert_int_eq (am_route_add_share (&c.routes[i], ORDERS, 1), AM_OK);
+    }
+  ck_assert_int_eq (am_route_table_accept (&f->routes, &c), AM_OK);
+}
+
 /* Activates configuration VERSION with COUNT routes, 0 or 1, to ORDERS.
    Returns the result of am_route_table_accept.  */
 static inline int
--- a/test/placement_fleet.h
+++ b/test/placement_fleet.h
@@ -4,7 +4,8 @@
 
    Virtual time; the same seed gives the same run.  A target serves SLOTS
    requests at a time, queues up to QUEUE_MAX and sheds any more, as the
-   platform's targets do.  */
+   platform's targets do.  A caller whose flow is refused, or whose request is
+   shed, opens another flow, up to ATTEMPTS in all.  */
 
 #ifndef AM_TEST_PLACEMENT_FLEET_H
 #define AM_TEST_PLACEMENT_FLEET_H
@@ -13,6 +14,7 @@
 #include <stdlib.h>
 
 #include "flow/peer_load.h"
+#include "flow/remote_load.h"
 #include "flow_fixture.h"
 
 #define SLOTS 2
@@ -24,12 +26,24 @@
 /* Delay of a digest between two VMs.  */
 #define DIGEST_DELAY_US 500u
 
+/* Of callers.  */
+#define ATTEMPTS 3
+#define OBJECTIVE_MS 500u
+
+/* Interval at which a VM looks after its queue.  */
+#define POLL_US 1000u
+
+#define PORTS 60000u
+
 #define TARGETS_MAX 256
 #define FEED_MAX 4096
 
 enum event_type
 {
   EVENT_ARRIVAL, /* a caller opens a flow for one request */
+  EVENT_LESSER,  /* the same, of the lesser priority */
+  EVENT_RETRY,   /* a caller opens another flow for its request */
+  EVENT_POLL,    /* a VM looks after its queue */
   EVENT_FEED,    /* a caller opens a flow for many requests */
   EVENT_ESTABLISHED,
   EVENT_ASK,      /* the next request on an open flow */
@@ -58,7 +72,19 @@
   uint32_t sent;     /* sequence number of the caller's next byte */
   uint32_t received; /* acknowledged bytes of the target */
   uint64_t service_us;
+  uint64_t asked_us; /* first attempt */
+  uint32_t attempts;
+  uint32_t caller;
   bool feed;
+  bool lesser;
+};
+
+/* What became of the requests of one kind.  */
+struct outcome
+{
+  uint64_t asked;
+  uint64_t in_time; /* answered within OBJECTIVE_MS */
+  uint64_t failed;
 };
 
 /* A target: requests in service and queued.  */
@@ -84,19 +110,25 @@
   size_t sent_count;
   uint64_t sent_us;
   uint64_t *heard_us;
+  struct am_remote_loads remote;
+  bool polls; /* an EVENT_POLL is scheduled */
 };
 
 struct fleet_load
 {
   uint32_t vms;
   uint32_t targets;
-  double flows_per_s; /* of one request, all VMs */
-  uint32_t feeds;     /* open flows, all VMs */
-  double asks_per_s;  /* requests on open flows, all VMs */
-  double service_ms;  /* mean of a request */
-  uint32_t digest_ms; /* interval of a VM's digests */
-  double far_share;   /* of VMs, targets and feeds in a second data centre */
-  double far_callers; /* share of the flows of one request opened there */
+  double flows_per_s;  /* of one request, all VMs */
+  uint32_t feeds;      /* open flows, all VMs */
+  double asks_per_s;   /* requests on open flows, all VMs */
+  double service_ms;   /* mean of a request */
+  uint32_t digest_ms;  /* interval of a VM's digests */
+  double far_share;    /* of VMs, targets and feeds in a second data centre */
+  double far_callers;  /* share of the flows of one request opened there */
+  double lesser_per_s; /* flows of one request of the lesser priority */
+  uint32_t callers;    /* with an address of their own; 0 counts as 1 */
+  double first_share;  /* of the flows of the lesser priority by the first one
+                          of them; the others have equal parts */
 };
 
 struct fleet
@@ -112,12 +144,20 @@
   uint64_t order;
   uint64_t now_us;
   uint32_t next_port;
+  uint32_t arrivals_id;            /* of the events of the rates in force */
+  struct flow *waiting[PORTS + 1]; /* by port: its SYN is in a queue */
   /* Results since fleet_reset_results.  */
   uint64_t arrivals; /* requests at targets */
   uint64_t sheds;
   uint64_t waits;        /* requests that had to queue */
   uint64_t remote;       /* flows placed in another data centre */
   uint32_t most_at_once; /* flows placed on one target within WINDOW_US */
+  uint64_t resets;       /* of flows that were refused */
+  struct outcome best;   /* requests of the better priority */
+  struct outcome lesser;
+  struct outcome near; /* of both, by the callers' data centre */
+  struct outcome far;
+  struct outcome first; /* of the lesser, by the first caller */
 };
 
 /* A target serves about a dozen requests in this time.  */
@@ -200,6 +240,17 @@
   return is_far (f, v, f->load.vms) ? FAR : NEAR;
 }
 
+/* Returns the number of other VMs in the data centre of VM V.  */
+static inline uint32_t
+count_peers (const struct fleet *f, uint32_t v)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < f->load.vms; i++)
+    n += i != v && vm_data_centre (f, i) == vm_data_centre (f, v);
+  return n;
+}
+
 /* Returns a VM for a new flow.  */
 static inline uint32_t
 random_vm (struct fleet *f)
@@ -211,6 +262,17 @@
   return am_rng_below (&f->rng, f->load.vms - far);
 }
 
+/* Returns a VM of the data centre of VM V.  */
+static inline uint32_t
+other_vm (struct fleet *f, uint32_t v)
+{
+  uint32_t far = (uint32_t)(f->load.far_share * f->load.vms);
+
+  if (vm_data_centre (f, v) == FAR)
+    return f->load.vms - 1 - am_rng_below (&f->rng, far);
+  return am_rng_below (&f->rng, f->load.vms - far);
+}
+
 /* Makes target I a new one without flows, on all VMs.  */
 static inline void
 start_target (struct fleet *f, uint32_t i)
@@ -226,6 +288,20 @@
     add_target (&f->vms[v].fixture, g->id, g->data_centre);
 }
 
+/* Sets the rates of new flows of one request, which begin at once; 0 ends
+   them.  */
+static inline void
+fleet_set_rates (struct fleet *f, double flows_per_s, double lesser_per_s)
+{
+  f->load.flows_per_s = flows_per_s;
+  f->load.lesser_per_s = lesser_per_s;
+  f->arrivals_id++;
+  if (flows_per_s > 0)
+    schedule (f, f->now_us + 1, EVENT_ARRIVAL, f->arrivals_id, NULL);
+  if (lesser_per_s > 0)
+    schedule (f, f->now_us + 1, EVENT_LESSER, f->arrivals_id, NULL);
+}
+
 /* Sets *F up with all of its open flows, which are opened in the first second;
    rates begin at once.  */
 static inline void
@@ -242,8 +318,12 @@
     {
       flow_begin (&f->vms[v].fixture);
       f->vms[v].fixture.path.data_centre = vm_data_centre (f, v);
+      f->vms[v].fixture.path.peers = count_peers (f, v);
       am_rng_init (&f->vms[v].fixture.path.rng, seed + v);
-      set_routes (&f->vms[v].fixture, 1, 1);
+      set_priorities (&f->vms[v].fixture, OBJECTIVE_MS);
+      am_remote_loads_init (&f->vms[v].remote);
+      f->vms[v].fixture.path.remote = &f->vms[v].remote;
+      f->vms[v].fixture.targets.data_centre = vm_data_centre (f, v);
       f->vms[v].peers = calloc (load->vms, sizeof *f->vms[v].peers);
       f->vms[v].heard_us = calloc (load->vms, sizeof *f->vms[v].heard_us);
       ck_assert_ptr_nonnull (f->vms[v].peers);
@@ -256,7 +336,7 @@
   for (uint32_t i = 0; i < load->feeds; i++)
     schedule (f, f->now_us + am_rng_below (&f->rng, 1000000), EVENT_FEED,
               am_rng_below (&f->rng, load->vms), NULL);
-  schedule (f, f->now_us + 1, EVENT_ARRIVAL, 0, NULL);
+  fleet_set_rates (f, load->flows_per_s, load->lesser_per_s);
 }
 
 static inline void
@@ -265,6 +345,7 @@
   for (uint32_t v = 0; v < f->load.vms; v++)
     {
       flow_end (&f->vms[v].fixture);
+      am_remote_loads_finish (&f->vms[v].remote);
       free (f->vms[v].peers);
       free (f->vms[v].heard_us);
     }
@@ -274,6 +355,8 @@
 
       free (e.flow);
     }
+  for (uint32_t port = 0; port <= PORTS; port++)
+    free (f->waiting[port]);
   for (uint32_t i = 0; i < f->load.targets; i++)
     for (uint32_t j = 0; j < f->targets[i].queued; j++)
       free (f->targets[i].queue[j]);
@@ -289,6 +372,8 @@
   f->waits = 0;
   f->remote = 0;
   f->most_at_once = 0;
+  f->resets = 0;
+  f->best = f->lesser = f->near = f->far = f->first = (struct outcome){ 0 };
   for (uint32_t i = 0; i < f->load.targets; i++)
     {
       f->targets[i].arrivals = 0;
@@ -296,6 +381,15 @@
     }
 }
 
+/* Sets the ends of P to those of FLOW.  */
+static inline void
+address_packet (struct am_packet *p, const struct flow *flow)
+{
+  p->caller.ip += flow->caller;
+  if (flow->lesser)
+    p->destination = lesser_address ();
+}
+
 /* Sends a packet of FLOW through its VM.  */
 static inline struct am_decision
 send_flow_packet (struct fleet *f, const struct flow *flow, uint16_t len,
@@ -305,6 +399,7 @@
   struct am_packet p
       = data (flow->port, flow->ticket, flow->sent, len, flow->received);
 
+  address_packet (&p, flow);
   p.finishes = finishes;
   x->now_us = f->now_us;
   return send_packet (x, p);
@@ -335,34 +430,130 @@
   return sum;
 }
 
+/* Adds one to the count at OFFSET of each outcome that FLOW is part of.  */
 static inline void
-open_fleet_flow (struct fleet *f, struct flow *flow)
+count_outcome (struct fleet *f, const struct flow *flow, size_t offset)
+{
+  bool far = vm_data_centre (f, flow->vm) == FAR;
+  struct outcome *parts[]
+      = { flow->lesser ? &f->lesser : &f->best, far ? &f->far : &f->near,
+          flow->lesser && flow->caller == 0 ? &f->first : NULL };
+
+  for (size_t i = 0; i < sizeof parts / sizeof *parts; i++)
+    if (parts[i])
+      ++*(uint64_t *)((char *)parts[i] + offset);
+}
+
+/* The attempt of FLOW has failed.  */
+static inline void
+attempt_failed (struct fleet *f, struct flow *flow)
+{
+  if (++flow->attempts < ATTEMPTS)
+    {
+      schedule (f, f->now_us + ROUND_TRIP_US, EVENT_RETRY, flow->vm, flow);
+      return;
+    }
+  count_outcome (f, flow, offsetof (struct outcome, failed));
+  free (flow);
+}
+
+static inline void
+poll_later (struct fleet *f, uint32_t v)
+{
+  if (f->vms[v].polls)
+    return;
+  f->vms[v].polls = true;
+  schedule (f, f->now_us + POLL_US, EVENT_POLL, v, NULL);
+}
+
+/* Executes the decision D on the SYN of FLOW.  */
+static inline void
+execute (struct fleet *f, struct flow *flow, const struct am_decision *d)
 {
   struct flow_fixture *x = &f->vms[flow->vm].fixture;
-  struct am_decision d;
 
-  flow->port = (uint16_t)(f->next_port++ % 60000 + 1);
-  x->now_us = f->now_us;
-  x->path.report_age_us = report_age_us (f, &f->vms[flow->vm]);
-  d = send_packet (x, syn (flow->port, 0));
-  ck_assert_int_eq (d.verdict, AM_VERDICT_FORWARD);
-  flow->target = d.target->spec.id;
-  flow->ticket = d.target->ticket;
+  if (d->verdict == AM_VERDICT_WAIT)
+    {
+      f->waiting[flow->port] = flow;
+      poll_later (f, flow->vm);
+      return;
+    }
+  if (d->verdict != AM_VERDICT_FORWARD)
+    {
+      f->resets++;
+      attempt_failed (f, flow);
+      return;
+    }
+  flow->target = d->target->spec.id;
+  flow->ticket = d->target->ticket;
   flow->sent = 1001;
   flow->received = 1;
   count_placement (f, find_served (f, flow->target));
-  f->remote += d.target->spec.data_centre != x->path.data_centre;
+  f->remote += d->target->spec.data_centre != x->path.data_centre;
   schedule (f, f->now_us + ROUND_TRIP_US, EVENT_ESTABLISHED, flow->vm, flow);
 }
 
 static inline void
-new_flow (struct fleet *f, uint32_t vm, bool feed)
+open_fleet_flow (struct fleet *f, struct flow *flow)
+{
+  struct vm *vm = &f->vms[flow->vm];
+  struct flow_fixture *x = &vm->fixture;
+  struct am_packet p;
+  struct am_decision d;
+
+  flow->port = (uint16_t)(f->next_port++ % PORTS + 1);
+  p = syn (flow->port, 0);
+  address_packet (&p, flow);
+  x->now_us = f->now_us;
+  x->path.report_age_us = report_age_us (f, vm);
+  d = send_packet (x, p);
+  execute (f, flow, &d);
+}
+
+static inline void
+poll_queue (struct fleet *f, uint32_t v)
+{
+  struct am_path *path = &f->vms[v].fixture.path;
+  struct am_queued_syn w;
+  struct am_decision d;
+
+  f->vms[v].polls = false;
+  while (am_path_dequeue (path, &w, &d, f->now_us))
+    {
+      struct flow *flow = f->waiting[w.packet.caller.port];
+
+      f->waiting[w.packet.caller.port] = NULL;
+      if (flow)
+        execute (f, flow, &d);
+    }
+  if (path->queue.count)
+    poll_later (f, v);
+}
+
+/* Returns the caller of a new flow of the lesser priority.  */
+static inline uint32_t
+random_caller (struct fleet *f)
+{
+  uint32_t others = f->load.callers ? f->load.callers - 1 : 0;
+
+  if (!others || am_rng_unit (&f->rng) < f->load.first_share)
+    return 0;
+  return 1 + am_rng_below (&f->rng, others);
+}
+
+static inline void
+new_flow (struct fleet *f, uint32_t vm, bool feed, bool lesser)
 {
   struct flow *flow = calloc (1, sizeof *flow);
 
   ck_assert_ptr_nonnull (flow);
   flow->vm = vm;
   flow->feed = feed;
+  flow->lesser = lesser;
+  flow->caller = lesser ? random_caller (f) : 0;
+  flow->asked_us = f->now_us;
+  if (!feed)
+    count_outcome (f, flow, offsetof (struct outcome, asked));
   open_fleet_flow (f, flow);
 }
 
@@ -389,9 +580,28 @@
   flow->received += 100;
   send_flow_packet (f, flow, 0, !flow->feed);
   if (flow->feed)
-    schedule_ask (f, flow);
-  else
-    free (flow);
+    {
+      schedule_ask (f, flow);
+      return;
+    }
+  if (f->now_us - flow->asked_us <= OBJECTIVE_MS * MS)
+    count_outcome (f, flow, offsetof (struct outcome, in_time));
+  free (flow);
+}
+
+/* The target of FLOW did not run its request.  */
+static inline void
+request_shed (struct fleet *f, struct flow *flow)
+{
+  f->sheds++;
+  if (flow->feed)
+    {
+      finish_request (f, flow);
+      return;
+    }
+  flow->received += 100;
+  send_flow_packet (f, flow, 0, true);
+  attempt_failed (f, flow);
 }
 
 /* The request on FLOW arrives at its target.  */
@@ -417,10 +627,7 @@
       g->queue[g->queued++] = flow;
     }
   else
-    {
-      f->sheds++;
-      finish_request (f, flow);
-    }
+    request_shed (f, flow);
 }
 
 static inline void
@@ -463,6 +670,19 @@
   schedule (f, f->now_us + f->load.digest_ms * 1000u, EVENT_DIGEST, v, NULL);
 }
 
+/* VM, of another data centre, gets the report of the VM FROM.  */
+static inline void
+report_services (struct fleet *f, uint32_t from, struct vm *vm)
+{
+  struct am_service_load loads[AM_SERVICE_LOADS_MAX];
+  size_t n = am_service_loads_collect (&f->vms[from].fixture.targets, loads,
+                                       f->now_us);
+
+  for (size_t i = 0; i < n; i++)
+    am_remote_loads_set (&vm->remote, vm_data_centre (f, from), &loads[i],
+                         f->now_us);
+}
+
 static inline void
 deliver_digest (struct fleet *f, uint32_t from)
 {
@@ -472,8 +692,13 @@
     {
       struct vm *vm = &f->vms[v];
 
-      if (v == from || vm_data_centre (f, v) != vm_data_centre (f, from))
+      if (v == from)
         continue;
+      if (vm_data_centre (f, v) != vm_data_centre (f, from))
+        {
+          report_services (f, from, vm);
+          continue;
+        }
       am_peer_load_set (&vm->peers[from], &vm->fixture.targets, sender->sent,
                         sender->sent_count, f->now_us);
       vm->heard_us[from] = f->now_us;
@@ -512,12 +737,29 @@
   switch (e->type)
     {
     case EVENT_ARRIVAL:
-      new_flow (f, random_vm (f), false);
+      if (e->vm != f->arrivals_id)
+        break;
+      new_flow (f, random_vm (f), false, false);
       schedule (f, f->now_us + random_us (f, 1e6 / f->load.flows_per_s),
-                EVENT_ARRIVAL, 0, NULL);
+                EVENT_ARRIVAL, e->vm, NULL);
+      break;
+    case EVENT_LESSER:
+      if (e->vm != f->arrivals_id)
+        break;
+      new_flow (f, random_vm (f), false, true);
+      schedule (f, f->now_us + random_us (f, 1e6 / f->load.lesser_per_s),
+                EVENT_LESSER, e->vm, NULL);
+      break;
+    case EVENT_RETRY:
+      /* From another port, which the routers map to another VM.  */
+      e->flow->vm = other_vm (f, e->flow->vm);
+      open_fleet_flow (f, e->flow);
+      break;
+    case EVENT_POLL:
+      poll_queue (f, e->vm);
       break;
     case EVENT_FEED:
-      new_flow (f, e->vm, true);
+      new_flow (f, e->vm, true, false);
       break;
     case EVENT_ESTABLISHED:
     case EVENT_ASK:
--- a/test/test_entry_settings.c
+++ b/test/test_entry_settings.c
@@ -43,6 +43,7 @@
   ck_assert_uint_eq (s.store.port, 0);
   ck_assert_uint_eq (s.stop_ms, 5500);
   ck_assert (!s.warm_up.stated);
+  ck_assert_uint_eq (s.crossing_cost_ms, 50);
   am_entry_settings_finish (&s);
   ck_assert_int_eq (
       load (REQUIRED "  metrics: \"127.0.0.1:4\"\nstore: \"10.0.0.1:80\"\n"
@@ -73,6 +74,8 @@
     { REQUIRED "link_mbps: -1\n", "link_mbps" },
     { REQUIRED "stop_s: 4294968\n", "stop_s" },
     { REQUIRED "warm_up_overage: 0\n", "warm_up_overage" },
+    { REQUIRED "crossing_cost_ms: 0\n", "crossing_cost_ms" },
+    { REQUIRED "crossing_cost_ms: 60001\n", "crossing_cost_ms" },
     { REQUIRED "warm_up_overage: 1.5\nwarm_up_slack: -1\n", "warm_up_slack" },
     { REQUIRED "colour: red\n", "colour" },
   };
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -61,14 +61,19 @@
 START_TEST (test_no_flow_goes_to_an_evacuated_data_centre)
 {
   for (uint64_t id = 1; id <= TARGETS; id++)
-    add_target (&f, id, id % 2 ? NEAR : FAR)->load.busy = id % 2 ? 0 : 100;
+    add_target (&f, id, id % 2 ? NEAR : FAR)->peers_load.busy
+        = id % 2 ? 0 : 100;
   evacuate (NEAR);
   for (uint16_t port = 1; port <= 200; port++)
     {
       struct am_decision d = send_packet (&f, syn (port, 0));
+      struct am_packet p;
 
       expect (d, AM_VERDICT_FORWARD, AM_REASON_PLACED_ELSEWHERE);
       ck_assert_uint_eq (d.target->spec.data_centre, FAR);
+      p = data (port, d.target->ticket, 1001, 0, 1);
+      p.finishes = true;
+      send_packet (&f, p);
     }
   am_evacuations_end (&orders, NEAR, f.now_us);
   ck_assert_uint_eq (send_packet (&f, syn (300, 0)).target->spec.data_centre,
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -302,9 +302,10 @@
   struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
 
   am_target_table_put (&targets, &s, NOW, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true, true };
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3, 2, 0 }, true, true };
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
   ck_assert_uint_eq (t->peers_load.busy, 3);
+  ck_assert_uint_eq (t->peers_load.recent, 2);
   ck_assert_uint_eq (t->reporting_peers, 1);
   ck_assert_uint_eq (t->data_reporting_peers, 1);
   am_fleet_expire (&f, &targets, NOW + PEER_TIMEOUT_US);
@@ -353,7 +354,8 @@
   struct am_peer *p = add_peer ("p", HERE, 10, true, 1);
 
   am_target_table_put (&targets, &s, NOW, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, false, false };
+  report
+      = (struct am_load_report){ t->ticket, { 1, 2, 3, 2, 0 }, false, false };
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
   report.load.busy = 1;
   am_peer_load_set (&p->load, &targets, &report, 1, NOW);
@@ -385,7 +387,7 @@
   uint64_t now_us = NOW;
 
   am_target_table_put (&targets, &s, now_us, &t);
-  report = (struct am_load_report){ t->ticket, { 1, 2, 3 }, true, true };
+  report = (struct am_load_report){ t->ticket, { 1, 2, 3, 2, 0 }, true, true };
   am_peer_load_set (&p->load, &targets, &report, 1, now_us);
   am_target_table_mark_absent (&targets, 1, 0, now_us);
   for (int i = 0; i < 3; i++)
--- a/test/test_flow_table.c
+++ b/test/test_flow_table.c
@@ -81,6 +81,8 @@
    load of evicted flows.  */
 START_TEST (test_table_is_bounded)
 {
+  /* Room for the requests of all flows.  */
+  t->spec.slots = AM_FLOW_MAX;
   for (uint32_t i = 0; i < AM_FLOW_MAX + 10; i++)
     {
       struct am_packet p = syn ((uint16_t)(i + 1), 0);
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -617,6 +617,24 @@
 }
 END_TEST
 
+/* Guards against a SYN that is sent to a target which this VM alone has
+   filled, because its time to wait is over.  */
+START_TEST (test_queued_syn_is_reset_without_room)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_queued_syn w;
+  struct am_decision d;
+
+  t->load.busy = t->load.recent = 10;
+  expect (send_packet (&f, syn (1, 2)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  f.now_us += 649 * MS;
+  ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
+  f.now_us += 1 * MS;
+  ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
+  expect (d, AM_VERDICT_RESET, AM_REASON_OVERLOADED);
+}
+END_TEST
+
 /* Guards against a caller that waits for its time-out although its SYN cannot
    be queued and is its last one.  An earlier one is dropped: it comes again.
  */
@@ -665,7 +683,7 @@
   struct am_queued_syn w;
   struct am_decision d;
 
-  t->load.busy = 10;
+  t->peers_load.busy = 10;
   expect (send_packet (&f, syn (1, 2)), AM_VERDICT_WAIT, AM_REASON_BUSY);
   f.now_us += 649 * MS;
   ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
@@ -705,6 +723,7 @@
   tcase_add_test (tc, test_syn_waits_for_the_first_configuration);
   tcase_add_test (tc, test_retransmissions_wait_after_an_outage);
   tcase_add_test (tc, test_queued_syn_is_sent_before_its_attempt_times_out);
+  tcase_add_test (tc, test_queued_syn_is_reset_without_room);
   tcase_add_test (tc, test_last_syn_is_reset_if_queue_is_full);
   tcase_add_test (tc, test_syn_without_configuration_is_reset_in_time);
   suite_add_tcase (suite, tc);
--- a/test/test_syn_queue.c
+++ b/test/test_syn_queue.c
@@ -10,17 +10,17 @@
 static void
 begin (void)
 {
-  am_syn_queue_init (&q);
+  am_syn_queue_init (&q, &am_syn_queue_fair);
 }
 
 /* Bit set of the services that have free slots.  */
 static uint32_t free_services;
 
 static bool
-is_free (void *userdata, uint32_t service)
+is_free (void *userdata, const struct am_queued_syn *w)
 {
   (void)userdata;
-  return free_services >> service & 1;
+  return free_services >> w->service & 1;
 }
 
 static bool
@@ -35,7 +35,7 @@
 {
   struct am_packet p = syn (port, retransmission);
 
-  return am_syn_queue_add (&q, &p, 1 + port % 2, bytes, 32, 0, deadline_us);
+  return am_syn_queue_add (&q, &p, 1 + port % 2, 0, bytes, 32, 0, deadline_us);
 }
 
 /* Guards against an attempt that times out because those with a later deadline
@@ -107,7 +107,7 @@
     ck_assert_int_eq (add (port, 0, 1), AM_OK);
   ck_assert_int_eq (add (AM_SYN_QUEUE_MAX + 1, 0, 1), AM_E_QUEUE_FULL);
   ck_assert_int_eq (
-      am_syn_queue_add (&q, &p, 1, bytes, AM_SYN_QUEUE_DATA_MAX + 1, 0, 1),
+      am_syn_queue_add (&q, &p, 1, 0, bytes, AM_SYN_QUEUE_DATA_MAX + 1, 0, 1),
       AM_E_TOO_LARGE);
 }
 END_TEST
