Notice a lost store sooner, and confirm the replica at once after taking over

Cause: the reader's watch timed out after 2.3 s; each VM of better rank then had 0.3 s, and one that took over waited for changes before its first response, so that its peers did not hear of it and took over as well.

Change: watches wait for 0.8 s and time out after 1.4 s; each VM of better rank has 0.2 s; the first watch of a VM that becomes a reader does not wait.

--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -10,10 +10,10 @@
    revision.  */
 
 /* The store ends a watch without changes after WATCH_MS.  A connection may
-   fail without a reset; with WATCH_TIMEOUT_MS this is detected within 2.5 s,
+   fail without a reset; with WATCH_TIMEOUT_MS this is detected within 1.7 s,
    soon enough for changes of the configuration to become active in time.  */
-#define WATCH_MS 1500
-#define WATCH_TIMEOUT_MS 2300
+#define WATCH_MS 800
+#define WATCH_TIMEOUT_MS 1400
 #define LIST_TIMEOUT_MS 1500
 
 /* Pause between two watches: the platform charges for each call, and changes
@@ -305,9 +305,9 @@
 watch (struct am_entry *e)
 {
   char path[AM_HTTP_PATH_SIZE];
-  /* The response to the first watch confirms the replica, which peers may wait
-     for.  */
-  uint32_t wait_ms = e->sync.last_confirmed_us ? WATCH_MS : 0;
+  /* The response to the first watch of a VM that becomes a reader confirms the
+     replica.  Its peers wait for that, and would read themselves.  */
+  uint32_t wait_ms = e->reader.active ? WATCH_MS : 0;
 
   e->reader.watch_after = e->replica.revision;
   e->adapter->watch_path (path, sizeof path, e->replica.revision, wait_ms);
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -47,7 +47,7 @@
 
 /* A VM gives each live peer of better rank this time to become a reader: a
    call to the store, and the digest that follows.  */
-#define AM_FLEET_SUCCESSION_US 300000u
+#define AM_FLEET_SUCCESSION_US 200000u
 
 /* Longest time that it gives to all of them.  */
 #define AM_FLEET_SUCCESSION_MAX_US 6000000u
