Leave the cost of leaving a data centre as it was unless the settings state it

Cause: a default of 50 ms let flows of 45 ms requests leave their data centre at 1.1 requests per slot instead of 2.5; cuts between data centres broke them.

Change: without crossing_cost_ms the fixed cost applies.

Conclusion: how dear a broken flow is has to be said by the operator; earlier deployments are served as before.

--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -12,7 +12,6 @@
 #include "record/fields.h"
 
 #define STOP_DEFAULT_S 6
-#define CROSSING_COST_DEFAULT_MS 50
 #define CROSSING_COST_MAX_MS 60000
 /* The process ends this much before stop_s, at which the platform kills it. */
 #define STOP_MARGIN_MS 500
@@ -156,9 +155,10 @@
                          "megabits per second");
   s->link_mbps = (uint32_t)file->link_mbps;
   s->stop_ms = stop_s * 1000 - STOP_MARGIN_MS;
-  s->crossing_cost_ms = file->crossing_cost_ms ? *file->crossing_cost_ms
-                                               : CROSSING_COST_DEFAULT_MS;
-  if (!s->crossing_cost_ms || s->crossing_cost_ms > CROSSING_COST_MAX_MS)
+  if (file->crossing_cost_ms)
+    s->crossing_cost_ms = *file->crossing_cost_ms;
+  if ((file->crossing_cost_ms && !s->crossing_cost_ms)
+      || s->crossing_cost_ms > CROSSING_COST_MAX_MS)
     return am_fault_set (f, AM_E_FIELD_RANGE, "crossing_cost_ms",
                          "milliseconds, 1 to 60000");
   if (read_warm_up (&s->warm_up, file, f))
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -29,7 +29,8 @@
                          not given */
   struct am_warm_up_bounds warm_up;
   uint32_t crossing_cost_ms; /* what a flow to another data centre costs, as
-                                time that a caller would rather wait */
+                                time that a caller would rather wait; 0: not
+                                stated */
   uint32_t stop_ms; /* longest time from SIGTERM to the end of the process,
                        milliseconds */
 };
--- a/src/flow/admission.h
+++ b/src/flow/admission.h
@@ -2,7 +2,7 @@
 
    If callers want more than the targets can serve, each target fills its queue
    and sheds the rest, and whichever packet arrives first decides who is
-   served. Reports of other VMs are too old to prevent this: in the time
+   served.  Reports of other VMs are too old to prevent this: in the time
    between two of them each VM could fill all targets by itself.  Its own
    requests in progress a VM knows exactly.  So each VM keeps these within its
    share of what the targets bear.  New flows that exceed the share wait in
