--- a/test/integration/pages.py
+++ b/test/integration/pages.py
@@ -9,6 +9,7 @@
 import shlex
 import shutil
 import subprocess
+import tempfile
 import time
 import urllib.request
 
@@ -77,15 +78,48 @@
     print(f"{page.name}: {time.monotonic() - begin:.1f} s: {command}")
 
 
+def read_metrics(address, port):
+    """Names of all metrics at a port."""
+    url = f"http://{address}:{port}/metrics"
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        text = answer.read().decode()
+    return set(re.findall(r"^# TYPE (\S+)", text, re.M))
+
+
+def entry_metrics(address):
+    """Names of the metrics of amaranth-entry, started for this without a
+    store and peers."""
+    listen = {"packets": 7210, "readiness": 7211, "peers": 7212,
+              "metrics": 7213}
+    with tempfile.NamedTemporaryFile("w", suffix=".yaml") as settings:
+        settings.write("vm: {name: pages, data_centre: here}\nlisten:\n"
+                       + "".join(f"  {name}: {address}:{port}\n"
+                                 for name, port in listen.items()))
+        settings.flush()
+        with subprocess.Popen([BUILD / "amaranth-entry", "--settings",
+                               settings.name],
+                              stdout=subprocess.DEVNULL) as program:
+            try:
+                return wait_for_metrics(address, listen["metrics"])
+            finally:
+                program.kill()
+
+
+def wait_for_metrics(address, port):
+    for _ in range(100):
+        try:
+            return read_metrics(address, port)
+        except OSError:
+            time.sleep(0.05)
+    raise AssertionError(f"no metrics at {address}:{port} in 5 s")
+
+
 def metrics(c):
-    """Names of all metrics at the ports of one entry VM."""
-    names = set()
-    for port in (7003, 7103):
-        url = f"http://{c.vms[0].address}:{port}/metrics"
-        with urllib.request.urlopen(url, timeout=5) as answer:
-            text = answer.read().decode()
-        names |= set(re.findall(r"^# TYPE (\S+)", text, re.M))
-    return names
+    """Names of all metrics at the ports of one entry VM, and of
+    amaranth-entry."""
+    address = c.vms[0].address
+    return read_metrics(address, 7003) | read_metrics(address, 7103) \
+        | entry_metrics(address)
 
 
 def written_events():
