--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -76,8 +76,8 @@
                    waiting);
   add_by_priority (t, "waited", "SYNs that had to wait for room.",
                    AM_METRIC_COUNTER, e->path.waited);
-  add_by_priority (t, "turned_away", "SYNs reset for lack of room.",
-                   AM_METRIC_COUNTER, e->path.turned_away);
+  add_by_priority (t, "rejected", "SYNs reset for lack of room.",
+                   AM_METRIC_COUNTER, e->path.rejected);
 }
 
 static void
--- a/src/flow/admission.c
+++ b/src/flow/admission.c
@@ -16,6 +16,15 @@
   return &a->rooms[a->count++];
 }
 
+/* Removes the room of the own data centre, the first one, if there is no
+   usable target.  */
+static void
+remove_empty (struct am_admission *a)
+{
+  if (a->rooms[0].slots <= 0)
+    a->rooms[0] = a->rooms[--a->count];
+}
+
 /* Requests on flows that are open already go to their target, however full it
    is.  Beyond what it bears they do not take up the room of other targets.  */
 static void
@@ -116,6 +125,8 @@
                       const struct am_placement *p)
 {
   a->count = 0;
+  a->complete = true;
+  get_or_add (a, p->data_centre);
   am_list_each (g, &t->targets, struct am_target, node)
   {
     struct am_room *r;
@@ -125,7 +136,10 @@
     r = get_or_add (a, g->spec.data_centre);
     if (r)
       add_target (r, g);
+    else
+      a->complete = false;
   }
+  remove_empty (a);
   for (size_t i = 0; i < a->count; i++)
     {
       a->rooms[i].load /= a->rooms[i].slots;
--- a/src/flow/admission.h
+++ b/src/flow/admission.h
@@ -50,8 +50,9 @@
 /* Part of the new flows of a service up to which better ones count as none. */
 #define AM_ADMISSION_BETTER_MIN 0.01
 
-/* Data centres that are told apart; the targets of any others get no flow.  */
-#define AM_ADMISSION_DATA_CENTRES_MAX 8
+/* Data centres that are told apart, the own one always among them.  The others
+   have no room, and get a flow only if no data centre is open.  */
+#define AM_ADMISSION_DATA_CENTRES_MAX 32
 
 /* Room of one data centre for the flows of a service.  */
 struct am_room
@@ -70,6 +71,7 @@
 {
   size_t count;
   struct am_room rooms[AM_ADMISSION_DATA_CENTRES_MAX];
+  bool complete; /* each usable target is in one of the rooms */
 };
 
 /* Sets *A to the room for the flow of P.  */
--- a/src/flow/new_flow.c
+++ b/src/flow/new_flow.c
@@ -43,7 +43,8 @@
 static double
 crossing (const struct am_path *p, struct request r)
 {
-  double response_us = am_response_times_mean (&p->response_times, r.service);
+  double response_us
+      = am_service_stats_response_us (&p->service_stats, r.service);
 
   if (response_us <= 0 || !p->crossing_cost_us)
     return 0;
@@ -57,20 +58,21 @@
 {
   const struct am_service *s = am_route_table_service (p->routes, r.service);
 
-  return (struct am_placement){ .rng = &p->rng,
-                                .service = r.service,
-                                .data_centre = p->data_centre,
-                                .connections_max = s ? s->connections_max : 0,
-                                .better_share = am_demand_better (
-                                    &p->demand, r.service, r.priority, now_us),
-                                .vms = (uint32_t)p->peers + 1,
-                                .crossing = crossing (p, r),
-                                .evacuations = p->evacuations,
-                                .warm_up = p->warm_up,
-                                .remote = p->remote,
-                                .unreported_flows
-                                = unreported_flows (p, now_us),
-                                .now_us = now_us };
+  return (struct am_placement){
+    .rng = &p->rng,
+    .service = r.service,
+    .data_centre = p->data_centre,
+    .connections_max = s ? s->connections_max : 0,
+    .better_share = am_service_stats_better_share (
+        &p->service_stats, r.service, r.priority, now_us),
+    .vms = (uint32_t)p->peers + 1,
+    .crossing = crossing (p, r),
+    .evacuations = p->evacuations,
+    .warm_up = p->warm_up,
+    .remote = p->remote,
+    .unreported_flows = unreported_flows (p, now_us),
+    .now_us = now_us
+  };
 }
 
 static struct am_target *
@@ -140,7 +142,7 @@
   if (f)
     am_flow_set_recent (
         &p->flows, f,
-        now_us + am_response_times_recent_us (&p->response_times, r.service));
+        now_us + am_service_stats_recent_us (&p->service_stats, r.service));
   am_liveness_syn_sent (target, now_us);
   return make_decision (AM_VERDICT_FORWARD, placed_reason (p, packet, target),
                         target);
@@ -256,7 +258,7 @@
   if (v == AM_VERDICT_WAIT)
     p->waited[r.priority]++;
   else
-    p->turned_away[r.priority]++;
+    p->rejected[r.priority]++;
   return d;
 }
 
@@ -293,7 +295,8 @@
   if (packet->ack && !was_queued && is_busy (p, r, now_us))
     return make_decision (AM_VERDICT_WAIT, AM_REASON_BUSY, NULL);
   if (!was_queued && !packet->ack)
-    am_demand_add (&p->demand, r.service, r.priority, now_us);
+    am_service_stats_add_flow (&p->service_stats, r.service, r.priority,
+                               now_us);
   if ((!was_queued && is_awaited (p, r)) || !has_room (p, r, now_us))
     return make_decision (AM_VERDICT_WAIT, AM_REASON_NO_ROOM, NULL);
   return place (p, packet, r, now_us);
@@ -301,18 +304,26 @@
 
 /* ---- waiting ------------------------------------------------------ */
 
-/* Returns how long PACKET, a SYN for ROUTE or NULL, may wait from now.  The
-   number of the retransmission tells the age of the attempt.  */
+/* Returns how long PACKET, a SYN, may wait from now before its attempt times
+   out.  The number of the retransmission tells the age of the attempt.  */
 static uint64_t
-wait_max_us (const struct am_packet *packet, const struct am_route *route)
+attempt_left_us (const struct am_packet *packet)
 {
   uint64_t age = packet->ack == 0   ? 0
                  : packet->ack == 1 ? AM_PATH_RETRANSMIT_1_US
                                     : AM_PATH_RETRANSMIT_2_US;
-  uint64_t left = AM_PATH_OPEN_TIMEOUT_US - AM_PATH_OPEN_MARGIN_US - age;
+
+  return AM_PATH_OPEN_TIMEOUT_US - AM_PATH_OPEN_MARGIN_US - age;
+}
+
+/* Returns how long PACKET, a SYN for ROUTE, may wait for room.  */
+static uint64_t
+room_wait_us (const struct am_packet *packet, const struct am_route *route)
+{
+  uint64_t left = attempt_left_us (packet);
   uint64_t share_us;
 
-  if (packet->ack || !route || !route->terms.objective_ms)
+  if (packet->ack || !route->terms.objective_ms)
     return left;
   share_us = (uint64_t)(AM_PATH_WAIT_SHARE * 1000 * route->terms.objective_ms);
   return share_us < left ? share_us : left;
@@ -325,26 +336,27 @@
 waits_in_vain (const struct am_path *p, struct request r,
                const struct am_admission *a, size_t ahead, uint64_t wait_us)
 {
-  double response_us = am_response_times_mean (&p->response_times, r.service);
+  double response_us
+      = am_service_stats_response_us (&p->service_stats, r.service);
   double limit = am_admission_limit (a);
 
   return limit > 0 && (double)ahead * response_us > (double)wait_us * limit;
 }
 
-/* Queues PACKET, a SYN of R that may wait for WAIT_US, unless it would wait in
-   vain.  */
+/* Queues PACKET, a SYN of R, until DEADLINE_US at the latest, unless it would
+   wait in vain.  */
 static struct am_decision
 wait_for_room (struct am_path *p, const struct am_packet *packet,
                struct request r, const uint8_t *data, size_t len,
-               uint64_t wait_us, uint64_t now_us)
+               uint64_t deadline_us, uint64_t now_us)
 {
-  uint64_t deadline_us = now_us + wait_us;
+  uint64_t wait_us = deadline_us > now_us ? deadline_us - now_us : 0;
   size_t ahead = am_syn_queue_ahead (&p->queue, packet, r.service, r.priority,
                                      now_us, deadline_us);
   struct am_admission a;
 
   measure_room (&a, p, r, now_us);
-  if (waits_in_vain (p, r, &a, ahead, wait_us)
+  if (!wait_us || waits_in_vain (p, r, &a, ahead, wait_us)
       || am_syn_queue_add (&p->queue, packet, r.service, r.priority, data, len,
                            now_us, deadline_us))
     return decide_without_room (p, r, &a, AM_VERDICT_RESET,
@@ -352,39 +364,53 @@
   return decide_without_room (p, r, &a, AM_VERDICT_WAIT, AM_REASON_NO_ROOM);
 }
 
-/* Queues PACKET, a SYN of R that waits for the reason of D.  If the queue is
-   full, its caller is told only if it will not transmit this SYN again: until
-   then the queue may become shorter.  */
+/* Queues PACKET, a SYN of R that waits for the reason of D, until DEADLINE_US
+   at the latest.  If the queue is full, its caller is told only if it will not
+   transmit this SYN again: until then the queue may become shorter.  */
 static struct am_decision
 wait_or_drop (struct am_path *p, const struct am_packet *packet,
               struct request r, const uint8_t *data, size_t len,
-              uint64_t wait_us, struct am_decision d, uint64_t now_us)
+              uint64_t deadline_us, struct am_decision d, uint64_t now_us)
 {
   if (am_syn_queue_add (&p->queue, packet, r.service, r.priority, data, len,
-                        now_us, now_us + wait_us))
+                        now_us, deadline_us))
     d.verdict = packet->ack < AM_PATH_RETRANSMISSIONS ? AM_VERDICT_DROP
                                                       : AM_VERDICT_RESET;
   return d;
 }
 
+/* Makes PACKET wait for the reason of D, until ATTEMPT_END_US at the latest,
+   when its attempt is about to time out.  */
+static struct am_decision
+wait (struct am_path *p, const struct am_packet *packet, const uint8_t *data,
+      size_t len, uint64_t attempt_end_us, struct am_decision d,
+      uint64_t now_us)
+{
+  const struct am_route *route
+      = am_route_find (p->routes, packet->destination);
+  struct request r = { 0 };
+  uint64_t room_end_us;
+
+  if (route)
+    r = request_of (route, packet);
+  if (d.reason != AM_REASON_NO_ROOM)
+    return wait_or_drop (p, packet, r, data, len, attempt_end_us, d, now_us);
+  room_end_us = now_us + room_wait_us (packet, route);
+  return wait_for_room (
+      p, packet, r, data, len,
+      room_end_us < attempt_end_us ? room_end_us : attempt_end_us, now_us);
+}
+
 struct am_decision
 am_new_flow_process (struct am_path *p, const struct am_packet *packet,
                      const uint8_t *data, size_t len, uint64_t now_us)
 {
   struct am_decision d = open_flow (p, packet, false, now_us);
-  const struct am_route *route;
-  struct request r = { 0 };
-  uint64_t wait_us;
 
   if (d.verdict != AM_VERDICT_WAIT)
     return d;
-  route = am_route_find (p->routes, packet->destination);
-  wait_us = wait_max_us (packet, route);
-  if (route)
-    r = request_of (route, packet);
-  if (d.reason == AM_REASON_NO_ROOM)
-    return wait_for_room (p, packet, r, data, len, wait_us, now_us);
-  return wait_or_drop (p, packet, r, data, len, wait_us, d, now_us);
+  return wait (p, packet, data, len, now_us + attempt_left_us (packet), d,
+               now_us);
 }
 
 struct queue_query
@@ -431,6 +457,25 @@
                               AM_REASON_OVERLOADED);
 }
 
+/* Decides on W, which has left the queue.  One that waited for the
+   configuration has a service only now, and may have to wait for room as
+   well.  Any other has waited as long as it may.  */
+static struct am_decision
+decide_dequeued (struct am_path *p, const struct am_queued_syn *w,
+                 uint64_t now_us)
+{
+  struct am_decision d = open_flow (p, &w->packet, true, now_us);
+
+  if (d.verdict != AM_VERDICT_WAIT)
+    return d;
+  if (!w->service && now_us < w->deadline_us)
+    return wait (p, &w->packet, w->data, w->len, w->deadline_us, d, now_us);
+  if (d.reason == AM_REASON_NO_ROOM)
+    return reject_without_room (p, w, now_us);
+  d.verdict = AM_VERDICT_RESET;
+  return d;
+}
+
 bool
 am_new_flow_dequeue (struct am_path *p, struct am_queued_syn *w,
                      struct am_decision *d, uint64_t now_us)
@@ -446,12 +491,8 @@
       p->searched_version = p->routes->active.version;
       return false;
     }
-  am_histogram_add (&p->wait_times, (now_us - w->enqueued_us) * 1000u);
-  *d = open_flow (p, &w->packet, true, now_us);
-  /* Its deadline has passed, or another SYN has displaced it.  */
-  if (d->reason == AM_REASON_NO_ROOM)
-    *d = reject_without_room (p, w, now_us);
-  else if (d->verdict == AM_VERDICT_WAIT)
-    d->verdict = AM_VERDICT_RESET;
+  *d = decide_dequeued (p, w, now_us);
+  if (d->verdict != AM_VERDICT_WAIT)
+    am_histogram_add (&p->wait_times, (now_us - w->enqueued_us) * 1000u);
   return true;
 }
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -39,10 +39,9 @@
   p->targets_complete = false;
   am_rng_init (&p->rng, seed);
   am_flow_table_init (&p->flows);
-  am_response_times_init (&p->response_times);
-  am_demand_init (&p->demand);
+  am_service_stats_init (&p->service_stats);
   memset (p->waited, 0, sizeof p->waited);
-  memset (p->turned_away, 0, sizeof p->turned_away);
+  memset (p->rejected, 0, sizeof p->rejected);
   p->released = false;
   p->searched_us = 0;
   p->searched_version = 0;
@@ -125,8 +124,8 @@
                const struct am_packet *packet, uint64_t now_us)
 {
   if (f->busy && !packet->data_len && f->requests == 1)
-    am_response_times_add (&p->response_times, f->target->spec.service,
-                           now_us - f->forwarded_us);
+    am_service_stats_add_response (&p->service_stats, f->target->spec.service,
+                                   now_us - f->forwarded_us, now_us);
   p->released = p->released || f->recent_end_us;
   am_flow_set_busy (f, false);
   note_progress (p, f->target, now_us);
@@ -136,8 +135,8 @@
 static void
 note_request (struct am_path *p, struct am_flow *f, uint64_t now_us)
 {
-  uint64_t recent_us = am_response_times_recent_us (&p->response_times,
-                                                    f->target->spec.service);
+  uint64_t recent_us = am_service_stats_recent_us (&p->service_stats,
+                                                   f->target->spec.service);
 
   f->forwarded_us = now_us;
   f->repeats = 0;
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -15,15 +15,14 @@
 
 #include "base/metrics.h"
 #include "base/rng.h"
-#include "flow/demand.h"
 #include "flow/evacuation.h"
 #include "flow/flow_rate.h"
 #include "flow/flow_table.h"
 #include "flow/syn_queue.h"
 #include "flow/packet.h"
 #include "flow/remote_load.h"
-#include "flow/response_times.h"
 #include "flow/route_table.h"
+#include "flow/service_stats.h"
 #include "flow/target_table.h"
 #include "flow/warm_up.h"
 
@@ -48,7 +47,7 @@
 #define AM_PATH_OPEN_MARGIN_US 150000u
 
 /* Part of its latency objective that a first SYN may wait for room: what is
-   turned away after it can still be tried again in time.  */
+   rejected after it can still be tried again in time.  */
 #define AM_PATH_WAIT_SHARE 0.2
 
 /* The queue is not searched again before this time unless a request of this VM
@@ -166,12 +165,11 @@
   uint64_t liveness_changes;      /* times that a target was detected as
                                    unresponsive, or responsive again */
   struct am_flow_rate placements; /* flows that this VM opens */
-  struct am_response_times response_times;
-  struct am_demand demand;
-  /* SYNs that had to wait for room, and that were turned away without, by
+  struct am_service_stats service_stats;
+  /* SYNs that had to wait for room, and that were rejected for lack of it, by
      priority of their routes.  */
   uint64_t waited[AM_ROUTE_PRIORITY_COUNT];
-  uint64_t turned_away[AM_ROUTE_PRIORITY_COUNT];
+  uint64_t rejected[AM_ROUTE_PRIORITY_COUNT];
   bool released;        /* a request of this VM ended since the last search of
                            the queue */
   uint64_t searched_us; /* last search of the queue that found nothing */
@@ -207,8 +205,9 @@
                                     uint64_t now_us);
 
 /* Takes one SYN that need not wait any longer from the queue into *W and
-   stores the decision on it in *D.  Returns false if there is none.  To be
-   called after each packet and on a timer, each time until it returns
+   stores the decision on it in *D; AM_VERDICT_WAIT if it waited for the
+   configuration and has to wait for room now.  Returns false if there is none.
+   To be called after each packet and on a timer, each time until it returns
    false.  */
 bool am_path_dequeue (struct am_path *p, struct am_queued_syn *w,
                       struct am_decision *d, uint64_t now_us);
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -133,14 +133,16 @@
 };
 
 /* Returns true if the flow may be placed in the data centre of T: it is open,
-   or none is.  One without a room has no usable target, which the cost
-   tells.  */
+   or none is.  One without a room has no usable target, which the cost tells,
+   or is beyond those that are told apart.  */
 static bool
 is_open (const struct am_target *t, const struct am_admission *a)
 {
   const struct am_room *r = am_admission_room (a, t->spec.data_centre);
 
-  return !r || r->open || !am_admission_admits (a);
+  if (!am_admission_admits (a))
+    return true;
+  return r ? r->open : a->complete;
 }
 
 /* Sets *S to the targets that accept the flow, and their costs.  */
--- a/src/flow/syn_queue.c
+++ b/src/flow/syn_queue.c
@@ -9,6 +9,9 @@
    about the last hundred count.  */
 #define TAKEN_DECAY 0.99
 
+/* Of a count of SYNs that a caller was served.  */
+#define SERVED_BITS 16
+
 /* Combinations of service, priority and transmission that are queried during
    one call; others wait.  */
 #define QUERIES_MAX 16
@@ -23,13 +26,6 @@
   return (uint32_t)(hash % AM_SYN_QUEUE_CALLER_CLASSES);
 }
 
-static uint32_t
-priority_class (const struct am_queued_syn *w)
-{
-  return w->priority < AM_SYN_QUEUE_PRIORITIES ? w->priority
-                                               : AM_SYN_QUEUE_PRIORITIES - 1;
-}
-
 static bool
 before_by_arrival (const struct am_syn_queue *q, const struct am_queued_syn *a,
                    const struct am_queued_syn *b, uint64_t now_us)
@@ -62,9 +58,9 @@
 {
   double all = 0;
 
-  for (size_t i = 0; i < AM_SYN_QUEUE_PRIORITIES; i++)
+  for (size_t i = 0; i < AM_ROUTE_PRIORITY_COUNT; i++)
     all += q->taken[i];
-  return q->taken[priority_class (w)] * AM_SYN_QUEUE_FLOOR < all;
+  return q->taken[w->priority] * AM_SYN_QUEUE_FLOOR < all;
 }
 
 static bool
@@ -108,11 +104,13 @@
 static void
 halve_served (struct am_syn_queue *q, uint64_t now_us)
 {
-  if (now_us - q->halved_us < AM_SYN_QUEUE_CALLER_HALF_US)
+  uint64_t halvings = (now_us - q->halved_us) / AM_SYN_QUEUE_CALLER_HALF_US;
+
+  if (!halvings)
     return;
   q->halved_us = now_us;
   for (size_t i = 0; i < AM_SYN_QUEUE_CALLER_CLASSES; i++)
-    q->served[i] /= 2;
+    q->served[i] = halvings < SERVED_BITS ? q->served[i] >> halvings : 0;
 }
 
 /* Counts W, which leaves to be served.  */
@@ -125,9 +123,9 @@
   halve_served (q, now_us);
   if (*count < UINT16_MAX)
     ++*count;
-  for (size_t i = 0; i < AM_SYN_QUEUE_PRIORITIES; i++)
+  for (size_t i = 0; i < AM_ROUTE_PRIORITY_COUNT; i++)
     q->taken[i] *= TAKEN_DECAY;
-  q->taken[priority_class (w)]++;
+  q->taken[w->priority]++;
 }
 
 /* ---- queue -------------------------------------------------------- */
--- a/src/flow/syn_queue.h
+++ b/src/flow/syn_queue.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "flow/packet.h"
+#include "flow/route_table.h"
 
 #define AM_SYN_QUEUE_MAX 512
 
@@ -72,9 +73,6 @@
    that opens many flows at once so does not take the room of others.  */
 extern const struct am_syn_queue_policy am_syn_queue_fair;
 
-/* Priorities that are told apart; any lower one counts as the lowest.  */
-#define AM_SYN_QUEUE_PRIORITIES 8
-
 struct am_syn_queue
 {
   const struct am_syn_queue_policy *policy;
@@ -83,7 +81,7 @@
   bool has_displaced;
   struct am_queued_syn displaced; /* by a SYN that goes before it; leaves with
                                      the next am_syn_queue_take */
-  double taken[AM_SYN_QUEUE_PRIORITIES]; /* SYNs that left, by priority; each
+  double taken[AM_ROUTE_PRIORITY_COUNT]; /* SYNs that left, by priority; each
                                             worth less the more followed */
   uint16_t served[AM_SYN_QUEUE_CALLER_CLASSES]; /* SYNs that left, by class of
                                                    callers */
@@ -94,14 +92,14 @@
 void am_syn_queue_init (struct am_syn_queue *q,
                         const struct am_syn_queue_policy *policy);
 
-/* Queues the SYN P for SERVICE, of PRIORITY, until DEADLINE_US at the latest.
-   DATA is the datagram of P, LEN bytes, and is copied.  If a SYN of the same
-   attempt is queued (same caller, destination and sequence number), P replaces
-   it, and the earlier of the two deadlines applies.  If the queue is full, the
-   SYN that would leave it last, if that is not P, is displaced: it is returned
-   by the next am_syn_queue_take with its deadline set to now.  Times are
-   microseconds of the monotonic clock.  Returns AM_OK, or AM_E_QUEUE_FULL or
-   AM_E_TOO_LARGE with the queue unchanged.  */
+/* Queues the SYN P for SERVICE, of PRIORITY below AM_ROUTE_PRIORITY_COUNT,
+   until DEADLINE_US at the latest. DATA is the datagram of P, LEN bytes, and
+   is copied.  If a SYN of the same attempt is queued (same caller, destination
+   and sequence number), P replaces it, and the earlier of the two deadlines
+   applies.  If the queue is full, the SYN that would leave it last, if that is
+   not P, is displaced: it is returned by the next am_syn_queue_take with its
+   deadline set to now.  Times are microseconds of the monotonic clock. Returns
+   AM_OK, or AM_E_QUEUE_FULL or AM_E_TOO_LARGE with the queue unchanged.  */
 int am_syn_queue_add (struct am_syn_queue *q, const struct am_packet *p,
                       uint32_t service, uint32_t priority, const uint8_t *data,
                       size_t len, uint64_t now_us, uint64_t deadline_us);
--- a/src/flow/target_table.h
+++ b/src/flow/target_table.h
@@ -63,8 +63,8 @@
                           request is recent: a caller does not acknowledge the
                           last packet of a response, so a flow may seem busy
                           until its next request */
-  uint32_t later;      /* of the recent ones, those whose request is not the
-                          first one on its flow; not reported */
+  uint32_t later;      /* of the recent ones, those on flows that have sent
+                          data before; not reported */
 };
 
 struct am_target
--- a/test/test_flow_admission.c
+++ b/test/test_flow_admission.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "flow/admission.h"
+#include "flow/placement.h"
 #include "placement_fleet.h"
 #include "suite.h"
 
@@ -313,8 +314,8 @@
       am_remote_loads_set (&remote, FAR, &load, x.now_us);
       x.path.remote = &remote;
       x.path.crossing_cost_us = 50 * MS;
-      am_response_times_add (&x.path.response_times, ORDERS,
-                             cases[i].response_ms * MS);
+      am_service_stats_add_response (&x.path.service_stats, ORDERS,
+                                     cases[i].response_ms * MS, x.now_us);
       add_target (&x, 1, NEAR)->peers_load.busy = 3;
       add_target (&x, 2, FAR);
       d = send_packet (&x, syn (1, 0));
@@ -347,6 +348,53 @@
 }
 END_TEST
 
+/* Guards against a VM whose own data centre is not counted, or whose targets
+   are flooded, as there are more data centres than it tells apart.  */
+START_TEST (test_many_data_centres)
+{
+  struct am_placement p = { .service = ORDERS, .data_centre = NEAR, .vms = 1 };
+  struct am_admission a;
+  struct am_rng ties;
+
+  flow_begin (&x);
+  am_rng_init (&ties, 1);
+  p.rng = &ties;
+  p.now_us = x.now_us;
+  for (uint64_t id = 1; id <= AM_ADMISSION_DATA_CENTRES_MAX + 3; id++)
+    add_target (&x, id, (uint32_t)id);
+  add_target (&x, 100, NEAR)->load.recent = 7;
+  am_admission_measure (&a, &x.targets, &p);
+  ck_assert_ptr_nonnull (am_admission_room (&a, NEAR));
+  ck_assert (am_admission_room (&a, NEAR)->open);
+  for (uint32_t id = 1; id < AM_ADMISSION_DATA_CENTRES_MAX; id++)
+    am_target_by_id (&x.targets, id)->load.recent = 100;
+  am_admission_measure (&a, &x.targets, &p);
+  ck_assert_uint_eq (am_placement_choose (&x.targets, &p)->spec.data_centre,
+                     NEAR);
+  flow_end (&x);
+}
+END_TEST
+
+/* Guards against callers who pay for an evacuation during a burst: all flows
+   go to one of two data centres, which could serve them.  */
+START_TEST (test_evacuation_during_a_burst)
+{
+  struct am_evacuations orders;
+
+  begin_load (&two, 0.056, 0.3);
+  fleet_run (&f, 3);
+  am_evacuations_init (&orders);
+  ck_assert_int_eq (am_evacuations_begin (&orders, FAR, f.now_us), AM_OK);
+  for (uint32_t v = 0; v < two.vms; v++)
+    f.vms[v].fixture.path.evacuations = &orders;
+  run_and_settle (5, "evacuation");
+  ck_assert_double_ge (in_time (&f.best), BEST_IN_TIME);
+  ck_assert_double_ge (in_time (&f.lesser), 0.99);
+  am_evacuations_finish (&orders);
+  fleet_end (&f);
+}
+END_TEST
+
 /* Guards against a reserve that keeps the only kind of request out.  */
 START_TEST (test_reserve_is_for_better_priorities)
 {
@@ -382,6 +430,8 @@
                            test_loaded_data_centre_is_closed,
                            test_flow_leaves_when_it_pays,
                            test_each_vm_may_have_one_request,
+                           test_many_data_centres,
+                           test_evacuation_during_a_burst,
                            test_reserve_is_for_better_priorities };
 
   return suite_run_tests ("flow_admission", tests,
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -471,6 +471,36 @@
 }
 END_TEST
 
+/* Guards against callers of a VM that has just started which are reset because
+   all SYNs that waited for the configuration ask for room at once: those
+   without it wait on.  */
+START_TEST (test_syns_of_the_start_wait_for_room)
+{
+  enum
+  {
+    CALLERS = 20
+  };
+  struct flow_fixture g;
+  struct am_queued_syn w;
+  struct am_decision d;
+  unsigned placed = 0;
+
+  flow_begin (&g);
+  add_target (&g, 1, NEAR);
+  for (uint16_t port = 1; port <= CALLERS; port++)
+    send_packet (&g, syn (port, 0));
+  set_routes (&g, 1, 1);
+  while (am_path_dequeue (&g.path, &w, &d, g.now_us))
+    {
+      ck_assert_int_ne (d.verdict, AM_VERDICT_RESET);
+      placed += d.verdict == AM_VERDICT_FORWARD;
+    }
+  ck_assert_uint_ge (placed, 2);
+  ck_assert_uint_eq (g.path.queue.count, CALLERS - placed);
+  flow_end (&g);
+}
+END_TEST
+
 /* A request at its target.  Each target serves two requests at a time, in
    order of arrival.  */
 struct work
@@ -723,6 +753,7 @@
   tcase_add_test (tc, test_syn_waits_for_the_first_configuration);
   tcase_add_test (tc, test_retransmissions_wait_after_an_outage);
   tcase_add_test (tc, test_queued_syn_is_sent_before_its_attempt_times_out);
+  tcase_add_test (tc, test_syns_of_the_start_wait_for_room);
   tcase_add_test (tc, test_queued_syn_is_reset_without_room);
   tcase_add_test (tc, test_last_syn_is_reset_if_queue_is_full);
   tcase_add_test (tc, test_syn_without_configuration_is_reset_in_time);
--- a/test/test_warm_up.c
+++ b/test/test_warm_up.c
@@ -238,6 +238,27 @@
 }
 END_TEST
 
+/* Guards against a SYN that is reset long before its attempt times out, as the
+   latency objective of its route is short: the limit may let it pass soon.  */
+START_TEST (test_wait_is_not_bound_by_the_objective)
+{
+  struct flow_fixture *f = &vms[0].fixture;
+
+  /* A VM alone, whose second flow to the target has to wait for its
+     interval.  */
+  f->routes.active.routes[0].terms.objective_ms = 100;
+  now_us += AM_WARM_UP_HOLD_US;
+  start_targets (1, 1, 10000);
+  arrive (0);
+  arrive (0);
+  ck_assert_uint_eq (taken[1].count, 1);
+  for (uint64_t end_us = now_us + 400 * MS; now_us < end_us; now_us += STEP_US)
+    dequeue (0);
+  ck_assert_uint_eq (resets, 0);
+  ck_assert_uint_eq (taken[1].count, 2);
+}
+END_TEST
+
 /* Guards against SYNs that wait for cold targets while others are free.  */
 START_TEST (test_warm_targets_take_the_rest)
 {
@@ -333,6 +354,7 @@
   tcase_add_checked_fixture (tc, begin, end);
   tcase_add_test (tc, test_all_targets_cold);
   tcase_add_test (tc, test_what_finds_no_room_is_reset_in_time);
+  tcase_add_test (tc, test_wait_is_not_bound_by_the_objective);
   tcase_add_test (tc, test_warm_targets_take_the_rest);
   tcase_add_test (tc, test_all_vms_start_at_once);
   tcase_add_test (tc, test_vms_that_disagree);
