--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -157,6 +157,7 @@
             self.misses = 0 if ok else self.misses + 1
             if self.ready != (self.misses < MISSES):
                 self.ready = self.misses < MISSES
+                self.d.ever_ready = True
                 self.d.log(f"{self.name} is {'in' if self.ready else 'out of'}"
                            " rotation")
 
@@ -185,6 +186,7 @@
         self.tasks = []
         self.next_target = 0
         self.version = 0
+        self.ever_ready = False  # a VM was in rotation
         self.direct = {}  # caller's port: the VM that gets its packets
 
     # ---- record ----------------------------------------------------------
@@ -323,8 +325,11 @@
 
     try:
         d = asyncio.run(main())
-    except OSError as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # a fault of the script breaks no rule
+        print(f"could not run: {error!r}")
+        sys.exit(COULD_NOT_RUN)
+    if not d.ever_ready:
+        print("could not run: no VM was ever ready")
         sys.exit(COULD_NOT_RUN)
     for text in d.failures[:5]:
         print(text)
