--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -32,7 +32,7 @@
 from target import Target  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTE_IP = "198.18.0.1"
+ROUTE_IP = "127.18.0.1"
 # The routers ask twice a second; two misses take a VM out of rotation.
 PROBE_S = 0.5
 MISSES = 2
