Place a flow only at the VM that received its first SYN

Cause: the routers move the caller to another VM between two transmissions of its SYN. That VM does not know the flow and placed the retransmission as a new flow, at another target. Both targets answer; the caller opens the flow at one and sends the ticket of the other.

Change: the first transmission of a SYN reaches one VM, once, so that VM alone places the flow. A retransmission whose first transmission this VM has not received is reset. While all slots are in use it waits first, and those that wait are reset one in each time in which the VM gets room for a request: after an outage callers that return all at once would take the slots of fresh requests. Related paths: a VM without a configuration, a SYN taken from the queue while a later transmission is read, and one that is read after its flow opened, which was placed anew and now is dropped.

A SYN that cannot be queued is reset at once. It was dropped, as its next transmission might have found room, which it no longer can; so test_last_syn_is_reset_if_queue_is_full is replaced by test_syn_is_reset_if_queue_is_full, which asks for the reset of each transmission. Three tests that began with a retransmission now send the first one before it. The callers of test_retransmissions_wait_after_an_outage return when they are reset; its bounds are the same.

Fail before: test_syn_of_another_vm_is_not_placed, test_restarted_vm_does_not_place_a_retransmitted_syn, test_late_syn_of_an_open_flow_is_dropped, test_queued_syn_is_placed_once, test_unseen_syns_wait_and_are_reset_in_turn, test_syn_is_reset_if_queue_is_full.

--- a/src/flow/new_flow.c
+++ b/src/flow/new_flow.c
@@ -6,6 +6,10 @@
 #include "flow/liveness.h"
 #include "flow/placement.h"
 
+/* More than a caller sends, bytes, between its SYN and a retransmission of it
+   that is read late.  */
+#define OPENED_BYTES_MAX 65536u
+
 /* What a SYN asks for.  */
 struct request
 {
@@ -148,7 +152,14 @@
                         target);
 }
 
-/* ---- retransmitted SYNs ------------------------------------------- */
+/* ---- retransmitted SYNs -------------------------------------------
+
+   A SYN never goes to two targets: both may accept the flow, and a caller that
+   hears from both sends the packets of one with the ticket of the other.  The
+   first transmission reaches one VM, once, so that VM alone places the flow.
+   A retransmission goes to the same target, or the attempt is reset, so that
+   the caller opens another flow.  A caller whose flow has just opened ignores
+   this reset, as its sequence number is none of that flow.  */
 
 /* Returns true if the target of F has accepted another flow since the SYN of F
    was forwarded: its response to that SYN was lost.  */
@@ -179,12 +190,17 @@
   return make_decision (AM_VERDICT_RESET, reason, target);
 }
 
-/* The SYN of F was retransmitted.  It never goes to a second target: the first
-   one may have accepted the flow, and a caller that hears from both sends the
-   packets of one with the ticket of the other.  If the first one may have
-   failed or be full, the attempt is reset, so that the caller opens another
-   flow.  A caller whose flow has just opened ignores this reset, as its
-   sequence number is none of that flow.  */
+/* Returns true if F has opened, and SYN, a retransmission, is its own rather
+   than that of a new flow from the same port.  F may be known only from its
+   later packets.  */
+static bool
+has_opened (const struct am_flow *f, const struct am_packet *syn)
+{
+  return syn->ack && f->state != AM_FLOW_OPENING
+         && f->next_seq - syn->seq <= OPENED_BYTES_MAX;
+}
+
+/* The SYN of F was retransmitted.  It goes to the same target or to none.  */
 static struct am_decision
 retransmit_syn (struct am_path *p, struct am_flow *f, struct request r,
                 uint64_t now_us)
@@ -243,6 +259,45 @@
   return am_admission_admits (&a);
 }
 
+/* Tells callers of R to return no faster than this VM gets room for them.  */
+static void
+delay_next_return (struct am_path *p, struct request r, uint64_t now_us)
+{
+  double response_us
+      = am_service_stats_response_us (&p->service_stats, r.service);
+  struct am_admission a;
+  double limit;
+
+  measure_room (&a, p, r, now_us);
+  limit = am_admission_limit (&a);
+  if (limit > 0)
+    p->next_return_us = now_us + (uint64_t)(response_us / limit);
+}
+
+/* The SYN PACKET for ROUTE, NULL if unknown, was retransmitted, and this VM
+   has forwarded none of its transmissions.  W is its entry if it was queued,
+   otherwise NULL.  If its first transmission did not reach this VM, the caller
+   has to open another flow.  It is told so once there are free slots, as the
+   callers of an outage that return all at once take the slots of those who can
+   still be answered in time.  */
+static struct am_decision
+retransmit_unknown_syn (struct am_path *p, const struct am_packet *packet,
+                        const struct am_route *route,
+                        const struct am_queued_syn *w, uint64_t now_us)
+{
+  struct request r = { 0 };
+
+  if (route)
+    r = request_of (route, packet);
+  if (!w
+      && (am_syn_queue_holds (&p->queue, packet)
+          || (route && is_busy (p, r, now_us))))
+    return make_decision (AM_VERDICT_WAIT, AM_REASON_BUSY, NULL);
+  if (w)
+    delay_next_return (p, r, now_us);
+  return make_decision (AM_VERDICT_RESET, AM_REASON_FIRST_SYN_UNSEEN, NULL);
+}
+
 /* Returns the decision V on a SYN of R, for which A has no room, for the
    reason REASON.  */
 static struct am_decision
@@ -274,30 +329,36 @@
   return false;
 }
 
+/* Decides on the SYN PACKET.  W is its entry if it was queued, otherwise
+   NULL.  */
 static struct am_decision
-open_flow (struct am_path *p, const struct am_packet *packet, bool was_queued,
-           uint64_t now_us)
+open_flow (struct am_path *p, const struct am_packet *packet,
+           const struct am_queued_syn *w, uint64_t now_us)
 {
   const struct am_route *route
       = am_route_find (p->routes, packet->destination);
   struct am_flow *f = am_flow_find (&p->flows, packet);
+  bool is_opening
+      = f && f->state == AM_FLOW_OPENING && f->syn_seq == packet->seq;
   struct request r;
 
+  if (f && has_opened (f, packet))
+    return make_decision (AM_VERDICT_DROP, AM_REASON_ALREADY_OPEN, NULL);
+  if (packet->ack && !is_opening && (!w || w->first_unseen))
+    return retransmit_unknown_syn (p, packet, route, w, now_us);
   if (!p->routes->active.version)
     return make_decision (AM_VERDICT_WAIT, AM_REASON_NO_CONFIGURATION, NULL);
   if (!route)
     return make_decision (AM_VERDICT_RESET, AM_REASON_NO_ROUTE, NULL);
   r = request_of (route, packet);
-  if (f && f->state == AM_FLOW_OPENING && f->syn_seq == packet->seq)
+  if (is_opening)
     return retransmit_syn (p, f, r, now_us);
   if (f)
     am_flow_remove (&p->flows, f);
-  if (packet->ack && !was_queued && is_busy (p, r, now_us))
-    return make_decision (AM_VERDICT_WAIT, AM_REASON_BUSY, NULL);
-  if (!was_queued && !packet->ack)
+  if (!w && !packet->ack)
     am_service_stats_add_flow (&p->service_stats, r.service, r.priority,
                                now_us);
-  if ((!was_queued && is_awaited (p, r)) || !has_room (p, r, now_us))
+  if ((!w && is_awaited (p, r)) || !has_room (p, r, now_us))
     return make_decision (AM_VERDICT_WAIT, AM_REASON_NO_ROOM, NULL);
   return place (p, packet, r, now_us);
 }
@@ -365,17 +426,15 @@
 }
 
 /* Queues PACKET, a SYN of R that waits for the reason of D, until DEADLINE_US
-   at the latest.  If the queue is full, its caller is told only if it will not
-   transmit this SYN again: until then the queue may become shorter.  */
+   at the latest.  If the queue is full, the attempt is reset.  */
 static struct am_decision
-wait_or_drop (struct am_path *p, const struct am_packet *packet,
-              struct request r, const uint8_t *data, size_t len,
-              uint64_t deadline_us, struct am_decision d, uint64_t now_us)
+wait_or_reset (struct am_path *p, const struct am_packet *packet,
+               struct request r, const uint8_t *data, size_t len,
+               uint64_t deadline_us, struct am_decision d, uint64_t now_us)
 {
   if (am_syn_queue_add (&p->queue, packet, r.service, r.priority, data, len,
                         now_us, deadline_us))
-    d.verdict = packet->ack < AM_PATH_RETRANSMISSIONS ? AM_VERDICT_DROP
-                                                      : AM_VERDICT_RESET;
+    d.verdict = AM_VERDICT_RESET;
   return d;
 }
 
@@ -394,7 +453,7 @@
   if (route)
     r = request_of (route, packet);
   if (d.reason != AM_REASON_NO_ROOM)
-    return wait_or_drop (p, packet, r, data, len, attempt_end_us, d, now_us);
+    return wait_or_reset (p, packet, r, data, len, attempt_end_us, d, now_us);
   room_end_us = now_us + room_wait_us (packet, route);
   return wait_for_room (
       p, packet, r, data, len,
@@ -405,7 +464,7 @@
 am_new_flow_process (struct am_path *p, const struct am_packet *packet,
                      const uint8_t *data, size_t len, uint64_t now_us)
 {
-  struct am_decision d = open_flow (p, packet, false, now_us);
+  struct am_decision d = open_flow (p, packet, NULL, now_us);
 
   if (d.verdict != AM_VERDICT_WAIT)
     return d;
@@ -429,6 +488,8 @@
     return false;
   if (!w->service)
     return true;
+  if (w->first_unseen && q->now_us < q->path->next_return_us)
+    return false;
   return (!w->packet.ack || !is_busy (q->path, r, q->now_us))
          && has_room (q->path, r, q->now_us)
          && !waits_for_warm_up (q->path, r, q->now_us);
@@ -464,7 +525,7 @@
 decide_dequeued (struct am_path *p, const struct am_queued_syn *w,
                  uint64_t now_us)
 {
-  struct am_decision d = open_flow (p, &w->packet, true, now_us);
+  struct am_decision d = open_flow (p, &w->packet, w, now_us);
 
   if (d.verdict != AM_VERDICT_WAIT)
     return d;
--- a/src/flow/packet_path.c
+++ b/src/flow/packet_path.c
@@ -44,6 +44,7 @@
   memset (p->rejected, 0, sizeof p->rejected);
   p->released = false;
   p->searched_us = 0;
+  p->next_return_us = 0;
   p->searched_version = 0;
   am_syn_queue_init (&p->queue, &am_syn_queue_fair);
 }
--- a/src/flow/packet_path.h
+++ b/src/flow/packet_path.h
@@ -37,7 +37,6 @@
 
 /* A caller abandons an attempt to open a flow this long after its first SYN,
    which it retransmits twice, 200 and 600 ms after the first transmission.  */
-#define AM_PATH_RETRANSMISSIONS 2
 #define AM_PATH_OPEN_TIMEOUT_US 1400000u
 #define AM_PATH_RETRANSMIT_1_US 200000u
 #define AM_PATH_RETRANSMIT_2_US 600000u
@@ -54,8 +53,9 @@
    has ended.  */
 #define AM_PATH_DEQUEUE_US 1000u
 
-/* Retransmitted SYNs wait while am_placement_load_per_slot of their service is
-   above this: one more request would have to queue at its target.  */
+/* Queued SYNs that were retransmitted wait while am_placement_load_per_slot of
+   their service is above this: one more request would have to queue at its
+   target.  */
 #define AM_PATH_LOAD_PER_SLOT_MAX 1.0
 
 /* A caller that has not been seen for this time is assumed not to be waiting
@@ -75,11 +75,14 @@
 
    PLACED            a target was selected for a new flow
    PLACED_ELSEWHERE  the same, a target in another data centre
-   PLACED_AGAIN      a target was selected for a retransmitted SYN that this
-                     VM has not forwarded before
+   PLACED_AGAIN      a target was selected for a retransmitted SYN whose first
+                     transmission this VM had queued
    SAME_TARGET       retransmitted SYN, forwarded to the same target
    SYN_UNANSWERED    the target of a retransmitted SYN has not answered: it may
                      have failed or be full
+   FIRST_SYN_UNSEEN  retransmitted SYN whose first transmission this VM has not
+                     received: another VM may have forwarded it
+   ALREADY_OPEN      SYN of a flow that has opened: it was read late
    TICKET            packet of a flow whose ticket identifies the target; also
                      any RST, which is dropped if its target is unknown
    NO_CONFIGURATION  no configuration is known yet
@@ -89,8 +92,8 @@
                      flows that it can
    WARMING_UP        each target that could accept a new flow warms up and has
                      reached its limit
-   BUSY              all slots of the service are in use, and this is a
-                     retransmitted SYN
+   BUSY              retransmitted SYN that waits until slots of the service
+                     are free
    NO_ROOM           this VM has its share of requests in progress, or other
                      SYNs wait for room
    OVERLOADED        there is no room for the SYN in the time that it may wait
@@ -107,6 +110,8 @@
   X (AM_REASON_PLACED_AGAIN, "placed_again")         \
   X (AM_REASON_SAME_TARGET, "same_target")           \
   X (AM_REASON_SYN_UNANSWERED, "syn_unanswered")     \
+  X (AM_REASON_FIRST_SYN_UNSEEN, "first_syn_unseen") \
+  X (AM_REASON_ALREADY_OPEN, "already_open")         \
   X (AM_REASON_TICKET, "ticket")                     \
   X (AM_REASON_NO_CONFIGURATION, "no_configuration") \
   X (AM_REASON_EVACUATED, "evacuated")               \
@@ -170,9 +175,11 @@
      priority of their routes.  */
   uint64_t waited[AM_ROUTE_PRIORITY_COUNT];
   uint64_t rejected[AM_ROUTE_PRIORITY_COUNT];
-  bool released;        /* a request of this VM ended since the last search of
-                           the queue */
-  uint64_t searched_us; /* last search of the queue that found nothing */
+  bool released; /* a request of this VM ended since the last search of
+                    the queue */
+  uint64_t next_return_us;   /* until then no queued SYN is reset for
+                                AM_REASON_FIRST_SYN_UNSEEN */
+  uint64_t searched_us;      /* last search of the queue that found nothing */
   uint64_t searched_version; /* of the configuration then */
   /* Set by the embedding program: live peers in the data centre, and the time
      since the load report of each, added up.  */
--- a/src/flow/syn_queue.c
+++ b/src/flow/syn_queue.c
@@ -138,18 +138,29 @@
   q->policy = policy;
 }
 
-static struct am_queued_syn *
-find (struct am_syn_queue *q, const struct am_packet *p)
+static bool
+is_same_attempt (const struct am_packet *a, const struct am_packet *b)
 {
-  for (size_t i = 0; i < q->count; i++)
-    {
-      const struct am_packet *w = &q->entries[i].packet;
+  return a->seq == b->seq && am_address_equal (a->caller, b->caller)
+         && am_address_equal (a->destination, b->destination);
+}
 
-      if (w->seq == p->seq && am_address_equal (w->caller, p->caller)
-          && am_address_equal (w->destination, p->destination))
-        return &q->entries[i];
-    }
-  return NULL;
+/* Returns the index of the entry of the attempt of P, or the number of entries
+   if there is none.  */
+static size_t
+find (const struct am_syn_queue *q, const struct am_packet *p)
+{
+  size_t i = 0;
+
+  while (i < q->count && !is_same_attempt (&q->entries[i].packet, p))
+    i++;
+  return i;
+}
+
+bool
+am_syn_queue_holds (const struct am_syn_queue *q, const struct am_packet *p)
+{
+  return find (q, p) < q->count;
 }
 
 /* Returns the entry that would leave last.  */
@@ -191,11 +202,13 @@
                   uint32_t service, uint32_t priority, const uint8_t *data,
                   size_t len, uint64_t now_us, uint64_t deadline_us)
 {
-  struct am_queued_syn *w = find (q, p);
+  size_t i = find (q, p);
+  struct am_queued_syn *w = i < q->count ? &q->entries[i] : NULL;
   struct am_queued_syn entry = { .packet = *p,
                                  .service = service,
                                  .priority = priority,
                                  .caller = caller_class (p->caller),
+                                 .first_unseen = p->ack != 0,
                                  .enqueued_us = now_us,
                                  .deadline_us = deadline_us,
                                  .len = len };
@@ -205,6 +218,7 @@
   memcpy (entry.data, data, len);
   if (w)
     {
+      entry.first_unseen = entry.first_unseen && w->first_unseen;
       entry.enqueued_us = w->enqueued_us;
       if (w->deadline_us < deadline_us)
         entry.deadline_us = w->deadline_us;
@@ -248,7 +262,8 @@
 is_alike (const struct am_queued_syn *a, const struct am_queued_syn *b)
 {
   return a->service == b->service && a->priority == b->priority
-         && !a->packet.ack == !b->packet.ack;
+         && !a->packet.ack == !b->packet.ack
+         && a->first_unseen == b->first_unseen;
 }
 
 static bool
--- a/src/flow/syn_queue.h
+++ b/src/flow/syn_queue.h
@@ -1,12 +1,10 @@
 /* Queue of SYNs that this VM holds back, and their order.
 
-   SYNs wait for two reasons.  After an outage callers retransmit what they
-   sent during it, which makes three to four times the usual load at once: a
-   first SYN can still be answered in time, a retransmission of an older SYN
-   cannot, so retransmissions wait until targets have free slots.  And while
-   callers want more than the targets can serve, first SYNs wait as well (see
-   flow/admission.h).  A SYN waits at most until its deadline, after which it
-   could not be served in time.
+   SYNs wait for the first configuration after the start of this VM, and while
+   callers want more than the targets can serve (see flow/admission.h).  One
+   that was retransmitted gives way to first transmissions, which can still be
+   answered in time: it waits until targets have free slots.  A SYN waits at
+   most until its deadline, after which it could not be served in time.
 
    In which order SYNs leave is the choice of a policy.  */
 
@@ -38,6 +36,7 @@
   uint32_t service;     /* hash by am_hash_name; 0: not known yet */
   uint32_t priority;    /* of its route; 0 is the highest */
   uint32_t caller;      /* class of its caller */
+  bool first_unseen;    /* its first transmission was not queued */
   uint64_t enqueued_us; /* of the first transmission queued */
   uint64_t deadline_us; /* leaves the queue at the latest */
   size_t len;
@@ -104,6 +103,10 @@
                       uint32_t service, uint32_t priority, const uint8_t *data,
                       size_t len, uint64_t now_us, uint64_t deadline_us);
 
+/* Returns true if a SYN of the same attempt as P is queued.  */
+bool am_syn_queue_holds (const struct am_syn_queue *q,
+                         const struct am_packet *p);
+
 /* Returns the number of SYNs of SERVICE that leave before one of PRIORITY of
    the caller of P with this deadline would.  */
 size_t am_syn_queue_ahead (const struct am_syn_queue *q,
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -112,12 +112,15 @@
    of the evacuated data centre, which alone has free slots.  */
 START_TEST (test_queued_syn_goes_elsewhere)
 {
+  struct am_target *t = add_target (&f, 1, NEAR);
   struct am_queued_syn w;
   struct am_decision d;
 
-  add_target (&f, 1, NEAR)->load.busy = 10;
-  add_target (&f, 2, FAR);
+  t->load.busy = t->load.recent = 10;
+  send_packet (&f, syn (1, 0));
+  f.now_us += 200 * MS;
   expect (send_packet (&f, syn (1, 1)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  add_target (&f, 2, FAR);
   evacuate (NEAR);
   ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
   ck_assert_int_eq (d.verdict, AM_VERDICT_FORWARD);
--- a/test/test_packet_path.c
+++ b/test/test_packet_path.c
@@ -161,6 +161,103 @@
 }
 END_TEST
 
+/* A SYN+ACK is lost, and the routers move the caller to another VM between the
+   two transmissions of its SYN.  Guards against one flow at two targets: the
+   second VM placed what it took for a new flow.  Its reset ends the attempt; a
+   caller whose flow has opened meanwhile ignores it.  */
+START_TEST (test_syn_of_another_vm_is_not_placed)
+{
+  struct flow_fixture other;
+  struct am_decision first;
+  struct am_decision d;
+
+  flow_begin (&other);
+  set_routes (&other, 1, 1);
+  for (uint64_t id = 1; id <= 20; id++)
+    {
+      add_target (&f, id, NEAR);
+      add_target (&other, id, NEAR);
+    }
+  for (uint16_t port = 1; port <= 20; port++)
+    {
+      first = send_packet (&f, syn (port, 0));
+      other.now_us = f.now_us + 200 * MS;
+      expect (send_packet (&other, syn (port, 1)), AM_VERDICT_RESET,
+              AM_REASON_FIRST_SYN_UNSEEN);
+      other.now_us += 400 * MS;
+      expect (send_packet (&other, syn (port, 2)), AM_VERDICT_RESET,
+              AM_REASON_FIRST_SYN_UNSEEN);
+      d = send_packet (&other, data (port, first.target->ticket, 1001, 0, 1));
+      expect (d, AM_VERDICT_FORWARD, AM_REASON_TICKET);
+      ck_assert_uint_eq (d.target->spec.id, first.target->spec.id);
+    }
+  ck_assert_uint_eq (other.path.queue.count, 0);
+  flow_end (&other);
+}
+END_TEST
+
+/* Guards against a SYN that a VM without a configuration, which has just
+   started, queues and places although another VM, or its own earlier process,
+   may have placed it.  */
+START_TEST (test_restarted_vm_does_not_place_a_retransmitted_syn)
+{
+  struct flow_fixture g;
+
+  flow_begin (&g);
+  add_target (&g, 1, NEAR);
+  expect (send_packet (&g, syn (1, 1)), AM_VERDICT_RESET,
+          AM_REASON_FIRST_SYN_UNSEEN);
+  ck_assert_uint_eq (g.path.queue.count, 0);
+  flow_end (&g);
+}
+END_TEST
+
+/* Guards against a retransmitted SYN that was read late, after its flow had
+   opened: the VM forgot the flow and placed it at another target, or reset
+   it.  A new attempt from the same port is placed.  */
+START_TEST (test_late_syn_of_an_open_flow_is_dropped)
+{
+  struct am_packet again;
+
+  for (uint64_t id = 1; id <= 20; id++)
+    add_target (&f, id, NEAR);
+  open_flow_at (&f, 1);
+  f.now_us += 200 * MS;
+  expect (send_packet (&f, syn (1, 1)), AM_VERDICT_DROP,
+          AM_REASON_ALREADY_OPEN);
+  send_packet (&f, data (1, am_target_ticket (1), 1001, 100, 1));
+  expect (send_packet (&f, syn (1, 2)), AM_VERDICT_DROP,
+          AM_REASON_ALREADY_OPEN);
+  ck_assert_uint_eq (f.path.flows.count, 1);
+  again = syn (1, 0);
+  again.seq = 0x80000000;
+  expect (send_packet (&f, again), AM_VERDICT_FORWARD, AM_REASON_PLACED);
+}
+END_TEST
+
+/* Two transmissions of a SYN wait in this VM's queue; room for it comes as the
+   third is read.  Guards against a flow that is placed twice: the third
+   transmission was placed while the second stayed in the queue.  */
+START_TEST (test_queued_syn_is_placed_once)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_queued_syn w;
+  struct am_decision d;
+
+  t->load.busy = t->load.recent = 10;
+  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_WAIT, AM_REASON_NO_ROOM);
+  f.now_us += 200 * MS;
+  expect (send_packet (&f, syn (1, 1)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  t->load.busy = t->load.recent = 0;
+  f.now_us += 400 * MS;
+  expect (send_packet (&f, syn (1, 2)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  ck_assert_uint_eq (f.path.queue.count, 1);
+  ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
+  expect (d, AM_VERDICT_FORWARD, AM_REASON_PLACED_AGAIN);
+  ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
+}
+END_TEST
+
 /* Guards against a new attempt at the target that did not answer the first
    one.  */
 START_TEST (test_attempt_after_a_reset_goes_to_another_target)
@@ -501,30 +598,47 @@
 }
 END_TEST
 
+/* A caller after an outage.  */
+struct attempt
+{
+  uint64_t asked_us; /* its first SYN */
+  unsigned count;    /* attempts so far */
+  bool fresh;        /* asks since the end of the outage */
+};
+
 /* A request at its target.  Each target serves two requests at a time, in
    order of arrival.  */
 struct work
 {
-  uint64_t sent_us;    /* first SYN; 0 if retransmitted */
+  struct attempt attempt;
   uint64_t arrived_us; /* at its target */
   uint64_t target;
   uint16_t port;
-  bool fresh; /* its SYN was not a retransmission */
   bool done;
 };
 
 #define WORK_MAX 4000
 #define TARGETS 5
 #define SERVICE_US (30 * MS)
+#define OBJECTIVE_MS 150
+#define ATTEMPTS_MAX 3
 
 static struct work work[WORK_MAX];
 static size_t work_count;
 
+/* By port; each attempt has its own.  */
+static struct attempt attempts[WORK_MAX];
+static uint16_t last_port;
+
+/* Callers whose attempt was reset: they return a millisecond later.  */
+static struct attempt returns[WORK_MAX];
+static size_t return_count;
+
 /* Completes the requests that are due at NOW_US and sends the acknowledgements
    of their callers to the path.  Returns the number of fresh requests that
-   were completed within LIMIT_US.  */
+   were completed within their objective.  */
 static unsigned
-finish_work (uint64_t now_us, uint64_t limit_us)
+finish_work (uint64_t now_us)
 {
   unsigned in_time = 0;
 
@@ -547,7 +661,8 @@
             break;
           *slot = start_us + SERVICE_US;
           w->done = true;
-          in_time += w->fresh && *slot - w->sent_us <= limit_us;
+          in_time += w->attempt.fresh
+                     && *slot - w->attempt.asked_us <= OBJECTIVE_MS * MS;
           f.now_us = now_us;
           send_packet (&f,
                        data (w->port, am_target_ticket (id), 1101, 0, 500));
@@ -557,53 +672,82 @@
 }
 
 static void
-begin_work (const struct am_packet *p, const struct am_decision *d,
-            uint64_t sent_us)
+begin_work (const struct am_packet *p, const struct am_decision *d)
 {
   struct work *w = &work[work_count++];
 
   ck_assert_uint_lt (work_count, WORK_MAX);
-  *w = (struct work){ .sent_us = sent_us,
+  *w = (struct work){ .attempt = attempts[p->caller.port],
                       .arrived_us = f.now_us,
                       .target = d->target->spec.id,
-                      .port = p->caller.port,
-                      .fresh = p->ack == 0 };
+                      .port = p->caller.port };
   send_packet (&f, data (p->caller.port, d->target->ticket, 1001, 0, 1));
   send_packet (&f, data (p->caller.port, d->target->ticket, 1001, 100, 1));
 }
 
 static void
-arrive (struct am_packet p, uint64_t sent_us, bool may_queue)
+note_decision (const struct am_packet *p, const struct am_decision *d)
 {
+  const struct attempt *a = &attempts[p->caller.port];
+
+  if (d->verdict == AM_VERDICT_FORWARD)
+    begin_work (p, d);
+  if (d->verdict == AM_VERDICT_RESET && a->count < ATTEMPTS_MAX)
+    returns[return_count++] = *a;
+}
+
+/* Sends the SYN of an attempt of A: the first transmission, or a later one
+   whose first was lost in the outage.  */
+static void
+arrive (struct attempt a, uint32_t retransmission)
+{
+  struct am_packet p = syn (++last_port, retransmission);
   struct am_decision d;
 
-  if (!may_queue && p.ack)
-    {
-      /* Bypasses the queue: the retransmission looks like a first SYN.  */
-      p.ack = 0;
-      d = send_packet (&f, p);
-      p.ack = 1;
-    }
-  else
-    d = send_packet (&f, p);
-  if (d.verdict == AM_VERDICT_FORWARD)
-    begin_work (&p, &d, sent_us);
+  ck_assert_uint_lt (last_port, WORK_MAX);
+  a.count++;
+  attempts[last_port] = a;
+  d = send_packet (&f, p);
+  note_decision (&p, &d);
+}
+
+static void
+return_callers (void)
+{
+  size_t n = return_count;
+  struct attempt due[WORK_MAX];
+
+  memcpy (due, returns, n * sizeof *due);
+  return_count = 0;
+  for (size_t i = 0; i < n; i++)
+    arrive (due[i], 0);
+}
+
+/* Sends a retransmission.  If callers do NOT_WAIT, each has been reset at once
+   and returns.  */
+static void
+arrive_again (uint32_t retransmission, bool not_wait)
+{
+  struct attempt a = { .count = not_wait };
+
+  arrive (a, not_wait ? 0 : retransmission);
 }
 
 /* Simulates the first second after an outage of 1.4 s: fresh SYNs at half the
    capacity of five targets of two slots, and with them the first
    retransmissions of the SYNs sent in the last 200 ms and the second ones of
    those sent in the 600 ms before.  Returns the number of fresh requests that
-   were completed within 150 ms.  */
+   were completed within their objective.  */
 static unsigned
-simulate_outage (bool may_queue)
+simulate_outage (bool not_wait)
 {
   unsigned in_time = 0;
-  uint16_t port = 1;
 
   flow_begin (&f);
-  set_routes (&f, 1, 1);
+  set_priorities (&f, OBJECTIVE_MS);
   work_count = 0;
+  return_count = 0;
+  last_port = 0;
   for (uint64_t id = 1; id <= TARGETS; id++)
     add_target (&f, id, NEAR);
   for (unsigned ms = 0; ms < 1500; ms++)
@@ -612,35 +756,35 @@
       struct am_decision d;
 
       f.now_us = START_US + ms * MS;
-      in_time += finish_work (f.now_us, 150 * MS);
+      in_time += finish_work (f.now_us);
       while (am_path_dequeue (&f.path, &w, &d, f.now_us))
-        if (d.verdict == AM_VERDICT_FORWARD)
-          begin_work (&w.packet, &d, 0);
+        note_decision (&w.packet, &d);
+      return_callers ();
       /* The capacity is 333 requests per second.  */
       if (ms % 6 == 0 && ms < 1000)
-        arrive (syn (port++, 0), f.now_us, may_queue);
+        arrive ((struct attempt){ .asked_us = f.now_us, .fresh = true }, 0);
       if (ms % 6 == 1 && ms < 200)
-        arrive (syn (port++, 1), 0, may_queue);
+        arrive_again (1, not_wait);
       if (ms % 6 == 2 && ms < 600)
-        arrive (syn (port++, 2), 0, may_queue);
+        arrive_again (2, not_wait);
       if (ms % 6 == 3 && ms < 600)
-        arrive (syn (port++, 2), 0, may_queue);
+        arrive_again (2, not_wait);
     }
   flow_end (&f);
   return in_time;
 }
 
-/* Guards against fresh requests that queue behind retransmissions which have
-   already missed their deadline.  Of 167 fresh requests, more are in time if
-   retransmissions wait.  */
+/* Guards against fresh requests that queue behind those of callers who return
+   at once after an outage, and have already missed their deadline.  Of 167
+   fresh requests, more are in time if retransmissions wait for free slots.  */
 START_TEST (test_retransmissions_wait_after_an_outage)
 {
   unsigned without;
   unsigned with;
 
   flow_end (&f);
-  without = simulate_outage (false);
-  with = simulate_outage (true);
+  without = simulate_outage (true);
+  with = simulate_outage (false);
   ck_assert_uint_gt (with, without);
   ck_assert_uint_ge (with, 150);
   begin ();
@@ -656,6 +800,8 @@
   struct am_decision d;
 
   t->load.busy = t->load.recent = 10;
+  send_packet (&f, syn (1, 0));
+  f.now_us += 600 * MS;
   expect (send_packet (&f, syn (1, 2)), AM_VERDICT_WAIT, AM_REASON_BUSY);
   f.now_us += 649 * MS;
   ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
@@ -665,22 +811,64 @@
 }
 END_TEST
 
+/* Two callers, of whose SYNs the first transmissions did not reach this VM,
+   wait until slots are free.  Guards against a SYN that is placed then, and
+   against callers that are told to return all at once.  */
+START_TEST (test_unseen_syns_wait_and_are_reset_in_turn)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_queued_syn w;
+  struct am_decision d;
+
+  am_service_stats_add_response (&f.path.service_stats, ORDERS, 30 * MS,
+                                 f.now_us);
+  t->load.busy = t->load.recent = 10;
+  for (uint16_t port = 1; port <= 2; port++)
+    expect (send_packet (&f, syn (port, 1)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
+  t->load.busy = t->load.recent = 0;
+  f.now_us += 1 * MS;
+  ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
+  expect (d, AM_VERDICT_RESET, AM_REASON_FIRST_SYN_UNSEEN);
+  ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
+  f.now_us += 30 * MS;
+  ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
+  expect (d, AM_VERDICT_RESET, AM_REASON_FIRST_SYN_UNSEEN);
+  ck_assert_uint_eq (f.path.flows.count, 0);
+}
+END_TEST
+
+/* Guards against a SYN that is not placed because a retransmission of it was
+   read first: links reorder.  */
+START_TEST (test_first_syn_after_its_retransmission_is_placed)
+{
+  struct am_target *t = add_target (&f, 1, NEAR);
+  struct am_queued_syn w;
+  struct am_decision d;
+
+  t->load.busy = t->load.recent = 10;
+  expect (send_packet (&f, syn (1, 1)), AM_VERDICT_WAIT, AM_REASON_BUSY);
+  expect (send_packet (&f, syn (1, 0)), AM_VERDICT_WAIT, AM_REASON_NO_ROOM);
+  t->load.busy = t->load.recent = 0;
+  f.now_us += 1 * MS;
+  ck_assert (am_path_dequeue (&f.path, &w, &d, f.now_us));
+  expect (d, AM_VERDICT_FORWARD, AM_REASON_PLACED);
+  ck_assert (!am_path_dequeue (&f.path, &w, &d, f.now_us));
+}
+END_TEST
+
 /* Guards against a caller that waits for its time-out although its SYN cannot
-   be queued and is its last one.  An earlier one is dropped: it comes again.
- */
-START_TEST (test_last_syn_is_reset_if_queue_is_full)
+   be queued.  */
+START_TEST (test_syn_is_reset_if_queue_is_full)
 {
   struct flow_fixture g;
-  struct am_decision d;
 
   flow_begin (&g);
   for (uint16_t i = 0; i < AM_SYN_QUEUE_MAX; i++)
     ck_assert_int_eq (send_packet (&g, syn ((uint16_t)(1000 + i), 0)).verdict,
                       AM_VERDICT_WAIT);
-  ck_assert_int_eq (send_packet (&g, syn (1, 1)).verdict, AM_VERDICT_DROP);
-  d = send_packet (&g, syn (1, 2));
-  ck_assert_int_eq (d.verdict, AM_VERDICT_RESET);
-  ck_assert_int_eq (d.reason, AM_REASON_NO_CONFIGURATION);
+  expect (send_packet (&g, syn (1, 0)), AM_VERDICT_RESET,
+          AM_REASON_NO_CONFIGURATION);
   flow_end (&g);
 }
 END_TEST
@@ -713,6 +901,10 @@
   struct am_queued_syn w;
   struct am_decision d;
 
+  t->load.busy = t->load.recent = 10;
+  send_packet (&f, syn (1, 0));
+  f.now_us += 600 * MS;
+  t->load.busy = t->load.recent = 0;
   t->peers_load.busy = 10;
   expect (send_packet (&f, syn (1, 2)), AM_VERDICT_WAIT, AM_REASON_BUSY);
   f.now_us += 649 * MS;
@@ -738,6 +930,10 @@
   tcase_add_test (tc, test_flow_of_removed_target_is_reset);
   tcase_add_test (tc, test_removed_target_that_answers_keeps_its_flow);
   tcase_add_test (tc, test_lost_syn_ack_leaves_one_target);
+  tcase_add_test (tc, test_syn_of_another_vm_is_not_placed);
+  tcase_add_test (tc, test_restarted_vm_does_not_place_a_retransmitted_syn);
+  tcase_add_test (tc, test_late_syn_of_an_open_flow_is_dropped);
+  tcase_add_test (tc, test_queued_syn_is_placed_once);
   tcase_add_test (tc, test_attempt_after_a_reset_goes_to_another_target);
   tcase_add_test (tc, test_retransmission_goes_to_a_working_target_again);
   tcase_add_test (tc, test_retransmission_is_not_sent_to_a_draining_target);
@@ -755,7 +951,9 @@
   tcase_add_test (tc, test_queued_syn_is_sent_before_its_attempt_times_out);
   tcase_add_test (tc, test_syns_of_the_start_wait_for_room);
   tcase_add_test (tc, test_queued_syn_is_reset_without_room);
-  tcase_add_test (tc, test_last_syn_is_reset_if_queue_is_full);
+  tcase_add_test (tc, test_unseen_syns_wait_and_are_reset_in_turn);
+  tcase_add_test (tc, test_first_syn_after_its_retransmission_is_placed);
+  tcase_add_test (tc, test_syn_is_reset_if_queue_is_full);
   tcase_add_test (tc, test_syn_without_configuration_is_reset_in_time);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
