Compact the replica after a listing, not within its loop

am_replica_list_end kept the next item while each removal compacted the replica, which may free just that item: with 2,048 tombstones, if an item whose older neighbour is the oldest tombstone is missing from a listing.

The replica is compacted once the loop has ended. The other loops of src/flow, src/entry and src/net that keep the next element while they call back free none but the current one.

test_listing_frees_the_oldest_tombstone fails before under the sanitizers.

--- a/src/flow/replica.c
+++ b/src/flow/replica.c
@@ -102,7 +102,8 @@
     }
 }
 
-/* Updates I, which takes ownership of VALUE, and reports the change.  */
+/* Updates I, which takes ownership of VALUE, and reports the change.  The
+   caller compacts R afterwards.  */
 static void
 set (struct am_replica *r, struct am_replica_item *i, uint8_t *value,
      size_t len, uint64_t revision, bool removed)
@@ -115,7 +116,6 @@
   i->removed = removed;
   insert_by_revision (r, i);
   r->changed (r->userdata, i);
-  compact (r);
 }
 
 int
@@ -145,6 +145,7 @@
     }
   i->listed = true;
   set (r, i, copy, value_len, revision, false);
+  compact (r);
   return AM_OK;
 }
 
@@ -161,6 +162,7 @@
   if (!i)
     return AM_E_MEMORY;
   set (r, i, NULL, 0, revision, true);
+  compact (r);
   return AM_OK;
 }
 
@@ -193,6 +195,7 @@
                      node) if (!i->listed && !i->removed
                                && i->revision <= revision)
       set (r, i, NULL, 0, revision, true);
+  compact (r);
   /* Removals of items that were written and removed before the listing are
      not known here.  */
   if (revision > r->revision)
--- a/test/test_replica.c
+++ b/test/test_replica.c
@@ -135,6 +135,28 @@
 }
 END_TEST
 
+/* An item is missing from a listing, and its older neighbour is the oldest of
+   as many tombstones as are kept.  Guards against use of that neighbour after
+   it was freed, which the sanitizers report.  */
+START_TEST (test_listing_frees_the_oldest_tombstone)
+{
+  char key[16];
+  uint64_t revision = 1;
+
+  remove_key ("oldest", revision++);
+  write_key ("missing", "value", revision++);
+  for (unsigned i = 1; i < AM_REPLICA_TOMBSTONES_MAX; i++)
+    {
+      snprintf (key, sizeof key, "t%u", i);
+      remove_key (key, revision++);
+    }
+  am_replica_list_begin (&r);
+  am_replica_list_end (&r, revision);
+  ck_assert_ptr_null (am_replica_find (&r, "missing"));
+  ck_assert_uint_eq (r.tombstone_count, AM_REPLICA_TOMBSTONES_MAX);
+}
+END_TEST
+
 /* Guards against replicas that differ although they applied the same changes,
    in another order and some of them twice.  */
 START_TEST (test_any_order_gives_same_replica)
@@ -230,6 +252,7 @@
   tcase_add_test (tc, test_dropped_tombstones_are_reported);
   tcase_add_test (tc, test_listing_sets_compaction_revision);
   tcase_add_test (tc, test_newest_items);
+  tcase_add_test (tc, test_listing_frees_the_oldest_tombstone);
   tcase_add_loop_test (tc, test_any_order_gives_same_replica, 0, 50);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
