--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -2,6 +2,7 @@
 
 #include <cyaml/cyaml.h>
 #include <limits.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,11 +41,20 @@
   unsigned seeds_count;
   uint32_t stop_s;
   double link_mbps;
-  double *warm_up_overage;
-  double warm_up_slack;
+  char *warm_up_overage;
+  char *warm_up_slack;
   uint32_t *crossing_cost_ms;
 };
 
+/* What a template begins a placeholder with.  One that it did not fill in
+   states nothing.  */
+#define PLACEHOLDER "{{"
+
+/* A number that may be empty: templates have no way to leave a line out.  */
+#define NUMBER(type, member)                                                 \
+  CYAML_FIELD_STRING_PTR (#member, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, \
+                          type, member, 0, PATH_MAX)
+
 #define TEXT(flags, type, member)                                      \
   CYAML_FIELD_STRING_PTR (#member, CYAML_FLAG_POINTER | (flags), type, \
                           member, 1, PATH_MAX)
@@ -72,14 +82,11 @@
                         AM_ENTRY_SEEDS_MAX),
   CYAML_FIELD_FLOAT ("link_mbps", CYAML_FLAG_OPTIONAL, struct file, link_mbps),
   CYAML_FIELD_UINT ("stop_s", CYAML_FLAG_OPTIONAL, struct file, stop_s),
-  CYAML_FIELD_FLOAT_PTR ("warm_up_overage",
-                         CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct file,
-                         warm_up_overage),
+  NUMBER (struct file, warm_up_overage),
+  NUMBER (struct file, warm_up_slack),
   CYAML_FIELD_UINT_PTR ("crossing_cost_ms",
                         CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct file,
                         crossing_cost_ms),
-  CYAML_FIELD_FLOAT ("warm_up_slack", CYAML_FLAG_OPTIONAL, struct file,
-                     warm_up_slack),
   CYAML_FIELD_END
 };
 
@@ -121,21 +128,38 @@
   return err;
 }
 
+/* Returns true if TEXT, which may be NULL, states a number.  */
+static bool
+is_stated (const char *text)
+{
+  return text && *text && strncmp (text, PLACEHOLDER, strlen (PLACEHOLDER));
+}
+
+/* Sets *X to the number that TEXT states, if it states one.  Returns AM_OK, or
+   AM_E_FIELD_VALUE if it is no finite number.  */
+static int
+read_number (double *x, const char *text)
+{
+  char *end;
+
+  if (!is_stated (text))
+    return AM_OK;
+  *x = strtod (text, &end);
+  return *end || !isfinite (*x) ? AM_E_FIELD_VALUE : AM_OK;
+}
+
 static int
 read_warm_up (struct am_warm_up_bounds *b, const struct file *file,
               struct am_fault *f)
 {
-  if (file->warm_up_slack < 0)
+  if (read_number (&b->slack, file->warm_up_slack) || b->slack < 0)
     return am_fault_set (f, AM_E_FIELD_RANGE, "warm_up_slack",
                          "requests, 0 or more");
-  if (!file->warm_up_overage)
-    return AM_OK;
-  if (*file->warm_up_overage <= 0)
+  b->stated = is_stated (file->warm_up_overage);
+  if (read_number (&b->overage, file->warm_up_overage)
+      || (b->stated && b->overage <= 0))
     return am_fault_set (f, AM_E_FIELD_RANGE, "warm_up_overage",
                          "factor, more than 0");
-  b->stated = true;
-  b->overage = *file->warm_up_overage;
-  b->slack = file->warm_up_slack;
   return AM_OK;
 }
 
