Leave a watch that takes longer than a listing

Cause: a watch returns each version in full. It had 1.4 s for its wait and the whole response, timed out, and was repeated from the same revision until the store's history was gone. A page of a listing had 1.5 s, however wide the link.

Change: a call to the store has a limit until its response begins, one between two reads, and one for the whole, which follows from the bytes that may come and from the VM's link (entry/store_limits). A response that states more bytes than a listing, and than the link carries in half a second, is left for a listing, and so is a watch that times out after its response began. The replica counts the bytes of its items, which tell how long a listing takes.

test_bad_servers expected that a body of 100 MB is refused once the server closes the connection; it is refused at once now, also if the server does not.

--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -4,18 +4,12 @@
 
 #include "base/error.h"
 #include "entry/entry.h"
+#include "entry/store_limits.h"
 #include "io/clock.h"
 
 /* Reads the store: a listing of all items, then watches for changes after its
    revision.  */
 
-/* The store ends a watch without changes after WATCH_MS.  A connection may
-   fail without a reset; with WATCH_TIMEOUT_MS this is detected within 1.7 s,
-   soon enough for changes of the configuration to become active in time.  */
-#define WATCH_MS 800
-#define WATCH_TIMEOUT_MS 1400
-#define LIST_TIMEOUT_MS 1500
-
 /* Pause between two watches: the platform charges for each call, and changes
    come in groups.  It is short compared with the seconds within which a change
    must be active.  */
@@ -231,6 +225,7 @@
 list (struct am_entry *e)
 {
   struct am_entry_reader *r = &e->reader;
+  struct am_http_limits limits;
   char path[AM_HTTP_PATH_SIZE];
 
   if (!r->listing)
@@ -246,7 +241,8 @@
                          r->list_stale);
   r->call = list_calls[kinds[r->list_step]];
   r->call_begin_us = am_clock_us ();
-  am_http_get (&r->client, path, LIST_TIMEOUT_MS, on_list, e);
+  limits = am_store_list_limits (e->settings.link_mbps);
+  am_http_get_within (&r->client, path, &limits, on_list, e);
 }
 
 /* ---- watch -------------------------------------------------------- */
@@ -263,9 +259,17 @@
   return apply_item (e, i);
 }
 
-/* The changes that a watch cannot deliver, as the store has discarded them or
-   another writer has left more than fits into a response, are listed, which
-   takes several responses.  */
+/* Returns true if the changes have to be listed, as a watch from the same
+   revision would end like the one that ended with A and ERR: the store has
+   discarded them, or they are more than a listing or than the link carries in
+   time.  */
+static bool
+must_list (const struct am_http_answer *a, int err)
+{
+  return err == AM_E_EXPIRED || err == AM_E_TOO_LARGE
+         || (err == AM_E_TIMEOUT && a->begun);
+}
+
 static void
 on_watch (void *userdata, const struct am_http_answer *a)
 {
@@ -280,7 +284,7 @@
                                       a->body_len, apply_event, e);
   am_store_calls_add (&e->reader.calls, e->reader.call,
                       am_store_outcome_of (err));
-  if (err == AM_E_EXPIRED || err == AM_E_TOO_LARGE)
+  if (must_list (a, err))
     {
       am_line_log_add (&e->log, AM_LINE_STATE, now_us, "%s revision=%" PRIu64,
                        err == AM_E_EXPIRED ? "history-expired"
@@ -307,12 +311,15 @@
   char path[AM_HTTP_PATH_SIZE];
   /* The response to the first watch of a VM that becomes a reader confirms the
      replica.  Its peers wait for that, and would read themselves.  */
-  uint32_t wait_ms = e->reader.active ? WATCH_MS : 0;
+  uint32_t wait_ms = e->reader.active ? AM_STORE_WATCH_MS : 0;
+  struct am_http_limits limits = am_store_watch_limits (
+      e->settings.link_mbps,
+      am_store_listing_bytes (e->replica.item_count, e->replica.item_bytes));
 
   e->reader.watch_after = e->replica.revision;
   e->adapter->watch_path (path, sizeof path, e->replica.revision, wait_ms);
   e->reader.call = AM_STORE_CALL_WATCH;
-  am_http_get (&e->reader.client, path, WATCH_TIMEOUT_MS, on_watch, e);
+  am_http_get_within (&e->reader.client, path, &limits, on_watch, e);
 }
 
 static void
--- a/src/flow/replica.c
+++ b/src/flow/replica.c
@@ -20,11 +20,39 @@
   r->userdata = userdata;
 }
 
+/* Adds I to the counts of R, or takes it off.  */
 static void
-item_free (struct am_replica *r, struct am_replica_item *i)
+count (struct am_replica *r, struct am_replica_item *i)
+{
+  i->counted = true;
+  if (i->removed)
+    {
+      r->tombstone_count++;
+      return;
+    }
+  r->item_count++;
+  r->item_bytes += i->key_len + i->value_len;
+}
+
+static void
+uncount (struct am_replica *r, struct am_replica_item *i)
 {
+  if (!i->counted)
+    return;
+  i->counted = false;
   if (i->removed)
-    r->tombstone_count--;
+    {
+      r->tombstone_count--;
+      return;
+    }
+  r->item_count--;
+  r->item_bytes -= i->key_len + i->value_len;
+}
+
+static void
+item_free (struct am_replica *r, struct am_replica_item *i)
+{
+  uncount (r, i);
   am_list_remove (&i->bucket);
   am_list_remove (&i->node);
   free (i->value);
@@ -108,12 +136,13 @@
 set (struct am_replica *r, struct am_replica_item *i, uint8_t *value,
      size_t len, uint64_t revision, bool removed)
 {
-  r->tombstone_count += (size_t)removed - (size_t)i->removed;
+  uncount (r, i);
   free (i->value);
   i->value = value;
   i->value_len = len;
   i->revision = revision;
   i->removed = removed;
+  count (r, i);
   insert_by_revision (r, i);
   r->changed (r->userdata, i);
 }
--- a/src/flow/replica.h
+++ b/src/flow/replica.h
@@ -31,6 +31,7 @@
   struct am_list node;   /* in am_replica.by_revision, newest first */
   uint64_t revision;     /* of its last change */
   bool removed;          /* it is a tombstone */
+  bool counted;          /* in the counts of the replica */
   bool listed;           /* returned by the listing in progress */
   size_t key_len;        /* bytes, without the NUL */
   size_t value_len;      /* bytes */
@@ -50,6 +51,8 @@
   uint64_t revision; /* complete up to this revision; 0: empty so far */
   uint64_t compaction_revision; /* removals up to it may be missing here */
   size_t tombstone_count;
+  size_t item_count; /* items that are no tombstones */
+  size_t item_bytes; /* their keys and values */
   am_replica_changed changed;
   void *userdata;
 };
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include <http_parser.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,7 +29,10 @@
   uint8_t *body; /* owned */
   size_t body_len;
   size_t body_size;
+  struct am_http_limits limits;
+  uint64_t end_ms; /* of the loop's clock; the answer must be there then */
   int error;
+  bool begun;
   bool complete;
   bool reusable; /* for another call */
 };
@@ -104,7 +108,7 @@
 fail (struct am_http_connection *n, int error)
 {
   struct am_http_client *c = n->client;
-  struct am_http_answer a = { .error = error };
+  struct am_http_answer a = { .error = error, .begun = n->begun };
 
   if (!c)
     return;
@@ -132,12 +136,24 @@
   return AM_OK;
 }
 
+static int
+on_headers_complete (http_parser *p)
+{
+  struct am_http_connection *n = p->data;
+  bool stated = p->content_length != ULLONG_MAX;
+
+  if (!stated || p->content_length <= n->limits.body_max)
+    return 0;
+  n->error = AM_E_TOO_LARGE;
+  return -1;
+}
+
 static int
 on_body (http_parser *p, const char *data, size_t len)
 {
   struct am_http_connection *n = p->data;
 
-  if (n->body_len + len > AM_HTTP_BODY_MAX)
+  if (n->body_len + len > n->limits.body_max)
     n->error = AM_E_TOO_LARGE;
   else
     n->error = reserve_body (n, n->body_len + len + 1);
@@ -160,7 +176,9 @@
 }
 
 static const http_parser_settings parser_settings
-    = { .on_body = on_body, .on_message_complete = on_message_complete };
+    = { .on_headers_complete = on_headers_complete,
+        .on_body = on_body,
+        .on_message_complete = on_message_complete };
 
 /* The whole answer is here.  */
 static void
@@ -168,7 +186,8 @@
 {
   struct am_http_client *c = n->client;
   struct am_http_answer a
-      = { .status = (int)n->parser.status_code,
+      = { .begun = true,
+          .status = (int)n->parser.status_code,
           .body = n->body_len ? n->body : (const uint8_t *)"",
           .body_len = n->body_len };
   uint8_t *body = n->body;
@@ -198,6 +217,26 @@
 
 /* ---- connection --------------------------------------------------- */
 
+static void
+on_timeout (uv_timer_t *timer)
+{
+  struct am_http_connection *n = connection_of (timer->data);
+
+  fail (n, AM_E_TIMEOUT);
+}
+
+/* Gives the call of N another WAIT_MS, but not more than is left of its whole
+   time.  */
+static void
+restart_timer (struct am_http_connection *n, uint32_t wait_ms)
+{
+  uint64_t now_ms = uv_now (n->end.timer.loop);
+  uint64_t left_ms = n->end_ms > now_ms ? n->end_ms - now_ms : 0;
+
+  uv_timer_start (&n->end.timer, on_timeout,
+                  wait_ms < left_ms ? wait_ms : left_ms, 0);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
@@ -206,9 +245,13 @@
   if (!n->client || len == 0)
     return;
   if (len < 0 || !am_http_client_busy (n->client))
-    fail (n, AM_E_CONNECTION);
-  else
-    parse (n, buf->base, (size_t)len);
+    {
+      fail (n, AM_E_CONNECTION);
+      return;
+    }
+  n->begun = true;
+  restart_timer (n, n->limits.stall_ms);
+  parse (n, buf->base, (size_t)len);
 }
 
 static void
@@ -249,14 +292,6 @@
   send_request (n);
 }
 
-static void
-on_timeout (uv_timer_t *timer)
-{
-  struct am_http_connection *n = connection_of (timer->data);
-
-  fail (n, AM_E_TIMEOUT);
-}
-
 static struct am_http_connection *
 connection_new (struct am_http_client *c)
 {
@@ -289,6 +324,7 @@
   n->parser.data = n;
   n->body_len = 0;
   n->error = AM_OK;
+  n->begun = false;
   n->complete = false;
 }
 
@@ -308,23 +344,35 @@
 
 /* Sends the request that C's connection holds.  */
 static void
-start_call (struct am_http_client *c, uint32_t timeout_ms, am_http_done done,
-            void *userdata)
+start_call (struct am_http_client *c, const struct am_http_limits *limits,
+            am_http_done done, void *userdata)
 {
   struct am_http_connection *n = c->connection;
 
   c->done = done;
   c->userdata = userdata;
-  uv_timer_start (&n->end.timer, on_timeout, timeout_ms, 0);
+  n->limits = *limits;
+  n->end_ms = uv_now (c->loop) + limits->total_ms;
+  restart_timer (n, limits->begin_ms);
   if (n->connected)
     send_request (n);
   else if (connect_to (n, c->server))
     uv_timer_start (&n->end.timer, on_timeout, 0, 0);
 }
 
+static struct am_http_limits
+limits_of_timeout (uint32_t timeout_ms)
+{
+  return (struct am_http_limits){ .begin_ms = timeout_ms,
+                                  .stall_ms = timeout_ms,
+                                  .total_ms = timeout_ms,
+                                  .body_max = AM_HTTP_BODY_MAX };
+}
+
 int
-am_http_get (struct am_http_client *c, const char *path, uint32_t timeout_ms,
-             am_http_done done, void *userdata)
+am_http_get_within (struct am_http_client *c, const char *path,
+                    const struct am_http_limits *limits, am_http_done done,
+                    void *userdata)
 {
   char address[AM_ADDRESS_TEXT_SIZE];
   int err = begin_call (c);
@@ -335,16 +383,26 @@
       = (size_t)snprintf (c->connection->request, REQUEST_SIZE,
                           "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
                           am_address_format (c->server, address));
-  start_call (c, timeout_ms, done, userdata);
+  start_call (c, limits, done, userdata);
   return AM_OK;
 }
 
+int
+am_http_get (struct am_http_client *c, const char *path, uint32_t timeout_ms,
+             am_http_done done, void *userdata)
+{
+  struct am_http_limits limits = limits_of_timeout (timeout_ms);
+
+  return am_http_get_within (c, path, &limits, done, userdata);
+}
+
 int
 am_http_post (struct am_http_client *c, const char *path, const char *body,
               uint32_t timeout_ms, am_http_done done, void *userdata)
 {
   char address[AM_ADDRESS_TEXT_SIZE];
   size_t len = strlen (body);
+  struct am_http_limits limits = limits_of_timeout (timeout_ms);
   int err;
 
   if (len > AM_HTTP_SENT_BODY_MAX)
@@ -357,6 +415,6 @@
       "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n%s",
       path, am_address_format (c->server, address), len, body);
-  start_call (c, timeout_ms, done, userdata);
+  start_call (c, &limits, done, userdata);
   return AM_OK;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,10 +26,20 @@
 #define AM_HTTP_PATH_SIZE 1024
 #define AM_HTTP_SENT_BODY_MAX 1024
 
+/* How long a call may take, and how large its answer may be.  */
+struct am_http_limits
+{
+  uint32_t begin_ms; /* until the first bytes of the answer */
+  uint32_t stall_ms; /* between two reads of it */
+  uint32_t total_ms; /* until the whole answer is there */
+  size_t body_max;   /* bytes; at most AM_HTTP_BODY_MAX */
+};
+
 struct am_http_answer
 {
   int error;           /* AM_OK, AM_E_CONNECTION, AM_E_TIMEOUT, AM_E_FORMAT,
                           AM_E_TOO_LARGE or AM_E_MEMORY */
+  bool begun;          /* some of the answer was read */
   int status;          /* of HTTP; 0 on an error */
   const uint8_t *body; /* valid during the call; a NUL follows it */
   size_t body_len;
@@ -62,9 +72,16 @@
    server's host may not answer at all.  */
 bool am_http_client_connecting (const struct am_http_client *c);
 
-/* Sends GET PATH.  DONE is called once, within TIMEOUT_MS, and may begin the
-   next call.  Returns AM_OK, AM_E_STATE if a call is in progress, or
-   AM_E_MEMORY.  */
+/* Sends GET PATH.  DONE is called once, within the times of LIMITS, and may
+   begin the next call.  An answer that states a larger body than LIMITS allow
+   is not read: the error is AM_E_TOO_LARGE.  Returns AM_OK, AM_E_STATE if a
+   call is in progress, or AM_E_MEMORY.  */
+int am_http_get_within (struct am_http_client *c, const char *path,
+                        const struct am_http_limits *limits, am_http_done done,
+                        void *userdata);
+
+/* Sends GET PATH; the whole answer, of any size up to AM_HTTP_BODY_MAX, has to
+   come within TIMEOUT_MS.  Otherwise as am_http_get_within.  */
 int am_http_get (struct am_http_client *c, const char *path,
                  uint32_t timeout_ms, am_http_done done, void *userdata);
 
--- a/test/test_replica.c
+++ b/test/test_replica.c
@@ -103,6 +103,29 @@
 }
 END_TEST
 
+/* Guards against counts of the items that drift from what is kept: they tell
+   how long a listing takes.  */
+START_TEST (test_items_are_counted)
+{
+  write_key ("a", "123", 1);
+  write_key ("b", "1", 2);
+  write_key ("a", "12345", 3);
+  ck_assert_uint_eq (r.item_count, 2);
+  ck_assert_uint_eq (r.item_bytes, 8);
+  remove_key ("a", 4);
+  remove_key ("c", 5);
+  ck_assert_uint_eq (r.item_count, 1);
+  ck_assert_uint_eq (r.item_bytes, 2);
+  write_key ("a", "", 6);
+  ck_assert_uint_eq (r.item_count, 2);
+  am_replica_list_begin (&r);
+  am_replica_list_end (&r, 9);
+  ck_assert_uint_eq (r.item_count, 0);
+  ck_assert_uint_eq (r.item_bytes, 0);
+  ck_assert_uint_eq (r.tombstone_count, 3);
+}
+END_TEST
+
 /* Guards against a peer that misses removals because their tombstones were
    dropped here.  */
 START_TEST (test_dropped_tombstones_are_reported)
@@ -252,6 +275,7 @@
   tcase_add_test (tc, test_dropped_tombstones_are_reported);
   tcase_add_test (tc, test_listing_sets_compaction_revision);
   tcase_add_test (tc, test_newest_items);
+  tcase_add_test (tc, test_items_are_counted);
   tcase_add_test (tc, test_listing_frees_the_oldest_tombstone);
   tcase_add_loop_test (tc, test_any_order_gives_same_replica, 0, 50);
   suite_add_tcase (suite, tc);
