Take a bound that the platform does not state as not stated

No VM started, as the template's text for a bound that is not stated is "null", not "", and the settings refused it.

--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -47,8 +47,9 @@
 };
 
 /* What a template begins a placeholder with.  One that it did not fill in
-   states nothing.  */
+   states nothing, and nor does what JSON has for no value.  */
 #define PLACEHOLDER "{{"
+#define NO_VALUE "null"
 
 /* A number that may be empty: templates have no way to leave a line out.  */
 #define NUMBER(type, member)                                                 \
@@ -132,7 +133,8 @@
 static bool
 is_stated (const char *text)
 {
-  return text && *text && strncmp (text, PLACEHOLDER, strlen (PLACEHOLDER));
+  return text && *text && strcmp (text, NO_VALUE) != 0
+         && strncmp (text, PLACEHOLDER, strlen (PLACEHOLDER)) != 0;
 }
 
 /* Sets *X to the number that TEXT states, if it states one.  Returns AM_OK, or
