Ask peers for members that this VM does not know

Several could take themselves for the admitter of a cold target.

Cause: a VM learns of others from a pull, or from a digest that one sends it. One that lists the store, or pulls early, learns of few, and asked again only while it knew no live peer.

Change: a digest tells how many VMs of its data centre the sender knows to live. A VM that has known fewer for a while, 0.25 s at its start and up to 5 s later, asks the peer that knows the most; its answer names them, and the VM introduces itself to each.

A digest is two bytes longer.

--- a/src/entry/digest_receive.c
+++ b/src/entry/digest_receive.c
@@ -68,6 +68,7 @@
   p->revision = d->revision;
   p->compaction_revision = d->horizon;
   p->configuration = d->configuration;
+  p->local_vms = d->local_vms;
   p->interval_us = reported_interval_us (d);
   am_peer_set_link_mbps (p, d->link_mbps);
   p->reads = d->reads;
--- a/src/entry/digest_send.c
+++ b/src/entry/digest_send.c
@@ -108,6 +108,7 @@
   d->message.link_mbps = e->fleet.link_mbps;
   d->message.reads = e->reader.active;
   d->message.loads_omitted = true;
+  d->message.local_vms = (uint32_t)e->path.peers + 1;
   if (am_revision_era (e->replica.revision))
     d->message.configuration = e->routes.active.version;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -163,7 +163,9 @@
   struct am_digest_schedule digest_schedule; /* digest_send.c */
   am_revision changes_revision; /* up to which changes were sent in digests */
   uint64_t behind_us; /* since when a peer is known to be ahead; 0: none is */
-  uint64_t pull_delay_us;    /* random share of the delay of the next pull */
+  uint64_t pull_delay_us;      /* random share of the delay of the next pull */
+  uint64_t members_missing_us; /* since when a peer knows VMs that this VM does
+                                  not; 0: none does */
   uint64_t members_asked_us; /* last pull for the members that a source knows;
                              0: none yet */
 
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -69,7 +69,8 @@
    am_entry_pull requests changes from a peer with a higher revision;
    am_entry_pull_from_source requests all items from a supplier or a seed while
    the replica is empty.  am_entry_pull_members asks one for the members of the
-   fleet while no peer of this data centre is alive.  None has an effect while
+   fleet while no peer of this data centre is alive, and a peer that knows more
+   of them while there is one.  None has an effect while
    a request is in progress.  */
 int am_entry_changes_apply (struct am_entry *e, const uint8_t *body,
                             size_t len, uint64_t now_us);
--- a/src/entry/pull.c
+++ b/src/entry/pull.c
@@ -15,8 +15,8 @@
    another one may.  */
 #define SOURCE_TIMEOUT_MS 400
 
-/* A VM without a live peer asks the sources for members at this interval,
-   which grows with the time since its start.  */
+/* A VM that knows no live peer, or fewer than one of its peers does, asks for
+   members at this interval, which grows with the time since its start.  */
 #define MEMBERS_INTERVAL_MIN_US 250000u
 #define MEMBERS_INTERVAL_MAX_US 5000000u
 
@@ -252,11 +252,12 @@
     pull_from (e, source, e->replica.revision);
 }
 
+/* Returns the interval of requests for members at the time AT_US, 0 if there
+   has been none.  */
 static uint64_t
-members_interval_us (const struct am_entry *e)
+members_interval_us (const struct am_entry *e, uint64_t at_us)
 {
-  uint64_t interval
-      = e->members_asked_us ? (e->members_asked_us - e->started_us) / 2 : 0;
+  uint64_t interval = at_us ? (at_us - e->started_us) / 2 : 0;
 
   if (interval < MEMBERS_INTERVAL_MIN_US)
     return MEMBERS_INTERVAL_MIN_US;
@@ -264,17 +265,41 @@
                                             : MEMBERS_INTERVAL_MAX_US;
 }
 
-/* A VM that has listed the store knows its suppliers at most.  The response of
-   a source names the VMs that it knows.  */
+/* Returns a peer that knows VMs which this VM does not, once it has done so
+   for a while: VMs that start together learn of each other one by one, and do
+   not notice at the same time that one has gone.  */
+static struct am_peer *
+members_source (struct am_entry *e, uint64_t now_us)
+{
+  uint64_t wait_us = members_interval_us (e, now_us);
+  struct am_peer *p
+      = am_fleet_members_source (&e->fleet, e->path.peers + 1, now_us);
+
+  if (!p)
+    e->members_missing_us = 0;
+  else if (!e->members_missing_us)
+    e->members_missing_us = now_us;
+  return p && now_us - e->members_missing_us >= wait_us ? p : NULL;
+}
+
+/* A VM that has listed the store knows its suppliers at most, and one that got
+   its replica early those that the source knew then.  The response of a source
+   names the VMs that it knows.  */
 void
 am_entry_pull_members (struct am_entry *e, uint64_t now_us)
 {
-  if (!e->replica.revision || e->path.peers
+  struct am_peer *p = members_source (e, now_us);
+
+  if (!e->replica.revision || (e->path.peers && !p)
       || am_http_client_busy (&e->pull_client)
-      || now_us - e->members_asked_us < members_interval_us (e))
+      || now_us - e->members_asked_us
+             < members_interval_us (e, e->members_asked_us))
     return;
   e->members_asked_us = now_us;
-  pull_from_next_source (e);
+  if (p)
+    pull_from (e, p->address, e->replica.revision);
+  else
+    pull_from_next_source (e);
 }
 
 static void
--- a/src/flow/fleet.c
+++ b/src/flow/fleet.c
@@ -238,6 +238,22 @@
   return NULL;
 }
 
+struct am_peer *
+am_fleet_members_source (const struct am_fleet *f, size_t count,
+                         uint64_t now_us)
+{
+  struct am_peer *best = NULL;
+
+  am_list_each (p, &f->peers, struct am_peer, node)
+  {
+    if (p->data_centre == f->data_centre && p->local_vms > count
+        && am_fleet_peer_alive (p, now_us) && !pull_failed_lately (p, now_us)
+        && (!best || p->local_vms > best->local_vms))
+      best = p;
+  }
+  return best;
+}
+
 void
 am_fleet_pull_failed (struct am_fleet *f, struct am_address address,
                       uint64_t now_us)
--- a/src/flow/fleet.h
+++ b/src/flow/fleet.h
@@ -73,12 +73,14 @@
   am_revision revision;      /* up to which its replica is complete */
   am_revision compaction_revision; /* of its replica, see am_replica */
   uint64_t configuration;          /* version in force; 0: not told */
-  uint64_t heard_us;               /* last digest; 0: none */
-  uint64_t interval_us;            /* maximum time until its next digest */
-  uint64_t named_us;               /* last named by another peer */
-  uint64_t loads_us;               /* last report of its load; 0: none */
-  bool introduced;                 /* this VM has sent it a digest */
-  uint64_t pull_failed_us;         /* last pull from it that failed; 0: none */
+  uint32_t local_vms;   /* VMs of its data centre that it knows to live, itself
+                           too; 0: not told */
+  uint64_t heard_us;    /* last digest; 0: none */
+  uint64_t interval_us; /* maximum time until its next digest */
+  uint64_t named_us;    /* last named by another peer */
+  uint64_t loads_us;    /* last report of its load; 0: none */
+  bool introduced;      /* this VM has sent it a digest */
+  uint64_t pull_failed_us; /* last pull from it that failed; 0: none */
   struct am_peer_load load;
 };
 
@@ -158,6 +160,11 @@
                                                am_revision revision,
                                                uint64_t now_us);
 
+/* Returns a live peer of this VM's data centre that knows more than COUNT VMs
+   there, the one that knows the most, or NULL.  */
+struct am_peer *am_fleet_members_source (const struct am_fleet *f,
+                                         size_t count, uint64_t now_us);
+
 /* Records that a pull from the peer with this ADDRESS failed.  */
 void am_fleet_pull_failed (struct am_fleet *f, struct am_address address,
                            uint64_t now_us);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -534,7 +534,7 @@
   (ProtobufCMessageInit) fleet__service_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[12] =
+static const ProtobufCFieldDescriptor fleet__digest__field_descriptors[13] =
 {
   {
     "sender",
@@ -680,6 +680,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "local_vms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Digest, local_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__digest__field_indices_by_name[] = {
   7,   /* field[7] = changes */
@@ -690,6 +702,7 @@
   5,   /* field[5] = link_mbps */
   3,   /* field[3] = loads */
   9,   /* field[9] = loads_omitted */
+  12,   /* field[12] = local_vms */
   2,   /* field[2] = reads */
   1,   /* field[1] = revision */
   0,   /* field[0] = sender */
@@ -698,7 +711,7 @@
 static const ProtobufCIntRange fleet__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor fleet__digest__descriptor =
 {
@@ -708,7 +721,7 @@
   "Fleet__Digest",
   "fleet",
   sizeof(Fleet__Digest),
-  12,
+  13,
   fleet__digest__field_descriptors,
   fleet__digest__field_indices_by_name,
   1,  fleet__digest__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -146,6 +146,10 @@
    */
   size_t n_services;
   Fleet__ServiceLoad **services;
+  /*
+   * that it knows to live in its data centre, itself too
+   */
+  uint32_t local_vms;
   /*
    * version in force, if the store was ever restored
    */
@@ -153,7 +157,7 @@
 };
 #define FLEET__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__digest__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
+    , NULL, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Fleet__Item
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -93,6 +93,26 @@
 }
 END_TEST
 
+/* Guards against VMs that stay unknown to each other, and against requests to
+   peers that know no more, are elsewhere, or have not answered.  */
+START_TEST (test_who_knows_more_members)
+{
+  struct am_peer *a = add_peer ("a", HERE, 10, false, 1);
+  struct am_peer *b = add_peer ("b", HERE, 10, false, 1);
+  struct am_peer *far = add_peer ("far", THERE, 10, false, 1);
+
+  a->local_vms = 5;
+  b->local_vms = 7;
+  far->local_vms = 9;
+  ck_assert_ptr_eq (am_fleet_members_source (&f, 4, NOW), b);
+  ck_assert_ptr_null (am_fleet_members_source (&f, 7, NOW));
+  b->pull_failed_us = NOW;
+  ck_assert_ptr_eq (am_fleet_members_source (&f, 4, NOW), a);
+  a->heard_us = 0;
+  ck_assert_ptr_null (am_fleet_members_source (&f, 4, NOW));
+}
+END_TEST
+
 /* Guards against a seed that believes a dead reader for ten seconds, because
    its last digest was one to the seeds; and against a seed that gets none.  */
 START_TEST (test_which_seeds_get_other_digests)
@@ -462,6 +482,7 @@
   tcase_add_test (tc, test_each_data_centre_has_a_reader);
   tcase_add_test (tc, test_one_of_many_reads);
   tcase_add_test (tc, test_peers_are_bounded);
+  tcase_add_test (tc, test_who_knows_more_members);
   tcase_add_test (tc, test_which_seeds_get_other_digests);
   tcase_add_test (tc, test_each_new_peer_is_introduced_once);
   tcase_add_test (tc, test_pull_source);
