--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -341,6 +341,16 @@
   am_http_get_within (&e->reader.client, path, &limits, on_watch, e);
 }
 
+/* Returns true if a VM that reads the store is to list it: a listing is in
+   progress, the replica is empty, or what a restored store lacked has been
+   written again since.  */
+static bool
+is_listing_due (const struct am_entry *e, uint64_t now_us)
+{
+  return e->reader.listing || !e->replica.revision
+         || (e->relist_us && now_us >= e->relist_us);
+}
+
 static void
 next_call (struct am_entry *e, uint64_t now_us)
 {
@@ -352,11 +362,13 @@
   if (!r->listing && !e->replica.revision
       && !am_startup_lists_store (&e->startup, now_us))
     return;
-  if (r->listing || !e->replica.revision)
-    list (e);
-  else if (!am_fleet_should_read (&e->fleet, r->active, now_us))
-    r->active = false;
-  else if (e->relist_us && now_us >= e->relist_us)
+  if (!r->listing && e->replica.revision
+      && !am_fleet_should_read (&e->fleet, r->active, now_us))
+    {
+      r->active = false;
+      return;
+    }
+  if (is_listing_due (e, now_us))
     list (e);
   else
     watch (e);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -154,7 +154,7 @@
 
   if (n + len >= AM_HTTP_HEADER_SIZE || memchr (data, '\0', len))
     {
-      strcpy (out, TOO_LONG);
+      memcpy (out, TOO_LONG, sizeof TOO_LONG);
       return;
     }
   memcpy (out + n, data, len);
