--- a/src/entry/pull.c
+++ b/src/entry/pull.c
@@ -158,8 +158,7 @@
   am_entry_pull (e, now_us);
 }
 
-/* Requests of PEER the changes after revision AFTER, all items if that is 0.
- */
+/* Requests of PEER the changes after revision AFTER; 0: all items.  */
 static void
 pull_from (struct am_entry *e, struct am_address peer, am_revision after)
 {
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -122,7 +122,6 @@
 apply_listed_item (void *userdata, const struct am_store_item *i)
 {
   struct list_page *page = userdata;
-
   int err = am_entry_check_era (page->e, page->e->reader.list_revision,
                                 i->revision);
 
