Ask for members alone

A VM that asked a peer for the members that it does not know got the whole replica with them if its own was older than what the peer had compacted, as after a start at which both listed the store.

--- a/src/entry/changes_server.c
+++ b/src/entry/changes_server.c
@@ -173,6 +173,14 @@
   return am_store_sync_age (&e->sync, am_clock_us ()) > AM_STORE_SYNC_STALE_US;
 }
 
+static void
+handle_members (struct am_entry *e, struct am_http_reply *reply)
+{
+  int err = append_members (e, &reply->body, &reply->body_len);
+
+  reply->status = err ? 503 : 200;
+}
+
 void
 am_entry_changes_handle (void *userdata, const char *path,
                          struct am_http_reply *reply)
@@ -181,6 +189,11 @@
   uint64_t after;
   int err;
 
+  if (strcmp (path, AM_ENTRY_MEMBERS_PATH) == 0)
+    {
+      handle_members (e, reply);
+      return;
+    }
   reply->status = 404;
   if (strncmp (path, AM_ENTRY_CHANGES_PATH, strlen (AM_ENTRY_CHANGES_PATH))
       != 0)
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -17,6 +17,9 @@
    use.  */
 #define AM_ENTRY_CHANGES_RECENT "&recent=1"
 
+/* Path of a request for the members that a VM knows, without changes.  */
+#define AM_ENTRY_MEMBERS_PATH "/members"
+
 /* A response is one or more Changes messages, to be merged: the items, then
    the members.  Each is compressed and follows its
    uncompressed length, 32 bits.  */
--- a/src/entry/pull.c
+++ b/src/entry/pull.c
@@ -158,6 +158,15 @@
   am_entry_pull (e, now_us);
 }
 
+static void
+request (struct am_entry *e, struct am_address peer, const char *path,
+         uint32_t timeout_ms)
+{
+  am_http_client_init (&e->pull_client, e->loop, peer);
+  e->counters.pulls++;
+  am_http_get (&e->pull_client, path, timeout_ms, on_pull_done, e);
+}
+
 /* Requests of PEER the changes after revision AFTER; 0: all items.  */
 static void
 pull_from (struct am_entry *e, struct am_address peer, am_revision after)
@@ -168,13 +177,9 @@
 
   snprintf (path, sizeof path, AM_ENTRY_CHANGES_PATH "%" PRIu64 "%s", after,
             recent ? AM_ENTRY_CHANGES_RECENT : "");
-  am_http_client_init (&e->pull_client, e->loop, peer);
-  e->counters.pulls++;
   if (starting)
     am_startup_source_asked (&e->startup, am_clock_us ());
-  am_http_get (&e->pull_client, path,
-               starting ? SOURCE_TIMEOUT_MS : PULL_TIMEOUT_MS, on_pull_done,
-               e);
+  request (e, peer, path, starting ? SOURCE_TIMEOUT_MS : PULL_TIMEOUT_MS);
 }
 
 /* Returns the time that this VM has to be behind P before it pulls.  */
@@ -296,7 +301,7 @@
     return;
   e->members_asked_us = now_us;
   if (p)
-    pull_from (e, p->address, e->replica.revision);
+    request (e, p->address, AM_ENTRY_MEMBERS_PATH, PULL_TIMEOUT_MS);
   else
     pull_from_next_source (e);
 }
--- a/test/test_changes_server.c
+++ b/test/test_changes_server.c
@@ -68,6 +68,21 @@
 }
 END_TEST
 
+/* Guards against a request for members that brings the whole replica, as this
+   VM's is older than what the peer has compacted, or that advances this VM's
+   replica without the changes.  */
+START_TEST (test_members_come_without_changes)
+{
+  server->replica.compaction_revision = 5;
+  am_replica_write (&client->replica, "other/2", 7, (const uint8_t *)"", 0, 3);
+  am_replica_advance (&client->replica, 3);
+  request (AM_ENTRY_MEMBERS_PATH);
+  ck_assert_uint_eq (client->replica.revision, 3);
+  ck_assert_uint_eq (client->replica.item_count, 1);
+  ck_assert_uint_eq (client->fleet.count, PEERS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -76,6 +91,7 @@
 
   tcase_add_checked_fixture (t, begin, end);
   tcase_add_test (t, test_each_response_names_the_members);
+  tcase_add_test (t, test_members_come_without_changes);
   suite_add_tcase (s, t);
   return suite_run (s);
 }
