--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -205,7 +205,7 @@
 /* restore.c, for a store that comes back from an older copy.
 
    am_entry_replica_advanced is to be called after each step that may have
-   advanced the replica from BEFORE: it notes the first word of a new era.
+   advanced the replica from BEFORE: it notes when that enters a new era.
 
    am_entry_write_listed_item writes ITEM of a listing to the replica, unless
    the replica has a later state of it from before the store was restored.
--- a/src/entry/restore.c
+++ b/src/entry/restore.c
@@ -4,8 +4,9 @@
 #include "entry/entry.h"
 #include "flow/revision.h"
 
-/* A store that comes back from an older copy of itself: what the replica knows
-   better than the copy, and what follows from the first word of a new era.  */
+/* A store that comes back from an older copy of itself: which items the
+   replica has later states of than the copy, and what happens when it enters
+   the new era.  */
 
 /* Until then, targets and the operator have written again what the copy
    lacks.  */
@@ -72,7 +73,7 @@
   return expected && era != am_revision_era (expected) ? AM_E_EXPIRED : AM_OK;
 }
 
-/* The first word of the store's new era has reached this VM.  */
+/* The replica has entered a new era of the store.  */
 static void
 begin_era (struct am_entry *e, am_revision before, uint64_t now_us)
 {
--- a/test/test_restore.c
+++ b/test/test_restore.c
@@ -35,7 +35,7 @@
 /* ---- what the store says ------------------------------------------ */
 
 /* An item of the store; VALUE is NULL if it was removed.  */
-struct word
+struct stored
 {
   const char *key;
   const char *value;
@@ -43,28 +43,28 @@
 };
 
 static struct am_store_item
-item_of (const struct word *w, uint32_t era)
+item_of (const struct stored *s, uint32_t era)
 {
-  struct am_store_item i = { .key = w->key,
-                             .key_len = strlen (w->key),
-                             .value = (const uint8_t *)w->value,
-                             .value_len = w->value ? strlen (w->value) : 0,
-                             .revision = am_revision_make (era, w->number) };
+  struct am_store_item i = { .key = s->key,
+                             .key_len = strlen (s->key),
+                             .value = (const uint8_t *)s->value,
+                             .value_len = s->value ? strlen (s->value) : 0,
+                             .revision = am_revision_make (era, s->number) };
 
   return i;
 }
 
-/* The store of ERA is listed: the COUNT items WORDS, as of NUMBER.  */
+/* The store of ERA is listed: the COUNT items ITEMS, as of NUMBER.  */
 static void
 list (struct am_entry *vm, uint32_t era, uint64_t number,
-      const struct word *words, size_t count)
+      const struct stored *items, size_t count)
 {
   am_revision before = vm->replica.revision;
 
   am_replica_list_begin (&vm->replica);
   for (size_t n = 0; n < count; n++)
     {
-      struct am_store_item i = item_of (&words[n], era);
+      struct am_store_item i = item_of (&items[n], era);
 
       ck_assert_int_eq (am_entry_write_listed_item (vm, &i), AM_OK);
     }
@@ -74,12 +74,12 @@
 
 /* The store of ERA reports a change.  */
 static void
-change (struct am_entry *vm, uint32_t era, struct word w)
+change (struct am_entry *vm, uint32_t era, struct stored s)
 {
   am_revision before = vm->replica.revision;
-  struct am_store_item i = item_of (&w, era);
+  struct am_store_item i = item_of (&s, era);
 
-  if (w.value)
+  if (s.value)
     am_entry_write_item (vm, &i);
   else
     am_replica_remove (&vm->replica, i.key, i.key_len, i.revision);
@@ -87,7 +87,7 @@
   am_entry_replica_advanced (vm, before, now_us);
 }
 
-static struct word
+static struct stored
 configuration (unsigned version, uint64_t number)
 {
   static char texts[4][128];
@@ -98,10 +98,10 @@
             "{\"version\":%u,\"routes\":[{\"host\":\"198.18.0.1\","
             "\"prefix\":\"/443/\",\"service\":\"a\"}]}",
             version);
-  return (struct word){ CONFIGURATION, text, number };
+  return (struct stored){ CONFIGURATION, text, number };
 }
 
-static struct word
+static struct stored
 target (const char *state, unsigned seq, unsigned born, uint64_t number)
 {
   static char texts[4][256];
@@ -113,7 +113,7 @@
             "\"version\":\"v1\",\"capacity\":2,\"state\":\"%s\","
             "\"warmup_left_ms\":0,\"seq\":%u,\"born\":%u}",
             state, seq, born);
-  return (struct word){ TARGET, text, number };
+  return (struct stored){ TARGET, text, number };
 }
 
 static enum am_target_state
@@ -136,11 +136,11 @@
 
 /* A VM in sync that has seen these two up to the revision SEEN.  */
 static void
-begin_era_0 (struct word a, struct word b)
+begin_era_0 (struct stored a, struct stored b)
 {
-  struct word words[] = { a, b };
+  struct stored items[] = { a, b };
 
-  list (e, 0, SEEN, words, 2);
+  list (e, 0, SEEN, items, 2);
   am_store_sync_confirmed (&e->sync, now_us);
   now_us += 60000000;
   am_store_sync_confirmed (&e->sync, now_us);
@@ -152,7 +152,8 @@
    revisions are not above those that they have seen.  */
 START_TEST (test_change_after_the_restore_is_applied)
 {
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
 
   begin_era_0 (configuration (7, 300), target ("ready", 1, 1, 200));
   list (e, 1, COPY, copy, 2);
@@ -165,7 +166,8 @@
 /* Guards against a restore that is noted at each change, or at the start.  */
 START_TEST (test_one_restore_is_noted_once)
 {
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
 
   list (e, 3, COPY, copy, 2);
   ck_assert_uint_eq (e->counters.restores, 0);
@@ -183,7 +185,8 @@
    another era.  */
 START_TEST (test_answers_of_other_eras)
 {
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
   am_revision old = am_revision_make (0, 900);
   am_revision present = am_revision_make (1, 10);
   am_revision next = am_revision_make (2, 10);
@@ -220,9 +223,10 @@
 START_TEST (test_peers_of_two_eras)
 {
   struct am_entry *cut = entry_new ();
-  struct word before[]
+  struct stored before[]
       = { configuration (7, 300), target ("ready", 1, 1, 200) };
-  struct word copy[] = { configuration (8, 400), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (8, 400), target ("ready", 1, 1, 200) };
 
   list (cut, 0, SEEN, before, 2);
   list (e, 0, SEEN, before, 2);
@@ -245,7 +249,8 @@
 START_TEST (test_configuration_does_not_go_back)
 {
   struct am_entry *starting = entry_new ();
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
 
   begin_era_0 (configuration (9, 490), target ("ready", 1, 1, 200));
   list (e, 1, COPY, copy, 2);
@@ -265,7 +270,8 @@
 START_TEST (test_configuration_comes_from_peers)
 {
   struct am_entry *starting = entry_new ();
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
   struct am_http_reply reply = { 0 };
   struct am_peer *p;
 
@@ -300,8 +306,9 @@
    stands in the copy as ready.  */
 START_TEST (test_target_that_left_stays_away)
 {
-  struct word gone = { TARGET, NULL, 495 };
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored gone = { TARGET, NULL, 495 };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
 
   begin_era_0 (configuration (7, 300), target ("ready", 1, 1, 200));
   change (e, 0, target ("draining", 2, 1, 490));
@@ -320,9 +327,11 @@
    or written again since the restore.  */
 START_TEST (test_target_that_writes_again_is_used)
 {
-  struct word gone = { TARGET, NULL, 495 };
-  struct word copy[] = { configuration (7, 300), target ("ready", 2, 1, 200) };
-  struct word anew[] = { configuration (7, 300), target ("ready", 1, 9, 470) };
+  struct stored gone = { TARGET, NULL, 495 };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 2, 1, 200) };
+  struct stored anew[]
+      = { configuration (7, 300), target ("ready", 1, 9, 470) };
 
   begin_era_0 (configuration (7, 300), target ("ready", 2, 1, 200));
   change (e, 0, gone);
@@ -342,8 +351,8 @@
    against ones that stay for good.  */
 START_TEST (test_what_the_copy_lacks_stays_for_a_while)
 {
-  struct word copy[] = { configuration (7, 300) };
-  struct word order = { ORDER, "{}", 492 };
+  struct stored copy[] = { configuration (7, 300) };
+  struct stored order = { ORDER, "{}", 492 };
 
   begin_era_0 (configuration (7, 300), target ("ready", 1, 1, 490));
   change (e, 0, order);
@@ -365,8 +374,9 @@
    once: an entry may have lapsed while the store was away.  */
 START_TEST (test_grace_begins_anew)
 {
-  struct word copy[] = { configuration (7, 300), target ("ready", 1, 1, 200) };
-  struct word gone = { TARGET, NULL, COPY + 1 };
+  struct stored copy[]
+      = { configuration (7, 300), target ("ready", 1, 1, 200) };
+  struct stored gone = { TARGET, NULL, COPY + 1 };
 
   begin_era_0 (configuration (7, 300), target ("ready", 1, 1, 200));
   list (e, 1, COPY, copy, 2);
@@ -384,8 +394,8 @@
    which came before the first had spread.  */
 START_TEST (test_second_restore)
 {
-  struct word copy[] = { configuration (7, 300) };
-  struct word again[]
+  struct stored copy[] = { configuration (7, 300) };
+  struct stored again[]
       = { configuration (10, 301), target ("ready", 3, 1, 302) };
 
   begin_era_0 (configuration (9, 490), target ("ready", 1, 1, 491));
