--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -43,6 +44,9 @@
 PROBE_S = 0.5
 RESET_WINDOW = 76800
 
+# Lines of each VM's log that go to the record at most.
+LOG_LINES = 200
+
 
 def free_port(ip):
     """A port that is free for UDP and TCP on every address of a run."""
@@ -77,6 +81,7 @@
                       ("packets", "ready", "peers", "store", "target",
                        "metrics")}
         self.loss = 0.0          # of datagrams between VMs, targets, callers
+        self.route_ip = self.ip(200, 3)
         self.record(f"trouble={int(self.trouble)} block=127.{self.block}")
 
     def ip(self, host, net=0):
@@ -149,9 +154,19 @@
                 v.process.kill()
             v.process.wait()
         self.record(f"ended broken={len(self.broken)}")
+        for v in self.vms:
+            self.keep_log(v)
         self.out.close()
+        shutil.rmtree(self.work)
         return 1 if self.broken else 0
 
+    def keep_log(self, vm):
+        """Copies what VM logged of its beliefs to the record."""
+        lines = (self.work / f"{vm.name}.log").read_text().splitlines()
+        kept = [x for x in lines if re.match(r"\S+ (target |conf|store-)", x)]
+        self.out.write(f"log of {vm.name}, {len(kept)} lines of {len(lines)}:\n"
+                       + "".join(x + "\n" for x in kept[:LOG_LINES]))
+
 
 class Vm:
     """One entry VM, and the routers' check of its readiness."""
@@ -490,9 +505,13 @@
     1 the rule was broken, 0 it held, 2 the case could not run."""
     async def play():
         run = Run(folder)
+        task = asyncio.ensure_future(asyncio.wait_for(case(run), seconds))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      task.cancel)
         try:
-            await asyncio.wait_for(case(run), seconds)
-        except Exception as error:  # the case could not run
+            await task
+        except (Exception, asyncio.CancelledError) as error:
+            # The case could not run.
             run.record(f"could not run: {error!r}")
             await run.finish()
             return 2
