Review: planned work alone resets flows at targets that have just registered

A VM that is in sync, but behind its peers for a moment, resets flows whose target it does not have yet.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -46,6 +46,8 @@
 
 # Lines of each VM's log that go to the record at most.
 LOG_LINES = 200
+# A log of more lines gives those of resets of open flows alone.
+MANY_LINES = 1000
 
 
 def free_port(ip):
@@ -163,7 +165,9 @@
     def keep_log(self, vm):
         """Copies what VM logged of its beliefs to the record."""
         lines = (self.work / f"{vm.name}.log").read_text().splitlines()
-        kept = [x for x in lines if re.match(r"\S+ (target |conf|store-)", x)]
+        kept = [x for x in lines if re.match(r"\S+ (target |conf|store-)", x)
+                and len(lines) < MANY_LINES
+                or re.search("reason=(unknown_ticket|target_gone)", x)]
         self.out.write(f"log of {vm.name}, {len(kept)} lines of {len(lines)}:\n"
                        + "".join(x + "\n" for x in kept[:LOG_LINES]))
 
